--- /dev/null
+++ b/fuchsiamoor/core/keys.py
@@ -0,0 +1,46 @@
+"""Keys, domains and shards: which shard of which domain a request's key belongs to."""
+
+from typing import NamedTuple
+
+import xxhash
+
+
+class KeyId(NamedTuple):
+    """A key as the system knows it: the same text under two tenants is two keys."""
+
+    service: str
+    tenant: str
+    key: str
+
+
+def make_domain_id(service: str, home_regions: frozenset[str]) -> str:
+    """Name the ownership domain of a service and a set of home regions.
+
+    Examples
+    --------
+    >>> make_domain_id("stock", frozenset({"b", "a"}))
+    'stock@a+b'
+    """
+    return f"{service}@{'+'.join(sorted(home_regions))}"
+
+
+def split_domain_id(domain: str) -> tuple[str, frozenset[str]]:
+    """Return the service and the home regions that a domain's name gives.
+
+    Examples
+    --------
+    >>> split_domain_id("stock@a")
+    ('stock', frozenset({'a'}))
+    """
+    service, _, regions = domain.rpartition("@")
+    return service, frozenset(regions.split("+"))
+
+
+def hash_key(key_id: KeyId) -> int:
+    """Return the 64-bit hash of a key."""
+    return xxhash.xxh3_64_intdigest(f"{key_id.tenant}\0{key_id.key}")
+
+
+def compute_shard(key_hash: int, shard_count: int) -> int:
+    """Return the shard of a key hash among ``shard_count`` hashed shards."""
+    return key_hash % shard_count
--- /dev/null
+++ b/fuchsiamoor/core/settings.py
@@ -0,0 +1,75 @@
+"""Settings of a daemon, as plain data.
+
+`fuchsiamoor.daemon.settings_file` reads and checks them.
+"""
+
+from typing import NamedTuple
+
+from fuchsiamoor.core.addresses import Address
+
+
+class Timing(NamedTuple):
+    """Times of the ownership protocol; the same in every daemon of a deployment.
+
+    Parameters
+    ----------
+    renew_every_ms : int
+        Time between two renewals of a serving lease.
+    lease_ms : int
+        Length of a serving lease.
+    silence_ms : int
+        Silence after which the coordinator takes a member for lost.
+    store_lease_ms : int
+        Length of the coordinator's lease in the store.
+    drift_ratio : float
+        Largest difference in the rate of two monotonic clocks.
+    gossip_every_ms : int
+        Time between two digests sent to a random peer.
+    """
+
+    renew_every_ms: int = 250
+    lease_ms: int = 800
+    silence_ms: int = 700
+    store_lease_ms: int = 600
+    drift_ratio: float = 0.001
+    gossip_every_ms: int = 500
+
+
+class Settings(NamedTuple):
+    """Everything that one daemon is told at its start.
+
+    Parameters
+    ----------
+    instance : str
+    service : str
+        Service of the upstream beside it.
+    region : str
+    data_centre : str
+    caller_address, peer_address, operator_address, announce_address : Address
+        Where the daemon listens: to callers, other daemons, operators, and the upstream
+        beside it.
+    upstream_address : Address
+        Where the upstream beside it listens.
+    store_url : str
+    statsd_address : Address or None
+    peer_keys : tuple of str
+        Shared keys in force for peers, the first one used for sending.
+    operator_keys : tuple of str
+        The same for operators.
+    timing : Timing
+    """
+
+    instance: str
+    service: str
+    region: str
+    data_centre: str
+    caller_address: Address
+    peer_address: Address
+    operator_address: Address
+    announce_address: Address
+    upstream_address: Address
+    store_url: str
+    statsd_address: Address | None
+    peer_keys: tuple[str, ...]
+    operator_keys: tuple[str, ...]
+    timing: Timing
