--- /dev/null
+++ b/fuchsiamoor/daemon/coordinating.py
@@ -0,0 +1,350 @@
+"""Coordinating: runs the coordinator of a domain while this daemon holds that role.
+
+The decisions are those of `fuchsiamoor.ownership.coordinator`; this module acquires the
+role in the store, feeds events, and carries the actions out.
+"""
+
+import asyncio
+from dataclasses import dataclass, field
+
+import xxhash
+
+from fuchsiamoor.core import errors, messages, tables
+from fuchsiamoor.daemon import calls, exchange
+from fuchsiamoor.daemon import knowledge as knowledges
+from fuchsiamoor.daemon import node as nodes
+from fuchsiamoor.ownership import coordinator as coordinators
+from fuchsiamoor.ownership import holder as holders
+from fuchsiamoor.ownership import tables_codec
+from fuchsiamoor.store import port
+
+TICK_MS = 50
+CANDIDATE_CHECK_MS = 100
+RANK_DELAY_MS = 150
+LARGEST_RANK_DELAY_MS = 5_000
+SETTLE_DELAY_MS = 50
+
+
+@dataclass(slots=True)
+class Coordination:
+    """The role of coordinator in one domain.
+
+    Parameters
+    ----------
+    domain : str
+    machine : Coordinator
+    lease_id : str
+        The store lease under which the role is held.
+    ended : asyncio.Event
+        Set once the role is lost or given up.
+    """
+
+    domain: str
+    machine: coordinators.Coordinator
+    lease_id: str
+    ended: asyncio.Event = field(default_factory=asyncio.Event)
+
+
+def coordinator_key(domain: str) -> str:
+    """Return the store key that names a domain's coordinator."""
+    return f"domains/{domain}/coordinator"
+
+
+def table_key(domain: str) -> str:
+    """Return the store key of a domain's table."""
+    return f"domains/{domain}/table"
+
+
+def answer_renew(
+    node: nodes.Node, coordination: Coordination, renew: messages.Renew
+) -> messages.Message:
+    """Answer a renewal and take note of the sign of life."""
+    reply = coordinators.answer_renew(coordination.machine, renew, node.now_ms())
+    feed(node, coordination, coordinators.RenewReceived(renew))
+    if isinstance(reply, messages.Renewed):
+        return reply._replace(
+            configuration_revision=node.knowledge.configuration.revision
+        )
+    return reply
+
+
+def feed(node: nodes.Node, coordination: Coordination, event) -> None:
+    """Give the machine one event and start its actions."""
+    if coordination.ended.is_set():
+        return
+    actions = coordinators.handle(coordination.machine, event, node.now_ms())
+    for action in actions:
+        nodes.spawn(node, _act(node, coordination, action), "coordinator action")
+
+
+def feed_all(node: nodes.Node, event) -> None:
+    """Give every machine of this daemon one event."""
+    for coordination in list(node.coordinating.values()):
+        feed(node, coordination, event)
+
+
+def members_event(node: nodes.Node) -> coordinators.MembersChanged:
+    """Return the directory as an event."""
+    return coordinators.MembersChanged(
+        tuple(node.knowledge.directory.by_instance.values())
+    )
+
+
+async def run_candidacies(node: nodes.Node) -> None:
+    """Take over the domains of this daemon that seem to have no coordinator."""
+    waiting_since_ms: dict[str, int] = {}
+    while True:
+        await asyncio.sleep(CANDIDATE_CHECK_MS / 1000)
+        now_ms = node.now_ms()
+        for domain, holder in list(node.holders.items()):
+            if not _needs_coordinator(node, domain, holder):
+                waiting_since_ms.pop(domain, None)
+                continue
+            since_ms = waiting_since_ms.setdefault(domain, now_ms)
+            if now_ms - since_ms < _rank_delay_ms(node, domain):
+                continue
+            del waiting_since_ms[domain]
+            nodes.spawn(node, _try_coordinating(node, domain), f"coordinate {domain}")
+
+
+def _needs_coordinator(node, domain: str, holder: holders.Holder) -> bool:
+    if domain in node.coordinating or node.superseded or node.leaving:
+        return False
+    if node.member.registered_version == 0 or _is_out(node):
+        return False
+    renewed_ms = holder.coordinator_renewed_ms
+    return (
+        renewed_ms is None
+        or node.now_ms() - renewed_ms > 2 * node.settings.timing.renew_every_ms
+    )
+
+
+def _is_out(node: nodes.Node) -> bool:
+    return node.settings.data_centre in node.knowledge.configuration.data_centres_out
+
+
+def _rank_delay_ms(node: nodes.Node, domain: str) -> int:
+    own_score = _score(domain, node.member.instance)
+    rank = sum(
+        1
+        for member in node.knowledge.directory.by_instance.values()
+        if member.service == node.member.service
+        and _score(domain, member.instance) > own_score
+    )
+    return min(rank * RANK_DELAY_MS, LARGEST_RANK_DELAY_MS)
+
+
+def _score(domain: str, instance: str) -> int:
+    return xxhash.xxh3_64_intdigest(f"{domain}\0{instance}")
+
+
+async def _try_coordinating(node: nodes.Node, domain: str) -> None:
+    timing = node.settings.timing
+    try:
+        lease_id = await node.store.grant_lease(timing.store_lease_ms)
+        sent_ms = node.now_ms()
+        taken = await _take_role(node, domain, lease_id)
+        if not taken:
+            await node.store.revoke_lease(lease_id)
+            return
+        entry = await node.store.get(table_key(domain))
+    except errors.StoreError:
+        node.metrics.count("coordinator.acquire_failed")
+        return
+    await _coordinate(node, domain, lease_id, entry, sent_ms)
+
+
+async def _take_role(node: nodes.Node, domain: str, lease_id: str) -> bool:
+    result = await node.store.swap(
+        coordinator_key(domain),
+        port.ABSENT,
+        node.member.member_id.encode(),
+        lease_id,
+    )
+    match result:
+        case port.Swapped():
+            return True
+        case port.Conflict(current) if current is not None:
+            node.coordinator_hints[domain] = current.value.decode()
+    return False
+
+
+async def _coordinate(node, domain, lease_id, entry, sent_ms) -> None:
+    if domain in node.coordinating:
+        return
+    table, version = _read_table(entry)
+    machine = coordinators.make_coordinator(
+        domain,
+        node.member.member_id,
+        node.settings.timing,
+        table,
+        version,
+        node.now_ms(),
+    )
+    coordination = Coordination(domain, machine, lease_id)
+    node.coordinating[domain] = coordination
+    node.coordinator_hints[domain] = node.member.member_id
+    node.metrics.count("coordinator.acquired")
+    feed(node, coordination, coordinators.StoreLeaseRenewed(sent_ms))
+    feed(
+        node,
+        coordination,
+        coordinators.ConfigurationChanged(node.knowledge.configuration),
+    )
+    feed(node, coordination, members_event(node))
+    try:
+        await _run_role(node, coordination)
+    finally:
+        coordination.ended.set()
+        node.coordinating.pop(domain, None)
+        node.metrics.count("coordinator.ended")
+
+
+def _read_table(entry: port.Entry | None) -> tuple[tables.ShardTable | None, int]:
+    if entry is None:
+        return None, port.ABSENT
+    return tables_codec.decode_table(entry.value), entry.version
+
+
+async def _run_role(node: nodes.Node, coordination: Coordination) -> None:
+    renewing = nodes.spawn(node, _keep_store_lease(node, coordination), "store lease")
+    try:
+        while not coordination.ended.is_set():
+            feed(node, coordination, coordinators.Tick())
+            await asyncio.sleep(TICK_MS / 1000)
+    finally:
+        renewing.cancel()
+
+
+async def _keep_store_lease(node: nodes.Node, coordination: Coordination) -> None:
+    interval_s = node.settings.timing.store_lease_ms / 3000
+    while True:
+        await asyncio.sleep(interval_s)
+        sent_ms = node.now_ms()
+        try:
+            alive = await node.store.renew_lease(coordination.lease_id)
+        except errors.StoreError:
+            node.metrics.count("coordinator.renew_failed")
+            continue
+        if not alive:
+            feed(node, coordination, coordinators.StoreLeaseLost())
+            coordination.ended.set()
+            return
+        feed(node, coordination, coordinators.StoreLeaseRenewed(sent_ms))
+
+
+async def _act(node: nodes.Node, coordination: Coordination, action) -> None:
+    match action:
+        case coordinators.WriteTable():
+            await _write_table(node, coordination, action)
+        case coordinators.PushTable():
+            _push_table(node, coordination, action)
+        case coordinators.AskRelease():
+            await _ask_release(node, coordination, action)
+        case coordinators.SendAbort():
+            await _send_abort(node, action)
+        case coordinators.Resign():
+            await resign(node, coordination)
+
+
+async def _write_table(node, coordination, action: coordinators.WriteTable) -> None:
+    value = tables_codec.encode_table(action.table)
+    key = table_key(coordination.domain)
+    try:
+        result = await node.store.swap(key, action.expected_version, value)
+    except errors.StoreError:
+        node.metrics.count("coordinator.write_unknown")
+        feed(
+            node, coordination, coordinators.TableOutcomeUnknown(action.table.revision)
+        )
+        result = await _settle_write(node, coordination, action, value)
+    match result:
+        case port.Swapped(version):
+            knowledges.adopt_table(node.knowledge, value)
+            feed(
+                node,
+                coordination,
+                coordinators.TableWritten(action.table.revision, version),
+            )
+        case port.Conflict(current):
+            table, version = _read_table(current)
+            feed(node, coordination, coordinators.TableConflict(version, table))
+
+
+async def _settle_write(
+    node, coordination, action: coordinators.WriteTable, value: bytes
+) -> port.SwapResult:
+    """Repeat a write whose outcome is unknown until the store gives an answer.
+
+    The repetition expects the same version, so at most one of the two takes effect, and
+    a conflict shows that the first can take effect no more unless it already has.
+    """
+    key = table_key(coordination.domain)
+    while True:
+        await asyncio.sleep(SETTLE_DELAY_MS / 1000)
+        if coordination.ended.is_set():
+            return port.Conflict(None)
+        try:
+            result = await node.store.swap(key, action.expected_version, value)
+        except errors.StoreError:
+            continue
+        match result:
+            case port.Conflict(current) if current and current.value == value:
+                return port.Swapped(current.version)
+        return result
+
+
+def _push_table(node, coordination, action: coordinators.PushTable) -> None:
+    value = tables_codec.encode_table(action.table)
+    push = messages.TablePush(coordination.domain, action.table.revision, value)
+    for member_id in action.member_ids:
+        nodes.spawn(node, _push_to(node, coordination, member_id, push), "table push")
+
+
+async def _push_to(node, coordination, member_id: str, push) -> None:
+    timeout_ms = node.settings.timing.lease_ms
+    try:
+        reply = await calls.call_member(node, member_id, push, timeout_ms)
+    except errors.PeerError:
+        node.metrics.count("coordinator.push_failed")
+        return
+    if isinstance(reply, messages.TableAcked):
+        feed(
+            node,
+            coordination,
+            coordinators.TableAckReceived(member_id, reply.revision),
+        )
+
+
+async def _ask_release(node, coordination, action: coordinators.AskRelease) -> None:
+    move_id = action.prepare.move_id
+    try:
+        reply = await calls.call_member(
+            node, action.member_id, action.prepare, action.timeout_ms
+        )
+    except errors.PeerError:
+        reply = None
+    if isinstance(reply, messages.Released):
+        feed(
+            node, coordination, coordinators.ReleasedReceived(action.member_id, reply)
+        )
+        return
+    feed(node, coordination, coordinators.ReleaseFailed(action.member_id, move_id))
+
+
+async def _send_abort(node, action: coordinators.SendAbort) -> None:
+    try:
+        await calls.call_member(
+            node, action.member_id, action.abort, exchange.CALL_TIMEOUT_MS
+        )
+    except errors.PeerError:
+        node.metrics.count("coordinator.abort_failed")
+
+
+async def resign(node: nodes.Node, coordination: Coordination) -> None:
+    """Give the role up, so that another member may take it at once."""
+    coordination.ended.set()
+    try:
+        await node.store.revoke_lease(coordination.lease_id)
+    except errors.StoreError:
+        node.metrics.count("coordinator.resign_failed")
--- /dev/null
+++ b/fuchsiamoor/daemon/registration.py
@@ -0,0 +1,87 @@
+"""Registration: tells the store where this daemon can be reached, at each change.
+
+A later registration of the same instance by another run holds the instance: this run
+then gives it up and registers no more.
+"""
+
+import asyncio
+
+from fuchsiamoor.core import errors
+from fuchsiamoor.daemon import exchange
+from fuchsiamoor.daemon import knowledge as knowledges
+from fuchsiamoor.daemon import node as nodes
+from fuchsiamoor.membership import directory as directories
+from fuchsiamoor.membership import member_codec
+from fuchsiamoor.store import port
+
+FIRST_DELAY_MS = 100
+LARGEST_DELAY_MS = 2_000
+
+
+async def run_registration(node: nodes.Node) -> None:
+    """Keep the registration true, trying again while the store is away."""
+    delay_ms = FIRST_DELAY_MS
+    while not node.superseded:
+        try:
+            await register(node)
+        except errors.StoreError:
+            node.metrics.count("registration.failed")
+            await asyncio.sleep(node.random.uniform(0.5, 1.0) * delay_ms / 1000)
+            delay_ms = min(delay_ms * 2, LARGEST_DELAY_MS)
+            continue
+        delay_ms = FIRST_DELAY_MS
+        if node.member.registered_version:
+            await node.register_now.wait()
+            node.register_now.clear()
+
+
+async def register(node: nodes.Node) -> None:
+    """Make the instance's registration this run's.
+
+    A lost answer is settled by the next call, which finds its own registration.
+
+    Raises
+    ------
+    StoreError
+    """
+    key = exchange.MEMBERS_PREFIX + node.member.instance
+    member = node.member
+    value = member_codec.encode_member(member._replace(registered_version=0))
+    current = await node.store.get(key)
+    if current is not None and current.value == value:
+        _confirm(node, current.version)
+        return
+    if current is not None and member.registered_version:
+        holder = member_codec.decode_member(current.value)
+        if holder.member_id != member.member_id:
+            node.superseded = True
+            return
+    expected = current.version if current is not None else port.ABSENT
+    match await node.store.swap(key, expected, value):
+        case port.Swapped(version):
+            _confirm(node, version)
+        case port.Conflict():
+            node.metrics.count("registration.raced")
+
+
+def _confirm(node: nodes.Node, version: int) -> None:
+    node.member = node.member._replace(registered_version=version)
+    knowledges.adopt_members(node.knowledge, [node.member])
+
+
+async def deregister(node: nodes.Node) -> None:
+    """Take this run's registration out of the store at a planned stop."""
+    if node.member.registered_version == 0:
+        return
+    key = exchange.MEMBERS_PREFIX + node.member.instance
+    try:
+        await node.store.delete(key, node.member.registered_version)
+    except errors.StoreError:
+        node.metrics.count("registration.failed")
+
+
+def check_superseded(node: nodes.Node) -> None:
+    """Give up the instance if a later registration holds it."""
+    if node.superseded:
+        return
+    node.superseded = directories.is_superseded(node.knowledge.directory, node.member)
--- /dev/null
+++ b/fuchsiamoor/daemon/supervisor.py
@@ -0,0 +1,93 @@
+"""Supervisors: tasks that are started again when they fail, as a tree.
+
+A child runs until it returns or fails. A child that fails is started again after a
+delay that doubles up to a ceiling; more than `max_restarts` within the window fails the
+supervisor itself, and so its parent's child. `fuchsiamoor.daemon.tree` shows the
+whole tree.
+"""
+
+import asyncio
+import collections
+from collections.abc import Awaitable, Callable, Sequence
+from typing import NamedTuple
+
+FIRST_DELAY_MS = 50
+LARGEST_DELAY_MS = 2_000
+MAX_RESTARTS = 20
+WINDOW_MS = 30_000
+
+
+class Child(NamedTuple):
+    """One task under a supervisor.
+
+    Parameters
+    ----------
+    name : str
+    run : callable
+        Makes the coroutine; called again at every restart.
+    """
+
+    name: str
+    run: Callable[[], Awaitable[None]]
+
+
+class RestartPolicy(NamedTuple):
+    """How often a child may fail before its supervisor does."""
+
+    first_delay_ms: int = FIRST_DELAY_MS
+    largest_delay_ms: int = LARGEST_DELAY_MS
+    max_restarts: int = MAX_RESTARTS
+    window_ms: int = WINDOW_MS
+
+
+async def supervise(
+    children: Sequence[Child],
+    on_failure: Callable[[str, BaseException], None],
+    now_ms: Callable[[], int],
+    policy: RestartPolicy | None = None,
+) -> None:
+    """Run children until all have returned or one has failed too often.
+
+    Parameters
+    ----------
+    children : sequence of Child
+    on_failure : callable
+        Told the child's name and its exception before each restart.
+    now_ms : callable
+        Monotonic time in milliseconds.
+    policy : RestartPolicy, optional
+
+    Raises
+    ------
+    ExceptionGroup
+        Holding the last failure of the child that failed too often.
+    """
+    policy = policy or RestartPolicy()
+    async with asyncio.TaskGroup() as group:
+        for child in children:
+            group.create_task(
+                _keep_running(child, on_failure, now_ms, policy), name=child.name
+            )
+
+
+async def _keep_running(child, on_failure, now_ms, policy):
+    failures: collections.deque[int] = collections.deque()
+    while True:
+        try:
+            await child.run()
+        except Exception as error:
+            on_failure(child.name, error)
+            failed_ms = now_ms()
+            failures.append(failed_ms)
+            while failures[0] < failed_ms - policy.window_ms:
+                failures.popleft()
+            if len(failures) > policy.max_restarts:
+                raise
+            await asyncio.sleep(_delay_s(len(failures), policy))
+        else:
+            return
+
+
+def _delay_s(failure_count: int, policy: RestartPolicy) -> float:
+    delay_ms = policy.first_delay_ms * 2 ** min(failure_count - 1, 16)
+    return min(delay_ms, policy.largest_delay_ms) / 1000
--- /dev/null
+++ b/fuchsiamoor/daemon/upstream_watch.py
@@ -0,0 +1,92 @@
+"""The upstream beside this daemon: its announcements, and its own planned leave."""
+
+import asyncio
+
+from fuchsiamoor.core import tables
+from fuchsiamoor.daemon import announcements
+from fuchsiamoor.daemon import node as nodes
+from fuchsiamoor.daemon import serving as servings
+
+DRAIN_CHECK_MS = 50
+GRANT_LENGTH_MS = 3_600_000
+
+
+def take_announcement(
+    node: nodes.Node, announcement: announcements.Announcement
+) -> announcements.AnnounceResult:
+    """Take in what the upstream says of itself."""
+    config = node.settings
+    if (announcement.service, announcement.instance) != (
+        config.service,
+        config.instance,
+    ):
+        return announcements.Rejected(
+            f"this daemon serves {config.service} on {config.instance}, not "
+            f"{announcement.service} on {announcement.instance}"
+        )
+    state = node.upstream
+    restarted = announcement.incarnation != state.incarnation
+    state.incarnation = announcement.incarnation
+    state.slots = announcement.slots
+    state.connections = announcement.connections
+    state.checks_grants = announcement.checks_grants
+    state.announced_ms = node.now_ms()
+    if restarted:
+        state.leaving = False
+        servings.reset_upstream(
+            node.serving, announcement.slots, announcement.connections
+        )
+        _update_member(node)
+        nodes.spawn(node, grant_all(node), "grants")
+    return announcements.Accepted()
+
+
+def _update_member(node: nodes.Node) -> None:
+    state = node.upstream
+    node.member = node.member._replace(
+        checks_grants=state.checks_grants,
+        slots=state.slots,
+        connections=state.connections,
+    )
+    node.register_now.set()
+
+
+async def leave(node: nodes.Node, incarnation: str) -> None:
+    """Hand everything of the upstream over; returns when nothing of it runs."""
+    if incarnation != node.upstream.incarnation:
+        return
+    node.upstream.leaving = True
+    node.renew_now.set()
+    while not is_drained(node):
+        await asyncio.sleep(DRAIN_CHECK_MS / 1000)
+
+
+def is_drained(node: nodes.Node) -> bool:
+    """Return whether this daemon owns nothing and runs nothing."""
+    if servings.count_running(node.serving):
+        return False
+    return not any(owned_shards(node, domain) for domain in node.holders)
+
+
+def owned_shards(node: nodes.Node, domain: str) -> list[int]:
+    """Return the shards of a domain that the newest table gives this daemon."""
+    table = nodes.find_table(node, domain)
+    if table is None:
+        return []
+    return tables.shards_of(table, node.member.member_id)
+
+
+async def grant_all(node: nodes.Node) -> None:
+    """Tell the upstream of all shards that this daemon owns."""
+    for domain in list(node.holders):
+        await grant_domain(node, domain)
+
+
+async def grant_domain(node: nodes.Node, domain: str) -> None:
+    """Tell the upstream of the shards of a domain that this daemon owns."""
+    table = nodes.find_table(node, domain)
+    if table is None or not node.upstream.checks_grants:
+        return
+    shards = [(shard, table.epochs[shard]) for shard in owned_shards(node, domain)]
+    if shards:
+        await node.client.grant(domain, shards, GRANT_LENGTH_MS)
--- /dev/null
+++ b/fuchsiamoor/membership/directory_test.py
@@ -0,0 +1,81 @@
+from hypothesis import given
+from hypothesis import strategies as st
+
+from fuchsiamoor.membership import directory as directories
+from fuchsiamoor.membership import member_codec
+from fuchsiamoor.testing import members_data
+
+instances = st.sampled_from(["a", "b", "c"])
+
+
+@st.composite
+def histories(draw):
+    """Store histories: each version registers or deletes one instance."""
+    return [
+        (version, draw(instances), draw(st.booleans()))
+        for version in range(1, draw(st.integers(1, 12)) + 1)
+    ]
+
+
+def _registered(history, upto):
+    held = {}
+    for version, instance, registers in history:
+        if version > upto:
+            break
+        held.pop(instance, None)
+        if registers:
+            held[instance] = members_data.build_member(instance, str(version), version)
+    return held
+
+
+@given(histories(), st.data())
+def test_a_listing_and_stray_news_in_any_order_end_at_the_listing(history, data):
+    last = history[-1][0]
+    directory = directories.make_directory()
+    stray = [
+        members_data.build_member(instance, str(version), version)
+        for version, instance, registers in history
+        if registers
+    ]
+    before = data.draw(st.lists(st.sampled_from(stray)) if stray else st.just([]))
+    after = data.draw(st.lists(st.sampled_from(stray)) if stray else st.just([]))
+    for member in before:
+        directories.add_member(directory, member)
+    directories.take_listing(directory, last, _registered(history, last).values())
+    for member in after:
+        directories.add_member(directory, member)
+    assert directory.by_instance == _registered(history, last)
+    assert set(directory.by_id) == {m.member_id for m in directory.by_instance.values()}
+
+
+@given(histories())
+def test_an_older_listing_never_brings_anything_back(history):
+    last = history[-1][0]
+    directory = directories.make_directory()
+    directories.take_listing(directory, last, _registered(history, last).values())
+    for upto in range(last):
+        directories.take_listing(directory, upto, _registered(history, upto).values())
+    assert directory.by_instance == _registered(history, last)
+
+
+def test_of_two_runs_of_an_instance_the_later_registration_holds_it():
+    directory = directories.make_directory()
+    first = members_data.build_member("a", "1", 4)
+    second = members_data.build_member("a", "2", 7)
+    directories.add_member(directory, second)
+    directories.add_member(directory, first)
+    assert directories.is_superseded(directory, first)
+    assert not directories.is_superseded(directory, second)
+
+
+def test_a_member_that_has_not_registered_is_not_superseded_by_its_predecessor():
+    directory = directories.make_directory()
+    directories.add_member(directory, members_data.build_member("a", "2", 7))
+    starting = members_data.build_member("a", "3", 0)
+    assert not directories.is_superseded(directory, starting)
+
+
+@given(st.integers(0, 2**40), st.booleans())
+def test_members_survive_encoding(version, checks_grants):
+    member = members_data.build_member(version=version, checks_grants=checks_grants)
+    assert member_codec.decode_member(member_codec.encode_member(member)) == member
