--- /dev/null
+++ b/fuchsiamoor/testing/wire.py
@@ -0,0 +1,83 @@
+"""Builders of test data for peer links and transports."""
+
+import typing
+
+from hypothesis import strategies as st
+
+from fuchsiamoor.core import members, messages, requests, verdicts
+from fuchsiamoor.core.addresses import Address
+
+_UINT64 = st.integers(0, 2**64 - 1)
+
+
+def message_strategy() -> st.SearchStrategy:
+    """Return a strategy of messages of every kind."""
+    st.register_type_strategy(int, _UINT64)
+    return st.one_of(*map(_record_strategy, messages.KINDS.values()))
+
+
+def member_strategy() -> st.SearchStrategy:
+    """Return a strategy of members."""
+    return _record_strategy(members.Member)
+
+
+def _record_strategy(record_type: type) -> st.SearchStrategy:
+    hints = typing.get_type_hints(record_type)
+    return st.builds(
+        record_type, **{name: _field_strategy(hint) for name, hint in hints.items()}
+    )
+
+
+def _field_strategy(hint: object) -> st.SearchStrategy:
+    if hint is int:
+        return _UINT64
+    if isinstance(hint, type) and hasattr(hint, "_fields"):
+        return _record_strategy(hint)
+    return st.from_type(hint)
+
+
+def make_request(**changes: object) -> requests.Request:
+    """Return a keyed request with changes."""
+    request = requests.Request(
+        request_id="r-1",
+        service="booking",
+        tenant="dala",
+        key="chair-1",
+        idempotency_key="",
+        method="POST",
+        path="/book?x=1",
+        headers=((b"content-type", b"application/json"),),
+        body=b'{"chair": 1}',
+        deadline_ms=1000,
+        idempotent=False,
+    )
+    return request._replace(**changes)
+
+
+def make_answer(request_id: str = "r-1", **changes: object) -> requests.Answer:
+    """Return a whole answer with changes."""
+    answer = requests.Answer(request_id, verdicts.Ran(), 200, (), b"ok", "almaty-1-a")
+    return answer._replace(**changes)
+
+
+def make_forward(**changes: object) -> messages.Forward:
+    """Return a forwarded request with changes to the request."""
+    return messages.Forward(make_request(**changes), "booking@almaty", 3, 1, 1, 7)
+
+
+def make_member(member_id: str, peer_address: Address) -> members.Member:
+    """Return a member that accepts links at an address."""
+    nowhere = Address("127.0.0.1", 0)
+    return members.Member(
+        member_id=member_id,
+        instance=members.instance_of(member_id),
+        service="booking",
+        region="almaty",
+        data_centre="almaty-1",
+        peer_address=peer_address,
+        caller_address=nowhere,
+        operator_address=nowhere,
+        checks_grants=True,
+        slots=20,
+        connections=130,
+    )
