--- a/fuchsiamoor/peers/codec.py
+++ b/fuchsiamoor/peers/codec.py
@@ -29,6 +29,7 @@
     ANSWER = 2
     REFUSED = 3
     FAILED = 4
+    LEAVING = 5
 
 
 class Envelope(NamedTuple):
@@ -40,9 +41,9 @@
         Chosen by the caller, rising on each link; an answer carries the call's.
     role : Role
         `Role.REFUSED` says that the call was not handled, `Role.FAILED` that its
-        handler failed.
+        handler failed, `Role.LEAVING` that the sender takes no more calls.
     message : Message or None
-        None for a refusal or a failure.
+        None for these three.
     """
 
     correlation_id: int
@@ -126,6 +127,8 @@
     FrameError
         If anything in it is malformed or over a limit; then none of it is used.
     """
+    if type(frame) is not bytes:
+        raise FrameError("found a text frame, expected a binary one")
     items = _decode(frame)
     if type(items) is not list or len(items) > MAX_ENVELOPES:
         raise FrameError(f"expected a list of at most {MAX_ENVELOPES} messages")
--- /dev/null
+++ b/fuchsiamoor/peers/links.py
@@ -0,0 +1,110 @@
+"""Links between daemons: calls to peers, and the handling of theirs.
+
+Each member dials its own link to each peer that it calls; answers come back on the
+same link. Nothing is ever sent twice.
+"""
+
+import asyncio
+from dataclasses import dataclass
+from typing import Protocol
+
+from fuchsiamoor.core import addresses, members, messages
+from fuchsiamoor.peers import accepted, access, dialled
+
+CLOSE_GRACE_MS = 2000
+
+
+class Metrics(Protocol):
+    """Where events are counted."""
+
+    def incr(self, name: str) -> None:
+        """Count one event."""
+
+
+@dataclass(slots=True)
+class Links:
+    """All peer links of one member, dialled and accepted."""
+
+    dialler: dialled.Dialler
+    acceptor: accepted.Acceptor
+
+
+def make_links(
+    own_member_id: str,
+    peer_keys: tuple[str, ...],
+    handle: accepted.Handle,
+    metrics: Metrics,
+) -> Links:
+    """Return links of which none is open.
+
+    Parameters
+    ----------
+    own_member_id : str
+    peer_keys : tuple of str
+        Shared keys in force, the first one used for dialling.
+    handle : callable
+        ``async handle(sender_member_id, message)`` returns the answer to a peer's
+        message. Each message is handled in a task of its own.
+    metrics : Metrics
+    """
+    guard = access.make_guard(peer_keys)
+    return Links(
+        dialled.Dialler(own_member_id, peer_keys, metrics),
+        accepted.Acceptor(own_member_id, guard, handle, metrics),
+    )
+
+
+async def serve(links: Links, address: addresses.Address) -> addresses.Address:
+    """Accept links at an address.
+
+    Returns
+    -------
+    Address
+        With the port that was bound.
+    """
+    return await accepted.listen(links.acceptor, address)
+
+
+async def call(
+    links: Links, member: members.Member, message: messages.Message, timeout_ms: int
+) -> messages.Message:
+    """Send a message to a member and return its answer.
+
+    Parameters
+    ----------
+    links : Links
+    member : Member
+    message : Message
+    timeout_ms : int
+        Time to wait for the answer, dialling included.
+
+    Raises
+    ------
+    PeerUnreachableError
+        If the member has certainly not handled the message and never will.
+    PeerLinkLostError
+        If the link broke, or the handler failed, after the message may have left.
+    PeerTimeoutError
+        If the message may have left and no answer came in time.
+    """
+    return await dialled.call(links.dialler, member, message, timeout_ms)
+
+
+def tell(links: Links, member: members.Member, message: messages.Message) -> None:
+    """Send a message that has no answer; it may be lost."""
+    dialled.tell(links.dialler, member, message)
+
+
+async def close(links: Links, grace_ms: int = CLOSE_GRACE_MS) -> None:
+    """Take no more calls, finish those in flight both ways, and close all links.
+
+    Parameters
+    ----------
+    links : Links
+    grace_ms : int
+        Longest time to wait for calls in flight.
+    """
+    await asyncio.gather(
+        accepted.leave(links.acceptor, grace_ms),
+        dialled.close(links.dialler, grace_ms),
+    )
--- /dev/null
+++ b/fuchsiamoor/peers/links_test.py
@@ -0,0 +1,383 @@
+import asyncio
+import contextlib
+import time
+
+import pytest
+import websockets
+from websockets.asyncio import client as websockets_client
+
+from fuchsiamoor.core import messages
+from fuchsiamoor.core.addresses import Address
+from fuchsiamoor.core.errors import (
+    PeerLinkLostError,
+    PeerTimeoutError,
+    PeerUnreachableError,
+)
+from fuchsiamoor.peers import access, codec, dialled, links, outbox
+from fuchsiamoor.peers.codec import Envelope, Role
+from fuchsiamoor.testing import wire
+
+ANY_PORT = Address("127.0.0.1", 0)
+KEYS = ("key-1",)
+DONE = messages.Done()
+
+
+async def echo(_sender, message):
+    match message:
+        case messages.FetchTable("slow"):
+            await asyncio.sleep(60)
+        case messages.FetchTable("broken"):
+            raise RuntimeError("planted")
+    return message
+
+
+class Peer:
+    """One end with its links, listening unless told otherwise."""
+
+    def __init__(self, name, handle=echo, keys=KEYS):
+        self.received = []
+        self.metrics = wire.CountingMetrics()
+        self.name = name
+        self.inner_handle = handle
+        self.links = links.make_links(name, keys, self.handle, self.metrics)
+
+    async def handle(self, sender, message):
+        self.received.append((sender, message))
+        return await self.inner_handle(sender, message)
+
+    async def listen(self, address=ANY_PORT):
+        bound = await links.serve(self.links, address)
+        self.member = wire.make_member(self.name, bound)
+        return self.member
+
+    async def call(self, member, message, timeout_ms=5000):
+        return await links.call(self.links, member, message, timeout_ms)
+
+
+@contextlib.asynccontextmanager
+async def pair(handle=echo):
+    a, b = Peer("a#1"), Peer("b#1", handle)
+    await b.listen()
+    try:
+        yield a, b
+    finally:
+        await links.close(a.links, 0)
+        await links.close(b.links, 0)
+
+
+def run_pair(scenario, handle=echo):
+    async def body():
+        async with pair(handle) as (a, b):
+            await scenario(a, b)
+
+    asyncio.run(body())
+
+
+def test_call_returns_the_handlers_answer():
+    async def scenario(a, b):
+        forward = wire.make_forward()
+        assert await a.call(b.member, forward) == forward
+        assert b.received == [("a#1", forward)]
+
+    run_pair(scenario)
+
+
+def test_many_calls_share_one_link_and_few_frames():
+    async def scenario(a, b):
+        asked = [messages.FetchTable(str(i)) for i in range(500)]
+        got = await asyncio.gather(*(a.call(b.member, one) for one in asked))
+        assert got == asked
+        assert a.metrics.counts["peers.dialled"] == 1
+
+    run_pair(scenario)
+
+
+def test_slow_handler_holds_up_no_other_call():
+    async def scenario(a, b):
+        slow = asyncio.create_task(a.call(b.member, messages.FetchTable("slow")))
+        assert await a.call(b.member, DONE) == DONE
+        slow.cancel()
+
+    run_pair(scenario)
+
+
+def test_late_answer_is_dropped_and_counted():
+    release = asyncio.Event()
+
+    async def wait(_sender, message):
+        if message == messages.FetchTable("late"):
+            await release.wait()
+        return message
+
+    async def scenario(a, b):
+        with pytest.raises(PeerTimeoutError):
+            await a.call(b.member, messages.FetchTable("late"), timeout_ms=20)
+        release.set()
+        assert await a.call(b.member, DONE) == DONE
+        assert a.metrics.counts["peers.late_answers"] == 1
+
+    run_pair(scenario, wait)
+
+
+def test_cancelled_call_forgets_its_correlation_id():
+    async def scenario(a, b):
+        await a.call(b.member, DONE)
+        slow = asyncio.create_task(a.call(b.member, messages.FetchTable("slow")))
+        await asyncio.sleep(0.01)
+        slow.cancel()
+        await asyncio.wait([slow])
+        assert a.links.dialler.links["b#1"].calls == {}
+        assert await a.call(b.member, DONE) == DONE
+
+    run_pair(scenario)
+
+
+def test_call_cancelled_before_it_was_written_is_never_sent():
+    async def scenario(a, b):
+        call = asyncio.create_task(a.call(b.member, messages.FetchTable("x")))
+        await asyncio.sleep(0)
+        call.cancel()
+        await asyncio.wait([call])
+        await a.call(b.member, DONE)
+        assert b.received == [("a#1", DONE)]
+
+    run_pair(scenario)
+
+
+def test_failed_handler_ends_the_call_at_once_without_claiming_not_run():
+    async def scenario(a, b):
+        with pytest.raises(PeerLinkLostError):
+            await a.call(b.member, messages.FetchTable("broken"))
+        assert b.metrics.counts["peers.handler_failures"] == 1
+
+    run_pair(scenario)
+
+
+def test_link_broken_after_sending_is_lost_not_unreachable():
+    async def scenario(a, b):
+        await a.call(b.member, DONE)
+        slow = asyncio.create_task(a.call(b.member, messages.FetchTable("slow")))
+        await asyncio.sleep(0.02)
+        for link in b.links.acceptor.open_links.values():
+            link.connection.transport.abort()
+        with pytest.raises(PeerLinkLostError):
+            await slow
+        assert await a.call(b.member, DONE) == DONE
+        assert a.metrics.counts["peers.dialled"] == 2
+
+    run_pair(scenario)
+
+
+def test_refused_connection_is_unreachable_and_backs_off():
+    async def scenario(a, b):
+        await links.close(b.links, 0)
+        with pytest.raises(PeerUnreachableError):
+            await a.call(b.member, DONE)
+        with pytest.raises(PeerUnreachableError, match="could not be dialled"):
+            await a.call(b.member, DONE)
+        await asyncio.sleep(dialled.FIRST_BACK_OFF_S)
+        b2 = Peer("b#1")
+        await b2.listen(b.member.peer_address)
+        assert await a.call(b2.member, DONE) == DONE
+        await links.close(b2.links, 0)
+
+    run_pair(scenario)
+
+
+def test_address_of_another_member_is_refused_before_anything_is_sent():
+    async def scenario(a, b):
+        wrong = wire.make_member("b#0", b.member.peer_address)
+        with pytest.raises(PeerUnreachableError):
+            await a.call(wrong, wire.make_forward())
+        assert b.received == []
+        assert b.metrics.counts["peers.other_member_expected"] == 1
+
+    run_pair(scenario)
+
+
+@pytest.mark.parametrize(
+    "dialler_keys, acceptor_keys, admitted",
+    [
+        (("old",), ("old",), True),
+        (("old",), ("old", "new"), True),
+        (("new", "old"), ("old", "new"), True),
+        (("new", "old"), ("new",), True),
+        (("other",), ("old", "new"), False),
+    ],
+)
+def test_keys_rotate_and_strangers_are_refused(dialler_keys, acceptor_keys, admitted):
+    async def body():
+        a, b = Peer("a#1", keys=dialler_keys), Peer("b#1", keys=acceptor_keys)
+        await b.listen()
+        if admitted:
+            assert await a.call(b.member, DONE) == DONE
+        else:
+            with pytest.raises(PeerUnreachableError):
+                await a.call(b.member, DONE)
+            assert b.received == []
+            assert b.metrics.counts["peers.strangers_refused"] == 1
+        await links.close(a.links, 0)
+        await links.close(b.links, 0)
+
+    asyncio.run(body())
+
+
+def test_acceptor_without_the_key_gets_nothing():
+    async def body():
+        received = []
+
+        async def impostor(connection):
+            async for frame in connection:
+                received.append(frame)
+
+        async with websockets.serve(impostor, *ANY_PORT) as server:
+            port = next(iter(server.sockets)).getsockname()[1]
+            a = Peer("a#1")
+            member = wire.make_member("b#1", Address("127.0.0.1", port))
+            with pytest.raises(PeerUnreachableError):
+                await a.call(member, DONE)
+            await links.close(a.links, 0)
+        assert received == []
+
+    asyncio.run(body())
+
+
+@pytest.mark.parametrize("headers", [{}, {access.SENDER_HEADER: "a"}])
+def test_stranger_without_an_offer_is_refused(headers):
+    async def scenario(_a, b):
+        host, port = b.member.peer_address
+        with pytest.raises(websockets.InvalidStatus) as caught:
+            await websockets_client.connect(
+                f"ws://{host}:{port}", additional_headers=headers, proxy=None
+            )
+        assert caught.value.response.status_code == 401
+
+    run_pair(scenario)
+
+
+async def dial_raw(b, sender="a#1", nonce="n-1"):
+    offer = access.make_offer(KEYS[0], sender, b.name, nonce, _now_unix_ms())
+    host, port = b.member.peer_address
+    return await websockets_client.connect(
+        f"ws://{host}:{port}",
+        additional_headers=access.format_offer(offer),
+        proxy=None,
+        compression=None,
+    )
+
+
+def _now_unix_ms():
+    return time.time_ns() // 1_000_000
+
+
+def frame_of(*envelopes):
+    return codec.join_frame([codec.encode_envelope(item) for item in envelopes])
+
+
+def test_duplicated_message_is_handled_once():
+    async def scenario(_a, b):
+        connection = await dial_raw(b)
+        call = Envelope(1, Role.CALL, DONE)
+        await connection.send(frame_of(call, call))
+        await connection.send(frame_of(call))
+        await connection.send(frame_of(Envelope(2, Role.CALL, DONE)))
+        answers = []
+        while len(answers) < 2:
+            answers += codec.decode_frame(await connection.recv())
+        assert [answer.correlation_id for answer in answers] == [1, 2]
+        assert len(b.received) == 2
+        assert b.metrics.counts["peers.duplicate_messages"] == 2
+        await connection.close()
+
+    run_pair(scenario)
+
+
+@pytest.mark.parametrize("frame", [b"\xff", "text", b"\x81\x83\x01\x02\x15"])
+def test_bad_frame_ends_its_link_and_harms_no_other(frame):
+    async def scenario(a, b):
+        await a.call(b.member, DONE)
+        connection = await dial_raw(b)
+        await connection.send(frame)
+        with pytest.raises(websockets.ConnectionClosed):
+            await connection.recv()
+        assert b.metrics.counts["peers.bad_frames"] == 1
+        assert await a.call(b.member, DONE) == DONE
+        assert a.metrics.counts["peers.dialled"] == 1
+
+    run_pair(scenario)
+
+
+def test_tell_has_no_answer():
+    async def scenario(a, b):
+        links.tell(a.links, b.member, messages.Cancel("r-1"))
+        await a.call(b.member, DONE)
+        assert [message for _, message in b.received] == [messages.Cancel("r-1"), DONE]
+        assert a.metrics.counts["peers.late_answers"] == 0
+
+    run_pair(scenario)
+
+
+def test_too_many_calls_in_flight_are_refused_at_once(monkeypatch):
+    monkeypatch.setattr(dialled, "MAX_CALLS_IN_FLIGHT", 1)
+
+    async def scenario(a, b):
+        slow = asyncio.create_task(a.call(b.member, messages.FetchTable("slow")))
+        await asyncio.sleep(0)
+        with pytest.raises(PeerUnreachableError, match="too many"):
+            await a.call(b.member, DONE)
+        slow.cancel()
+
+    run_pair(scenario)
+
+
+def test_full_outbox_refuses_at_once(monkeypatch):
+    monkeypatch.setattr(outbox, "MAX_WAITING_BYTES", 10)
+
+    async def scenario(a, b):
+        with pytest.raises(PeerUnreachableError, match="too much"):
+            await a.call(b.member, wire.make_forward())
+
+    run_pair(scenario)
+
+
+def test_message_too_large_is_unreachable(monkeypatch):
+    async def scenario(a, b):
+        monkeypatch.setattr(codec, "MAX_ENVELOPE_BYTES", 10)
+        with pytest.raises(PeerUnreachableError):
+            await a.call(b.member, wire.make_forward())
+
+    run_pair(scenario)
+
+
+def test_close_finishes_calls_in_flight_and_refuses_new_ones():
+    async def slowly(_sender, message):
+        await asyncio.sleep(0.05)
+        return message
+
+    async def scenario(a, b):
+        call = asyncio.create_task(a.call(b.member, messages.FetchTable("x")))
+        await asyncio.sleep(0.03)
+        closing = asyncio.create_task(links.close(b.links, 5000))
+        await asyncio.sleep(0.01)
+        with pytest.raises(PeerUnreachableError):
+            await a.call(b.member, DONE)
+        assert await call == messages.FetchTable("x")
+        await closing
+
+    run_pair(scenario, slowly)
+
+
+def test_silent_connection_is_aborted_after_a_timeout(monkeypatch):
+    monkeypatch.setattr(dialled, "PING_TIMEOUT_S", 0.02)
+
+    async def scenario(a, b):
+        await a.call(b.member, DONE)
+        for link in b.links.acceptor.open_links.values():
+            link.connection.transport.pause_reading()
+        with pytest.raises(PeerTimeoutError):
+            await a.call(b.member, DONE, timeout_ms=10)
+        with pytest.raises(PeerLinkLostError):
+            await a.call(b.member, DONE, timeout_ms=2000)
+        assert await a.call(b.member, DONE) == DONE
+
+    run_pair(scenario)
--- a/fuchsiamoor/testing/wire.py
+++ b/fuchsiamoor/testing/wire.py
@@ -1,5 +1,6 @@
 """Builders of test data for peer links and transports."""
 
+import collections
 import typing
 
 from hypothesis import strategies as st
@@ -81,3 +82,14 @@
         slots=20,
         connections=130,
     )
+
+
+class CountingMetrics:
+    """Counts events by name, in ``counts``."""
+
+    def __init__(self):
+        self.counts = collections.Counter()
+
+    def incr(self, name: str) -> None:
+        """Count one event."""
+        self.counts[name] += 1
