--- /dev/null
+++ b/fuchsiamoor/ownership/holder.py
@@ -0,0 +1,393 @@
+"""A member's side of ownership: what it may serve, and until when.
+
+A member serves a shard while the newest table it knows names it and it holds evidence,
+no older than a lease, that no later revision has taken a shard from it. Evidence counts
+from the member's own sending of the question.
+"""
+
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from fuchsiamoor.core import messages, settings, tables
+from fuchsiamoor.ownership import voucher, votes
+
+NO_LEASE_MS = -1
+_VOUCH_AFTER_RENEWALS = 2
+
+
+class Ask(NamedTuple):
+    """A message to send; its answer goes to `record_renewed` or `record_vouched`."""
+
+    member_id: str
+    message: messages.Renew | messages.Vouch
+
+
+class MayServe(NamedTuple):
+    """The member owns the shard.
+
+    Parameters
+    ----------
+    epoch : int
+        Fencing epoch of the assignment.
+    lease_until_ms : int
+        Time of the member's own clock up to which this holds.
+    """
+
+    epoch: int
+    lease_until_ms: int
+
+
+class Wait(NamedTuple):
+    """The shard is this member's, or nobody's, but may not be served at present."""
+
+    reason: str
+
+
+class NotOwner(NamedTuple):
+    """Another member owns the shard."""
+
+    owner_member_id: str
+
+
+class ReleaseBegun(NamedTuple):
+    """No new work for these shards is admitted; the running work has to end."""
+
+    shards: tuple[int, ...]
+
+
+class Release(NamedTuple):
+    """A shard given up for a planned move.
+
+    Parameters
+    ----------
+    term : int
+        Of the coordinator that asked.
+    move_id : int
+    epoch : int
+        Assignment given up; a later assignment is not covered.
+    """
+
+    term: int
+    move_id: int
+    epoch: int
+
+
+@dataclass(slots=True)
+class Holder:
+    """State of one member in one domain.
+
+    Parameters
+    ----------
+    member_id : str
+    domain : str
+    timing : Timing
+    table : ShardTable or None
+        Newest table known.
+    renewed_sent_ms : int or None
+        Sending time of the newest `Renew` that was granted.
+    vouched_sent_ms : dict of str to int
+        For each voter, sending time of the newest `Vouch` that it granted.
+    evidence_after_ms : int
+        Evidence asked for before this time does not count.
+    lease_until_ms : int
+        End of the present lease, `NO_LEASE_MS` for none.
+    owns_any : bool
+    renew_due_ms, vouch_due_ms : int
+        Next time to ask.
+    releases : dict of int to Release
+    last_move : tuple of int
+        Term and id of the newest move begun.
+    retired : bool
+        Whether a newer run holds this member's instance.
+    """
+
+    member_id: str
+    domain: str
+    timing: settings.Timing
+    table: tables.ShardTable | None = None
+    renewed_sent_ms: int | None = None
+    vouched_sent_ms: dict[str, int] = field(default_factory=dict)
+    evidence_after_ms: int = NO_LEASE_MS
+    lease_until_ms: int = NO_LEASE_MS
+    owns_any: bool = False
+    renew_due_ms: int = 0
+    vouch_due_ms: int = 0
+    releases: dict[int, Release] = field(default_factory=dict)
+    last_move: tuple[int, int] = (0, 0)
+    retired: bool = False
+
+
+def make_holder(member_id: str, domain: str, timing: settings.Timing) -> Holder:
+    """Return a holder that knows no table and owns nothing."""
+    return Holder(member_id, domain, timing)
+
+
+def adopt_table(holder: Holder, table: tables.ShardTable, now_ms: int) -> bool:
+    """Take over a table if it is newer than the known one.
+
+    Parameters
+    ----------
+    holder : Holder
+    table : ShardTable
+        As the store confirmed it.
+    now_ms : int
+        Monotonic time, in milliseconds.
+
+    Returns
+    -------
+    bool
+        Whether the table was newer.
+    """
+    known = holder.table
+    if table.domain != holder.domain or (known and not tables.is_newer(table, known)):
+        return False
+    holder.table = table
+    holder.owns_any = holder.member_id in table.owners
+    if known is None or table.term > known.term:
+        holder.renew_due_ms = now_ms
+    if known and table.lost.get(holder.member_id, 0) > known.revision:
+        _drop_evidence(holder, now_ms)
+    holder.releases = {
+        shard: release
+        for shard, release in holder.releases.items()
+        if _is_released(table, shard, release)
+    }
+    _refresh_lease(holder)
+    return True
+
+
+def retire(holder: Holder, now_ms: int) -> None:
+    """Give up everything for good: a newer run holds this member's instance."""
+    holder.retired = True
+    _drop_evidence(holder, now_ms)
+    _refresh_lease(holder)
+
+
+def record_renewed(
+    holder: Holder, sender_id: str, renewed: messages.Renewed, sent_ms: int
+) -> None:
+    """Count a coordinator's grant, from ``sent_ms`` of the `Renew` that it answers."""
+    if renewed.domain != holder.domain or sent_ms < holder.evidence_after_ms:
+        return
+    if holder.renewed_sent_ms is None or sent_ms > holder.renewed_sent_ms:
+        holder.renewed_sent_ms = sent_ms
+        _refresh_lease(holder)
+
+
+def record_vouched(
+    holder: Holder, voter_id: str, vouched: messages.Vouched, sent_ms: int
+) -> None:
+    """Count a voter's vouch, from ``sent_ms`` of the `Vouch` that it answers."""
+    if vouched.domain != holder.domain or sent_ms < holder.evidence_after_ms:
+        return
+    if sent_ms > holder.vouched_sent_ms.get(voter_id, NO_LEASE_MS):
+        holder.vouched_sent_ms[voter_id] = sent_ms
+        _refresh_lease(holder)
+
+
+def list_renewals(
+    holder: Holder,
+    now_ms: int,
+    load: messages.MemberLoad,
+    configuration_revision: int,
+) -> list[Ask]:
+    """Return the questions that are due.
+
+    Voters are asked only when the coordinator has left two renewals without a grant.
+
+    Parameters
+    ----------
+    holder : Holder
+    now_ms : int
+        Monotonic time, in milliseconds; the sending time of the questions.
+    load : MemberLoad
+    configuration_revision : int
+
+    Returns
+    -------
+    list of Ask
+    """
+    table = holder.table
+    if table is None or holder.retired:
+        return []
+    asks = []
+    if table.coordinator and now_ms >= holder.renew_due_ms:
+        holder.renew_due_ms = now_ms + holder.timing.renew_every_ms
+        renew = messages.Renew(
+            holder.domain,
+            holder.member_id,
+            table.revision,
+            configuration_revision,
+            load,
+        )
+        asks.append(Ask(table.coordinator, renew))
+    if _needs_vouches(holder, now_ms):
+        holder.vouch_due_ms = now_ms + holder.timing.renew_every_ms
+        asks += _list_vouches(holder, table, now_ms)
+    return asks
+
+
+def lease_until_ms(holder: Holder) -> int:
+    """Return the end of the lease on the member's own clock, in milliseconds.
+
+    `NO_LEASE_MS` if there is none. The lease covers every shard that the table names
+    the member for.
+    """
+    return holder.lease_until_ms
+
+
+def check_serve(holder: Holder, shard: int, now_ms: int) -> MayServe | Wait | NotOwner:
+    """Decide whether the member may serve a shard at this moment.
+
+    Parameters
+    ----------
+    holder : Holder
+    shard : int
+    now_ms : int
+        Monotonic time, in milliseconds.
+
+    Returns
+    -------
+    MayServe | Wait | NotOwner
+    """
+    table = holder.table
+    if table is None:
+        return Wait("no table known")
+    if shard >= len(table.owners) or table.owners[shard] == tables.NO_OWNER:
+        return Wait("no owner")
+    owner = table.owners[shard]
+    if owner != holder.member_id:
+        return NotOwner(owner)
+    if shard in table.pending:
+        return Wait("previous owner's lease may still hold")
+    if shard in holder.releases:
+        return Wait("being released")
+    if now_ms >= holder.lease_until_ms:
+        return Wait("no lease")
+    return MayServe(table.epochs[shard], holder.lease_until_ms)
+
+
+def begin_release(
+    holder: Holder, prepare: messages.Prepare
+) -> ReleaseBegun | messages.ReleaseRefused:
+    """Stop admitting work for shards that a coordinator wants to move.
+
+    Parameters
+    ----------
+    holder : Holder
+    prepare : Prepare
+
+    Returns
+    -------
+    ReleaseBegun | ReleaseRefused
+    """
+    table = holder.table
+    refusal = messages.ReleaseRefused(prepare.domain, prepare.move_id)
+    if table is None or prepare.domain != holder.domain or prepare.term != table.term:
+        return refusal
+    move = (prepare.term, prepare.move_id)
+    if move < holder.last_move:
+        return refusal
+    if any(not _may_release(holder, table, shard, move) for shard in prepare.shards):
+        return refusal
+    holder.last_move = move
+    for shard in prepare.shards:
+        holder.releases[shard] = Release(*move, table.epochs[shard])
+    return ReleaseBegun(prepare.shards)
+
+
+def finish_release(
+    holder: Holder, prepare: messages.Prepare
+) -> messages.Released | messages.ReleaseRefused:
+    """Answer a `Prepare` once nothing of its shards runs any more."""
+    move = (prepare.term, prepare.move_id)
+    releases = [holder.releases.get(shard) for shard in prepare.shards]
+    if any(release is None or release[:2] != move for release in releases):
+        return messages.ReleaseRefused(prepare.domain, prepare.move_id)
+    return messages.Released(
+        prepare.domain, prepare.term, prepare.move_id, prepare.shards
+    )
+
+
+def abort_release(holder: Holder, abort: messages.AbortMove) -> tuple[int, ...]:
+    """Take shards up again whose move was given up; return them."""
+    if abort.domain != holder.domain:
+        return ()
+    move = (abort.term, abort.move_id)
+    shards = tuple(s for s, release in holder.releases.items() if release[:2] == move)
+    for shard in shards:
+        del holder.releases[shard]
+    return shards
+
+
+def _may_release(
+    holder: Holder, table: tables.ShardTable, shard: int, move: tuple[int, int]
+) -> bool:
+    if shard >= len(table.owners) or table.owners[shard] != holder.member_id:
+        return False
+    release = holder.releases.get(shard)
+    return shard not in table.pending and (release is None or release[:2] == move)
+
+
+def _is_released(table: tables.ShardTable, shard: int, release: Release) -> bool:
+    if shard >= len(table.epochs):
+        return False
+    return table.term <= release.term and table.epochs[shard] == release.epoch
+
+
+def _drop_evidence(holder: Holder, now_ms: int) -> None:
+    holder.renewed_sent_ms = None
+    holder.vouched_sent_ms = {}
+    holder.evidence_after_ms = now_ms
+    holder.renew_due_ms = now_ms
+    holder.vouch_due_ms = now_ms
+
+
+def _refresh_lease(holder: Holder) -> None:
+    holder.lease_until_ms = NO_LEASE_MS
+    if holder.table is None or holder.retired:
+        return
+    found = (
+        holder.renewed_sent_ms,
+        votes.find_evidence_ms(holder.table, holder.vouched_sent_ms),
+    )
+    sent_ms = max((at_ms for at_ms in found if at_ms is not None), default=None)
+    if sent_ms is not None:
+        holder.lease_until_ms = sent_ms + shorten_by_drift(
+            holder.timing.lease_ms, holder.timing
+        )
+
+
+def shorten_by_drift(duration_ms: int, timing: settings.Timing) -> int:
+    """Return a duration that ends early enough on a slow clock, in milliseconds.
+
+    Examples
+    --------
+    >>> shorten_by_drift(800, settings.Timing(drift_ratio=0.001))
+    799
+    """
+    return int(duration_ms * (1 - timing.drift_ratio))
+
+
+def _needs_vouches(holder: Holder, now_ms: int) -> bool:
+    if not holder.owns_any or now_ms < holder.vouch_due_ms:
+        return False
+    if holder.renewed_sent_ms is None:
+        return True
+    patience_ms = _VOUCH_AFTER_RENEWALS * holder.timing.renew_every_ms
+    return now_ms - holder.renewed_sent_ms >= patience_ms
+
+
+def _list_vouches(holder: Holder, table: tables.ShardTable, now_ms: int) -> list[Ask]:
+    vouch = messages.Vouch(
+        holder.domain, holder.member_id, table.revision, table.voters_revision
+    )
+    asks = []
+    for voter_id in votes.list_voter_ids(table):
+        if voter_id != holder.member_id:
+            asks.append(Ask(voter_id, vouch))
+            continue
+        own = voucher.answer_vouch(table, holder.member_id, vouch)
+        if isinstance(own, messages.Vouched):
+            record_vouched(holder, voter_id, own, now_ms)
+    return asks
--- /dev/null
+++ b/fuchsiamoor/ownership/votes.py
@@ -0,0 +1,124 @@
+"""Voters of a domain: who they are, and how many of them a decision needs.
+
+Every data centre has the same number of votes, however many voters it has. A set of
+more than half of the votes and a set of at least half always have a voter in common.
+"""
+
+from collections.abc import Callable, Iterable
+
+from fuchsiamoor.core import members, tables
+
+VOTERS_PER_DATA_CENTRE = 3
+VOTES_PER_DATA_CENTRE = 6
+
+
+def choose_voters(
+    candidates: Iterable[members.Member], current: tuple[tables.Voter, ...] = ()
+) -> tuple[tables.Voter, ...]:
+    """Choose voters evenly over data centres, keeping present ones where they stay.
+
+    Examples
+    --------
+    >>> choose_voters([])
+    ()
+    """
+    present = {voter.member_id for voter in current}
+    by_data_centre: dict[str, list[members.Member]] = {}
+    for member in candidates:
+        by_data_centre.setdefault(member.data_centre, []).append(member)
+    chosen = []
+    for data_centre in sorted(by_data_centre):
+        ranked = sorted(
+            by_data_centre[data_centre],
+            key=lambda member: (member.member_id not in present, member.member_id),
+        )[:VOTERS_PER_DATA_CENTRE]
+        votes = VOTES_PER_DATA_CENTRE // len(ranked)
+        chosen += [tables.Voter(member.member_id, votes) for member in ranked]
+    return tuple(sorted(chosen))
+
+
+def is_more_than_half(
+    voters: tuple[tables.Voter, ...], agrees: Callable[[str], bool]
+) -> bool:
+    """Return whether those who agree have more than half of the votes.
+
+    Examples
+    --------
+    >>> pair = (tables.Voter("a", 6), tables.Voter("b", 6))
+    >>> is_more_than_half(pair, lambda name: name == "a")
+    False
+    """
+    given = sum(voter.votes for voter in voters if agrees(voter.member_id))
+    return 2 * given > sum(voter.votes for voter in voters)
+
+
+def is_at_least_half(
+    voters: tuple[tables.Voter, ...], agrees: Callable[[str], bool]
+) -> bool:
+    """Return whether those who agree have at least half of the votes.
+
+    True for an empty set, whose voters can support no lease.
+
+    Examples
+    --------
+    >>> pair = (tables.Voter("a", 6), tables.Voter("b", 6))
+    >>> is_at_least_half(pair, lambda name: name == "a")
+    True
+    """
+    given = sum(voter.votes for voter in voters if agrees(voter.member_id))
+    return 2 * given >= sum(voter.votes for voter in voters)
+
+
+def have_acknowledged(table: tables.ShardTable, agrees: Callable[[str], bool]) -> bool:
+    """Return whether at least half agree, in both sets while voters change."""
+    return is_at_least_half(table.voters, agrees) and is_at_least_half(
+        table.previous_voters, agrees
+    )
+
+
+def find_supported_ms(
+    voters: tuple[tables.Voter, ...], sent_ms: dict[str, int]
+) -> int | None:
+    """Return the latest time at which more than half of the votes still stood.
+
+    Parameters
+    ----------
+    voters : tuple of Voter
+    sent_ms : dict of str to int
+        For each voter that vouched, when it was asked, in milliseconds.
+
+    Examples
+    --------
+    >>> pair = (tables.Voter("a", 6), tables.Voter("b", 6))
+    >>> find_supported_ms(pair, {"a": 10, "b": 7})
+    7
+    >>> find_supported_ms(pair, {"a": 10}) is None
+    True
+    """
+    total = sum(voter.votes for voter in voters)
+    asked = sorted(
+        ((sent_ms[v.member_id], v.votes) for v in voters if v.member_id in sent_ms),
+        reverse=True,
+    )
+    given = 0
+    for at_ms, votes in asked:
+        given += votes
+        if 2 * given > total:
+            return at_ms
+    return None
+
+
+def find_evidence_ms(table: tables.ShardTable, sent_ms: dict[str, int]) -> int | None:
+    """Return the time from which a lease by vouches counts, None if there is none."""
+    supported_ms = find_supported_ms(table.voters, sent_ms)
+    if supported_ms is None or not table.previous_voters:
+        return supported_ms
+    previous_ms = find_supported_ms(table.previous_voters, sent_ms)
+    if previous_ms is None:
+        return None
+    return min(supported_ms, previous_ms)
+
+
+def list_voter_ids(table: tables.ShardTable) -> list[str]:
+    """Return the members of both voter sets, each once, in order of their names."""
+    return sorted({voter.member_id for voter in table.voters + table.previous_voters})
