--- /dev/null
+++ b/fuchsiamoor/daemon/settings_file.py
@@ -0,0 +1,197 @@
+"""The settings file of a daemon: reads and checks it as a whole."""
+
+import ipaddress
+import json
+import pathlib
+from typing import Annotated, NotRequired
+from urllib.parse import urlsplit
+
+import pydantic
+from typing_extensions import TypedDict
+
+from fuchsiamoor.core import addresses, errors, faults, settings
+from fuchsiamoor.documents import validation
+
+MAX_SETTINGS_BYTES = 64 * 1024
+MIN_KEY_CHARACTERS = 16
+RENEWALS_IN_A_LEASE = 3
+MAX_TIME_MS = 600_000
+MAX_DRIFT_RATIO = 0.1
+MAX_PORT = 65_535
+
+_SECRET_FIELDS = frozenset({"peer_keys", "operator_keys"})
+_LISTENING_FIELDS = (
+    "caller_address",
+    "peer_address",
+    "operator_address",
+    "announce_address",
+    "upstream_address",
+)
+
+
+def _check_address(text: str) -> str:
+    try:
+        address = addresses.parse_address(text)
+        ipaddress.IPv4Address(address.host)
+    except ValueError:
+        raise ValueError("IP:PORT, such as 127.0.0.1:7000") from None
+    if not 0 < address.port <= MAX_PORT:
+        raise ValueError(f"a port from 1 to {MAX_PORT}")
+    return text
+
+
+def _check_url(text: str) -> str:
+    try:
+        parts = urlsplit(text)
+        parts.port  # noqa: B018
+    except ValueError:
+        raise ValueError("a URL such as http://127.0.0.1:7400") from None
+    if parts.scheme not in ("http", "https") or not parts.hostname:
+        raise ValueError("a URL such as http://127.0.0.1:7400")
+    return text
+
+
+def _check_key(text: str) -> str:
+    if not (text.isascii() and text.isprintable() and " " not in text):
+        raise ValueError("ASCII characters without spaces")
+    return text
+
+
+Name = Annotated[str, pydantic.Field(pattern=validation.NAME_PATTERN)]
+AddressText = Annotated[str, pydantic.AfterValidator(_check_address)]
+UrlText = Annotated[str, pydantic.AfterValidator(_check_url)]
+SharedKey = Annotated[
+    str,
+    pydantic.Field(min_length=MIN_KEY_CHARACTERS),
+    pydantic.AfterValidator(_check_key),
+]
+SharedKeys = Annotated[
+    list[SharedKey],
+    pydantic.Field(
+        min_length=1,
+        max_length=2,
+        description="Keys in force; the first is used for sending.",
+    ),
+]
+TimeMs = Annotated[int, pydantic.Field(gt=0, le=MAX_TIME_MS)]
+DriftRatio = Annotated[float, pydantic.Field(ge=0, le=MAX_DRIFT_RATIO)]
+
+
+class TimingFields(TypedDict):
+    """Times of the ownership protocol; the same in every daemon of a deployment."""
+
+    __pydantic_config__ = pydantic.ConfigDict(extra="forbid", title="Timing")
+
+    renew_every_ms: NotRequired[TimeMs]
+    lease_ms: NotRequired[TimeMs]
+    silence_ms: NotRequired[TimeMs]
+    store_lease_ms: NotRequired[TimeMs]
+    drift_ratio: NotRequired[DriftRatio]
+    gossip_every_ms: NotRequired[TimeMs]
+
+
+class SettingsDocument(TypedDict):
+    """Everything that one daemon is told at its start."""
+
+    __pydantic_config__ = pydantic.ConfigDict(extra="forbid", title="Settings")
+
+    instance: Name
+    service: Name
+    region: Name
+    data_centre: Name
+    caller_address: AddressText
+    peer_address: AddressText
+    operator_address: AddressText
+    announce_address: AddressText
+    upstream_address: AddressText
+    store_url: UrlText
+    statsd_address: NotRequired[AddressText | None]
+    peer_keys: SharedKeys
+    operator_keys: SharedKeys
+    timing: NotRequired[TimingFields]
+
+
+_ADAPTER = pydantic.TypeAdapter(SettingsDocument)
+
+
+def load_settings(path: str | pathlib.Path) -> settings.Settings:
+    """Read a settings file.
+
+    Raises
+    ------
+    InvalidDocumentError
+        With every fault of the file, or the one that kept it from being read.
+    """
+    try:
+        text = pathlib.Path(path).read_bytes()
+    except OSError as error:
+        fault = faults.Fault(str(path), str(error.strerror), "a readable file")
+        raise errors.InvalidDocumentError([fault]) from None
+    return read_settings(text)
+
+
+def read_settings(text: bytes) -> settings.Settings:
+    """Read the text of a settings file.
+
+    Raises
+    ------
+    InvalidDocumentError
+        With every fault.
+    """
+    document = validation.load_json(text, MAX_SETTINGS_BYTES)
+    found = validation.check_shape(_ADAPTER, document, secret=_SECRET_FIELDS)
+    if found:
+        raise errors.InvalidDocumentError(found)
+    found = _check_addresses(document) + _check_timing(document.get("timing", {}))
+    if found:
+        raise errors.InvalidDocumentError(found)
+    return _make_settings(document)
+
+
+def make_schema() -> str:
+    """Return the JSON Schema of a settings file, as committed under docs/."""
+    return json.dumps(_ADAPTER.json_schema(), indent=2, sort_keys=True) + "\n"
+
+
+def _check_addresses(document: SettingsDocument) -> list[faults.Fault]:
+    first_uses: dict[str, str] = {}
+    found = []
+    for field in _LISTENING_FIELDS:
+        text = document[field]
+        first = first_uses.setdefault(text, field)
+        if first != field:
+            expected = f"an address other than that of {first}"
+            found.append(faults.Fault(field, validation.show(text), expected))
+    return found
+
+
+def _check_timing(fields: TimingFields) -> list[faults.Fault]:
+    timing = settings.Timing(**fields)
+    if timing.renew_every_ms * RENEWALS_IN_A_LEASE <= timing.lease_ms:
+        return []
+    expected = (
+        f"at most a {RENEWALS_IN_A_LEASE}rd of lease_ms, which is {timing.lease_ms}"
+    )
+    shown = str(timing.renew_every_ms)
+    return [faults.Fault("timing.renew_every_ms", shown, expected)]
+
+
+def _make_settings(document: SettingsDocument) -> settings.Settings:
+    statsd_address = document.get("statsd_address")
+    return settings.Settings(
+        instance=document["instance"],
+        service=document["service"],
+        region=document["region"],
+        data_centre=document["data_centre"],
+        **{
+            field: addresses.parse_address(document[field])
+            for field in _LISTENING_FIELDS
+        },
+        store_url=document["store_url"].rstrip("/"),
+        statsd_address=(
+            addresses.parse_address(statsd_address) if statsd_address else None
+        ),
+        peer_keys=tuple(document["peer_keys"]),
+        operator_keys=tuple(document["operator_keys"]),
+        timing=settings.Timing(**document.get("timing", {})),
+    )
--- /dev/null
+++ b/fuchsiamoor/daemon/settings_file_test.py
@@ -0,0 +1,99 @@
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from fuchsiamoor.core import errors, settings
+from fuchsiamoor.core.addresses import Address
+from fuchsiamoor.daemon import settings_file
+from fuchsiamoor.testing import documents_data
+
+
+def _faults_of(**changes):
+    text = documents_data.encode(documents_data.make_settings_document(**changes))
+    with pytest.raises(errors.InvalidDocumentError) as caught:
+        settings_file.read_settings(text)
+    return {fault.path: fault for fault in caught.value.faults}
+
+
+def test_a_whole_file_is_read(tmp_path):
+    path = tmp_path / "settings.json"
+    document = documents_data.make_settings_document(
+        statsd_address="127.0.0.1:8125", timing={"lease_ms": 900}
+    )
+    path.write_bytes(documents_data.encode(document))
+    found = settings_file.load_settings(path)
+    assert found.peer_address == Address("127.0.0.1", 7002)
+    assert found.statsd_address == Address("127.0.0.1", 8125)
+    assert found.timing == settings.Timing(lease_ms=900)
+
+
+def test_a_missing_file_is_a_fault(tmp_path):
+    with pytest.raises(errors.InvalidDocumentError, match="a readable file"):
+        settings_file.load_settings(tmp_path / "none.json")
+
+
+def test_every_fault_is_told_at_once():
+    found = _faults_of(
+        instance="a#b",
+        region="x+y",
+        caller_address="example:80",
+        store_url="ftp://x",
+        timing={"lease_ms": 0, "lease_msec": 5},
+        extra=1,
+    )
+    assert sorted(found) == [
+        "caller_address",
+        "extra",
+        "instance",
+        "region",
+        "store_url",
+        "timing.lease_ms",
+        "timing.lease_msec",
+    ]
+    assert "perhaps lease_ms" in found["timing.lease_msec"].expected
+
+
+def test_addresses_are_distinct():
+    found = _faults_of(peer_address="127.0.0.1:7001")
+    assert found["peer_address"].expected == (
+        "an address other than that of caller_address"
+    )
+
+
+def test_renewals_fit_into_a_lease():
+    assert list(_faults_of(timing={"renew_every_ms": 700})) == ["timing.renew_every_ms"]
+
+
+def test_a_fault_in_a_shared_key_never_shows_it():
+    found = _faults_of(peer_keys=["short-secret"], operator_keys=["a b" * 9, 5, "x"])
+    assert all("secret" in fault.value for fault in found.values())
+    assert not any("short-secret" in fault.value for fault in found.values())
+
+
+JSON_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(), inner),
+    max_leaves=5,
+)
+
+
+@given(
+    st.dictionaries(
+        st.sampled_from(sorted(documents_data.make_settings_document())) | st.text(),
+        JSON_VALUES,
+    )
+)
+def test_any_document_gives_settings_or_faults(changes):
+    text = documents_data.encode(documents_data.make_settings_document(**changes))
+    try:
+        found = settings_file.read_settings(text)
+    except errors.InvalidDocumentError as error:
+        assert error.faults
+    else:
+        assert isinstance(found, settings.Settings)
+
+
+@given(st.binary(max_size=64))
+def test_any_bytes_give_faults(text):
+    with pytest.raises(errors.InvalidDocumentError):
+        settings_file.read_settings(text)
