--- a/fuchsiamoor/testing/documents_data.py
+++ b/fuchsiamoor/testing/documents_data.py
@@ -26,3 +26,28 @@
 def encode(document: object) -> bytes:
     """Return a document as the text of a file."""
     return json.dumps(document).encode()
+
+
+def make_configuration_document(**changes) -> dict:
+    """Return a valid configuration document with some fields replaced."""
+    document = {
+        "services": {"booking": {"shards": 16}, "stock": {"key": "optional"}},
+        "regions": {
+            "almaty": {"data_centres": ["almaty-1", "almaty-2"]},
+            "astana": {"data_centres": ["astana-1", "astana-2"]},
+            "aktobe": {"data_centres": ["aktobe-1", "aktobe-2"]},
+        },
+        "data_centres_out": [],
+        "tenants": {
+            "default": {"home_regions": ["almaty", "astana", "aktobe"]},
+            "clinics": {"home_regions": ["astana"]},
+        },
+        "overrides": [],
+        "moves_per_minute": 30,
+    }
+    return document | changes
+
+
+def make_override(place: str, name: str, service: str = "stock", **subject) -> dict:
+    """Return an override that holds to ``place``, such as ``region``."""
+    return {"service": service, **subject, "hold_to": {place: name}}
