--- a/standins/programs.py
+++ b/standins/programs.py
@@ -3,6 +3,8 @@
 import asyncio
 import json
 import signal
+import subprocess
+import sys
 import time
 from collections.abc import Awaitable, Callable
 from pathlib import Path
@@ -11,6 +13,7 @@
 from aiohttp import web
 
 BODY_BYTES = 4 << 20
+CHECKOUT = Path(__file__).parent.parent
 
 
 def monotonic_ms() -> float:
@@ -42,6 +45,28 @@
     return web.Response()
 
 
+async def start_program(
+    module: str, *arguments: str, output: Any = subprocess.PIPE
+) -> asyncio.subprocess.Process:
+    """Start a module of this checkout as a process of its own.
+
+    Parameters
+    ----------
+    module : str
+    *arguments : str
+    output : file or int
+        Takes its standard output and error; by default the output is read here.
+    """
+    errors = None if output == subprocess.PIPE else subprocess.STDOUT
+    return await asyncio.create_subprocess_exec(
+        *(sys.executable, "-m", module, *arguments),
+        cwd=CHECKOUT,
+        stdout=output,
+        stderr=errors,
+        stdin=subprocess.DEVNULL,
+    )
+
+
 async def serve(
     app: web.Application,
     port: int,
