--- /dev/null
+++ b/standins/check.py
@@ -0,0 +1,166 @@
+"""Checks the upstreams' journals against the callers' records and reports each breach.
+
+``python -m standins.check DIR`` reads ``upstream-*.jsonl`` and ``caller-*.jsonl``. A
+run counts unless its upstream aborted it: one that never ended may have taken effect.
+Exit status 0: no breach, 1: breaches, 2: nothing to check.
+"""
+
+import argparse
+import sys
+from collections import defaultdict
+from collections.abc import Iterator
+from pathlib import Path
+from typing import NamedTuple
+
+from standins import programs
+
+
+class Run(NamedTuple):
+    """A run as its upstream's journal tells; ``end_ms`` is None without an end."""
+
+    run: str
+    token: str
+    service: str
+    tenant: str
+    key: str
+    epoch: int
+    region: str
+    instance: str
+    start_ms: float
+    end_ms: float | None
+    aborted: bool
+
+
+class Call(NamedTuple):
+    """A request and its ending as its caller recorded them."""
+
+    token: str
+    service: str
+    tenant: str
+    key: str
+    idempotent: bool
+    home_regions: frozenset[str]
+    verdict: str
+    status: int
+    answer_token: str | None
+    sent_ms: float
+    received_ms: float
+
+
+class Breach(NamedTuple):
+    """One promise that was not kept."""
+
+    kind: str
+    detail: str
+
+
+def read_runs(directory: Path) -> list[Run]:
+    """Read the journals of all upstreams."""
+    runs = []
+    for path in sorted(directory.glob("upstream-*.jsonl")):
+        lines = programs.read_lines(path)
+        ends = {line["run"]: line for line in lines if line["event"] == "end"}
+        for line in lines:
+            if line["event"] != "start":
+                continue
+            end = ends.get(line["run"], {})
+            line["end_ms"] = end.get("end_ms")
+            line["aborted"] = bool(end.get("aborted"))
+            runs.append(Run(**{name: line[name] for name in Run._fields}))
+    return runs
+
+
+def read_calls(directory: Path) -> list[Call]:
+    """Read the records of all callers."""
+    calls = []
+    for path in sorted(directory.glob("caller-*.jsonl")):
+        for line in programs.read_lines(path):
+            line["home_regions"] = frozenset(line["home_regions"])
+            calls.append(Call(**{name: line[name] for name in Call._fields}))
+    return calls
+
+
+def _describe(run: Run) -> str:
+    return f"{run.token} on {run.instance} under epoch {run.epoch}"
+
+
+def _find_owner_breaches(runs: list[Run]) -> Iterator[Breach]:
+    """Look for runs of one key that overlap or go back to a lower epoch."""
+    by_key = defaultdict(list)
+    for run in runs:
+        if run.key:
+            by_key[run.service, run.tenant, run.key].append(run)
+    for key, found in by_key.items():
+        found.sort(key=lambda run: run.start_ms)
+        running: list[Run] = []
+        newest = found[0]
+        for run in found:
+            running = [other for other in running if (other.end_ms or 0) > run.start_ms]
+            for other in running:
+                if other.instance != run.instance:
+                    detail = f"{key}: {_describe(run)}, while {_describe(other)}"
+                    yield Breach("two owners", detail)
+            detail = f"{key}: {_describe(run)}, after {_describe(newest)}"
+            if run.epoch < newest.epoch:
+                yield Breach("lower epoch", detail)
+            if run.epoch == newest.epoch and run.instance != newest.instance:
+                yield Breach("shared epoch", detail)
+            running.append(run)
+            newest = max(newest, run, key=lambda run: run.epoch)
+
+
+def _find_call_breaches(call: Call, runs: list[Run]) -> Iterator[Breach]:
+    where = ", ".join(_describe(run) for run in runs)
+    if not call.idempotent and len(runs) > 1:
+        yield Breach("run twice", where)
+    if call.verdict == "not-run" and runs:
+        yield Breach("not-run ran", where)
+    if call.verdict == "ran" and not any(run.end_ms for run in runs):
+        yield Breach("ran without a run", f"{call.token}: status {call.status}")
+    if call.answer_token != call.token and (call.answer_token or call.verdict == "ran"):
+        yield Breach("wrong answer", f"{call.token} received {call.answer_token}")
+    for run in runs:
+        if (run.service, run.tenant, run.key) != (call.service, call.tenant, call.key):
+            yield Breach("altered request", f"{_describe(run)}: {call} as {run}")
+        if run.region not in call.home_regions:
+            home = sorted(call.home_regions)
+            yield Breach("outside home regions", f"{_describe(run)}, home {home}")
+
+
+def find_breaches(runs: list[Run], calls: list[Call]) -> list[Breach]:
+    """Return every breach that the journals and records show."""
+    counted = [run for run in runs if not run.aborted]
+    by_token = defaultdict(list)
+    for run in counted:
+        by_token[run.token].append(run)
+    breaches = list(_find_owner_breaches(counted))
+    for call in calls:
+        breaches.extend(_find_call_breaches(call, by_token.pop(call.token, [])))
+    return breaches
+
+
+def check_directory(directory: Path) -> int:
+    """Print a summary and every breach; return the exit status."""
+    runs, calls = read_runs(directory), read_calls(directory)
+    breaches = find_breaches(runs, calls)
+    for breach in breaches:
+        print(f"{breach.kind}: {breach.detail}")
+    aborted = sum(run.aborted for run in runs)
+    print(
+        f"{len(calls)} calls, {len(runs)} runs ({aborted} aborted), "
+        f"{len(breaches)} breaches"
+    )
+    if not runs or not calls:
+        return 2
+    return 1 if breaches else 0
+
+
+def main() -> None:
+    """Check the directory given on the command line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("directory", type=Path)
+    sys.exit(check_directory(parser.parse_args().directory))
+
+
+if __name__ == "__main__":
+    main()
