--- a/standins/programs.py
+++ b/standins/programs.py
@@ -71,6 +71,7 @@
     app: web.Application,
     port: int,
     before_stop: Callable[[], Awaitable[None]] | None = None,
+    **more_ports: int,
 ) -> None:
     """Serve on 127.0.0.1 until SIGTERM or SIGINT; print the port as a JSON line.
 
@@ -81,6 +82,8 @@
         0 lets the operating system choose.
     before_stop : callable, optional
         Awaited after the signal, while requests are still answered.
+    **more_ports : int
+        Printed beside the port.
     """
     stopped = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -89,7 +92,7 @@
     await runner.setup()
     site = web.TCPSite(runner, "127.0.0.1", port, backlog=1024)
     await site.start()
-    print(json.dumps({"port": runner.addresses[0][1]}), flush=True)
+    print(json.dumps({"port": runner.addresses[0][1], **more_ports}), flush=True)
     await stopped.wait()
     if before_stop is not None:
         await before_stop()
--- /dev/null
+++ b/standins/relay_test.py
@@ -0,0 +1,107 @@
+import asyncio
+import json
+from contextlib import asynccontextmanager
+
+import aiohttp
+import pytest
+
+from fuchsiamoor.core import addresses
+from standins import programs, relay
+
+
+@asynccontextmanager
+async def open_link():
+    async def echo(reader, writer):
+        while data := await reader.read(100):
+            writer.write(data)
+        writer.close()
+
+    server = await asyncio.start_server(echo, "127.0.0.1", 0)
+    target = addresses.Address(*server.sockets[0].getsockname())
+    link = await relay.start_relay(target)
+    yield link
+    await relay.stop_relay(link)
+    server.close()
+
+
+async def ask(reader, writer, text):
+    writer.write(text)
+    return await reader.readexactly(len(text))
+
+
+def test_passes_bytes_and_the_end_of_a_stream():
+    async def main():
+        async with open_link() as link:
+            reader, writer = await asyncio.open_connection("127.0.0.1", link.port)
+            assert await ask(reader, writer, b"one") == b"one"
+            writer.write_eof()
+            assert await reader.read() == b""
+
+    asyncio.run(main())
+
+
+def test_cut_breaks_open_connections_and_refuses_new_ones_until_healed():
+    async def main():
+        async with open_link() as link:
+            reader, writer = await asyncio.open_connection("127.0.0.1", link.port)
+            assert await ask(reader, writer, b"one") == b"one"
+            await relay.set_mode(link, "cut")
+            with pytest.raises(ConnectionResetError):
+                await reader.readexactly(1)
+            with pytest.raises(ConnectionRefusedError):
+                await asyncio.open_connection("127.0.0.1", link.port)
+            await relay.set_mode(link, "pass")
+            healed = await asyncio.open_connection("127.0.0.1", link.port)
+            assert await ask(*healed, b"two") == b"two"
+
+    asyncio.run(main())
+
+
+def test_freeze_holds_bytes_and_loses_none():
+    async def main():
+        async with open_link() as link:
+            reader, writer = await asyncio.open_connection("127.0.0.1", link.port)
+            assert await ask(reader, writer, b"one") == b"one"
+            await relay.set_mode(link, "freeze")
+            writer.write(b"two")
+            with pytest.raises(TimeoutError):
+                await asyncio.wait_for(reader.readexactly(3), 0.05)
+            await relay.set_mode(link, "pass", delay_ms=20)
+            assert await reader.readexactly(3) == b"two"
+
+    asyncio.run(main())
+
+
+def test_delay_adds_to_each_way():
+    async def main():
+        async with open_link() as link:
+            reader, writer = await asyncio.open_connection("127.0.0.1", link.port)
+            await relay.set_mode(link, "pass", delay_ms=30)
+            sent_ms = programs.monotonic_ms()
+            assert await ask(reader, writer, b"one") == b"one"
+            assert programs.monotonic_ms() - sent_ms >= 60
+
+    asyncio.run(main())
+
+
+def test_program_takes_its_mode_by_http():
+    async def main():
+        async with open_link() as link:
+            process = await programs.start_program(
+                "standins.relay", "--target", f"127.0.0.1:{link.port}"
+            )
+            ports = json.loads(await process.stdout.readline())
+            opened = await asyncio.open_connection("127.0.0.1", ports["relay_port"])
+            assert await ask(*opened, b"one") == b"one"
+            url = f"http://127.0.0.1:{ports['port']}/control"
+            async with (
+                aiohttp.ClientSession() as client,
+                client.post(url, json={"mode": "cut"}) as response,
+            ):
+                assert response.status == 200
+            with pytest.raises(ConnectionRefusedError):
+                await asyncio.open_connection("127.0.0.1", ports["relay_port"])
+            process.terminate()
+            assert await process.wait() == 0
+
+    asyncio.run(main())
