--- a/standins/relay.py
+++ b/standins/relay.py
@@ -6,6 +6,7 @@
 
 import argparse
 import asyncio
+import contextlib
 import socket
 import struct
 from dataclasses import dataclass, field
@@ -76,9 +77,9 @@
 def _reset(writer: asyncio.StreamWriter) -> None:
     """Break a connection so that the other end sees a reset."""
     linger = struct.pack("ii", 1, 0)
-    writer.get_extra_info("socket").setsockopt(
-        socket.SOL_SOCKET, socket.SO_LINGER, linger
-    )
+    with contextlib.suppress(OSError):
+        opened = writer.get_extra_info("socket")
+        opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
     writer.transport.abort()
 
 
