--- a/fuchsiamoor/daemon/coordinating.py
+++ b/fuchsiamoor/daemon/coordinating.py
@@ -112,7 +112,7 @@
         return False
     if node.member.registered_version == 0 or _is_out(node):
         return False
-    renewed_ms = holder.coordinator_renewed_ms
+    renewed_ms = holder.renewed_sent_ms
     return (
         renewed_ms is None
         or node.now_ms() - renewed_ms > 2 * node.settings.timing.renew_every_ms
--- a/fuchsiamoor/daemon/dispatch.py
+++ b/fuchsiamoor/daemon/dispatch.py
@@ -67,16 +67,14 @@
 async def _release(node: nodes.Node, prepare: messages.Prepare) -> messages.Message:
     """Drain the shards of a planned move and give them up."""
     holder = node.holders.get(prepare.domain)
-    refused = messages.ReleaseRefused(prepare.domain, prepare.move_id)
     if holder is None:
-        return refused
+        return messages.ReleaseRefused(prepare.domain, prepare.move_id)
     match holders.begin_release(holder, prepare):
-        case holders.ReleaseDenied():
-            return refused
-        case holders.Draining(shards):
+        case holders.ReleaseBegun(shards):
             await servings.drain_shards(node.serving, prepare.domain, shards)
-    released = holders.finish_release(holder, prepare)
-    return released if released is not None else refused
+        case messages.ReleaseRefused() as refused:
+            return refused
+    return holders.finish_release(holder, prepare)
 
 
 def _abort(node: nodes.Node, abort: messages.AbortMove) -> messages.Done:
--- a/fuchsiamoor/daemon/exchange.py
+++ b/fuchsiamoor/daemon/exchange.py
@@ -7,7 +7,7 @@
 from fuchsiamoor.daemon import knowledge as knowledges
 from fuchsiamoor.daemon import node as nodes
 from fuchsiamoor.membership import directory as directories
-from fuchsiamoor.membership import member_codec
+from fuchsiamoor.peers import codec
 
 CALL_TIMEOUT_MS = 1_000
 STORE_READ_EVERY_MS = 300_000
@@ -97,7 +97,7 @@
 def take_listing(node: nodes.Node, listing) -> None:
     """Take in a listing of all registrations."""
     found = [
-        member_codec.decode_member(entry.value)._replace(
+        codec.decode_member(entry.value)._replace(
             registered_version=entry.version
         )
         for entry in listing.entries
--- a/fuchsiamoor/daemon/holding.py
+++ b/fuchsiamoor/daemon/holding.py
@@ -6,6 +6,7 @@
 from fuchsiamoor.core import errors, keys, messages
 from fuchsiamoor.daemon import calls, coordinating, exchange
 from fuchsiamoor.daemon import node as nodes
+from fuchsiamoor.daemon import serving as servings
 from fuchsiamoor.ownership import holder as holders
 from fuchsiamoor.ownership import voucher
 
@@ -44,7 +45,7 @@
     node.renew_now.set()
 
 
-def check_serve(node: nodes.Node, domain: str, shard: int) -> holders.ServeCheck:
+def check_serve(node: nodes.Node, domain: str, shard: int) -> holders.MayServe | holders.Wait | holders.NotOwner:
     """Return whether this daemon may serve a shard now."""
     holder = node.holders.get(domain)
     if holder is None or node.superseded:
@@ -89,10 +90,12 @@
     match reply:
         case messages.Renewed():
             holders.record_renewed(holder, ask.member_id, reply, sent_ms)
+            servings.state_changed(node.serving)
             if reply.configuration_revision > node.knowledge.configuration.revision:
                 await exchange.exchange_with(node, ask.member_id)
         case messages.Vouched():
             holders.record_vouched(holder, ask.member_id, reply, sent_ms)
+            servings.state_changed(node.serving)
         case messages.RenewRefused() | messages.VouchRefused():
             node.metrics.count("lease.refused")
             await _follow_refusal(node, ask.member_id, reply)
--- a/fuchsiamoor/daemon/knowledge.py
+++ b/fuchsiamoor/daemon/knowledge.py
@@ -12,7 +12,7 @@
 from fuchsiamoor.core import errors, members, messages, tables
 from fuchsiamoor.documents import stored
 from fuchsiamoor.membership import directory as directories
-from fuchsiamoor.membership import member_codec
+from fuchsiamoor.peers import codec
 from fuchsiamoor.ownership import tables_codec
 
 
@@ -129,7 +129,7 @@
     encoded: tuple[bytes, ...] = ()
     if directories.hash_directory(knowledge.directory) != digest.directory_hash:
         encoded = tuple(
-            member_codec.encode_member(member)
+            codec.encode_member(member)
             for member in knowledge.directory.by_instance.values()
         )
     return messages.StatePush(configuration, newer_tables, encoded)
@@ -158,7 +158,7 @@
     found = []
     for value in state.members:
         try:
-            found.append(member_codec.decode_member(value))
+            found.append(codec.decode_member(value))
         except errors.FrameError as error:
             problems.append(str(error))
     adopt_members(knowledge, found)
--- a/fuchsiamoor/daemon/registration.py
+++ b/fuchsiamoor/daemon/registration.py
@@ -11,7 +11,7 @@
 from fuchsiamoor.daemon import knowledge as knowledges
 from fuchsiamoor.daemon import node as nodes
 from fuchsiamoor.membership import directory as directories
-from fuchsiamoor.membership import member_codec
+from fuchsiamoor.peers import codec
 from fuchsiamoor.store import port
 
 FIRST_DELAY_MS = 100
@@ -46,13 +46,13 @@
     """
     key = exchange.MEMBERS_PREFIX + node.member.instance
     member = node.member
-    value = member_codec.encode_member(member._replace(registered_version=0))
+    value = codec.encode_member(member._replace(registered_version=0))
     current = await node.store.get(key)
     if current is not None and current.value == value:
         _confirm(node, current.version)
         return
     if current is not None and member.registered_version:
-        holder = member_codec.decode_member(current.value)
+        holder = codec.decode_member(current.value)
         if holder.member_id != member.member_id:
             node.superseded = True
             return
--- a/fuchsiamoor/daemon/stopping.py
+++ b/fuchsiamoor/daemon/stopping.py
@@ -6,6 +6,7 @@
 
 from fuchsiamoor.daemon import coordinating, registration, upstream_watch
 from fuchsiamoor.daemon import node as nodes
+from fuchsiamoor.daemon import serving as servings
 
 CHECK_MS = 50
 HAND_OVER_LIMIT_MS = 15_000
@@ -16,6 +17,7 @@
     """Hand over the shards and roles, finish what runs, then let the tree end."""
     logger.info("stopping")
     node.leaving = True
+    servings.leave(node.serving)
     node.renew_now.set()
     await _wait_until_drained(node)
     for coordination in list(node.coordinating.values()):
@@ -30,8 +32,12 @@
 
 async def _wait_until_drained(node: nodes.Node) -> None:
     end_ms = node.now_ms() + HAND_OVER_LIMIT_MS
-    while node.now_ms() < end_ms and not upstream_watch.is_drained(node):
+    while node.now_ms() < end_ms and upstream_watch.owns_any(node):
         await asyncio.sleep(CHECK_MS / 1000)
+    try:
+        await asyncio.wait_for(servings.drain(node.serving), HAND_OVER_LIMIT_MS / 1000)
+    except TimeoutError:
+        node.metrics.count("stop.drain_timed_out")
 
 
 async def _wait_until_idle(node: nodes.Node) -> None:
--- a/fuchsiamoor/daemon/upstream_watch.py
+++ b/fuchsiamoor/daemon/upstream_watch.py
@@ -25,6 +25,12 @@
             f"{announcement.service} on {announcement.instance}"
         )
     state = node.upstream
+    servings.upstream_announced(
+        node.serving,
+        announcement.incarnation,
+        announcement.slots,
+        announcement.connections,
+    )
     restarted = announcement.incarnation != state.incarnation
     state.incarnation = announcement.incarnation
     state.slots = announcement.slots
@@ -33,9 +39,6 @@
     state.announced_ms = node.now_ms()
     if restarted:
         state.leaving = False
-        servings.reset_upstream(
-            node.serving, announcement.slots, announcement.connections
-        )
         _update_member(node)
         nodes.spawn(node, grant_all(node), "grants")
     return announcements.Accepted()
@@ -56,16 +59,16 @@
     if incarnation != node.upstream.incarnation:
         return
     node.upstream.leaving = True
+    servings.leave(node.serving)
     node.renew_now.set()
-    while not is_drained(node):
+    while owns_any(node):
         await asyncio.sleep(DRAIN_CHECK_MS / 1000)
+    await servings.drain(node.serving)
 
 
-def is_drained(node: nodes.Node) -> bool:
-    """Return whether this daemon owns nothing and runs nothing."""
-    if servings.count_running(node.serving):
-        return False
-    return not any(owned_shards(node, domain) for domain in node.holders)
+def owns_any(node: nodes.Node) -> bool:
+    """Return whether a table that this daemon knows gives it any shard."""
+    return any(owned_shards(node, domain) for domain in node.holders)
 
 
 def owned_shards(node: nodes.Node, domain: str) -> list[int]:
--- a/fuchsiamoor/daemon/watching.py
+++ b/fuchsiamoor/daemon/watching.py
@@ -11,7 +11,7 @@
 from fuchsiamoor.daemon import knowledge as knowledges
 from fuchsiamoor.daemon import node as nodes
 from fuchsiamoor.membership import directory as directories
-from fuchsiamoor.membership import member_codec
+from fuchsiamoor.peers import codec
 from fuchsiamoor.store import port
 
 WATCH_WAIT_MS = 10_000
@@ -70,7 +70,7 @@
         if directories.remove_instance(node.knowledge.directory, instance, version):
             node.knowledge.on_directory()
         return
-    member = member_codec.decode_member(change.entry.value)
+    member = codec.decode_member(change.entry.value)
     knowledges.adopt_members(
         node.knowledge, [member._replace(registered_version=change.entry.version)]
     )
