--- /dev/null
+++ b/fuchsiamoor/daemon/entry.py
@@ -0,0 +1,95 @@
+"""Entry: takes a caller's request to a member that may serve it."""
+
+import random
+from asyncio import Future
+from collections.abc import Awaitable, Callable
+
+from fuchsiamoor.core.configuration import Configuration
+from fuchsiamoor.core.members import Member
+from fuchsiamoor.core.messages import Answered, Forward
+from fuchsiamoor.core.requests import Answer, Request
+from fuchsiamoor.core.tables import ShardTable
+from fuchsiamoor.daemon import entry_any, entry_keyed
+from fuchsiamoor.daemon.sending import Entry, Links, Metrics
+from fuchsiamoor.routing import parking, refusals, residency
+
+
+def make_entry(
+    *,
+    get_configuration: Callable[[], Configuration],
+    get_table: Callable[[str], ShardTable | None],
+    get_member: Callable[[str], Member | None],
+    list_members: Callable[[str], list[Member]],
+    own_member: Callable[[], Member],
+    links: Links,
+    serve_local: Callable[[Forward], Awaitable[Answered]],
+    metrics: Metrics,
+    now_ms: Callable[[], int],
+    rng: random.Random,
+) -> Entry:
+    """Return the entry side of a daemon.
+
+    Parameters
+    ----------
+    get_configuration : callable
+        The configuration in force.
+    get_table : callable
+        The newest table known of a domain, None if there is none.
+    get_member : callable
+        A member by its id, None if it is unknown.
+    list_members : callable
+        The members of a service whose upstreams are ready, this one included.
+    own_member : callable
+    links : Links
+    serve_local : callable
+        Serves at the upstream beside this daemon.
+    metrics : Metrics
+    now_ms : callable
+        Monotonic time, in milliseconds.
+    rng : random.Random
+    """
+    return Entry(
+        get_configuration,
+        get_table,
+        get_member,
+        list_members,
+        own_member,
+        links,
+        serve_local,
+        metrics,
+        now_ms,
+        rng,
+    )
+
+
+def table_changed(entry: Entry, domain: str) -> None:
+    """Send the parked requests of a domain on their way again."""
+    _release(parking.wake(entry.parking, domain))
+
+
+def state_changed(entry: Entry) -> None:
+    """Send all parked requests on their way again: configuration or members changed."""
+    _release(parking.wake_all(entry.parking))
+
+
+async def handle(entry: Entry, request: Request) -> Answer:
+    """Answer a caller's request.
+
+    Raises
+    ------
+    asyncio.CancelledError
+        When the caller has gone; the cancellation has been passed on.
+    """
+    configuration = entry.get_configuration()
+    refused = residency.check_request(configuration, request, entry.own_member().region)
+    if refused is not None:
+        return refusals.make_refusal(request.request_id, refused)
+    if not request.key:
+        return await entry_any.handle_any(entry, request)
+    return await entry_keyed.handle_keyed(entry, request)
+
+
+def _release(tickets: list[Future]) -> None:
+    for ticket in tickets:
+        if not ticket.done():
+            ticket.set_result(None)
--- /dev/null
+++ b/fuchsiamoor/daemon/entry_any.py
@@ -0,0 +1,180 @@
+"""Entry of requests without a key: to any upstream, with retries and hedges."""
+
+import asyncio
+from asyncio import Task
+from dataclasses import dataclass, field
+
+from fuchsiamoor.core.members import Member
+from fuchsiamoor.core.messages import Answered
+from fuchsiamoor.core.requests import Answer, Request
+from fuchsiamoor.core.verdicts import MayHaveRun, NotRun, Ran, Reason
+from fuchsiamoor.daemon import sending
+from fuchsiamoor.daemon.sending import Entry
+from fuchsiamoor.routing import (
+    budget,
+    candidates,
+    choice,
+    refusals,
+    retry,
+    routes,
+    stragglers,
+)
+
+NO_ROUTE = routes.Unsettled("", Reason.NO_OWNER, 0)
+
+
+@dataclass(slots=True)
+class Attempts:
+    """What was tried of one request.
+
+    Parameters
+    ----------
+    permit : Permit
+        Of the latest sending.
+    tried : set of str
+        Members sent to.
+    ending : NotRun or MayHaveRun
+        What is known from the attempts that have ended.
+    """
+
+    permit: retry.Permit
+    tried: set[str] = field(default_factory=set)
+    ending: NotRun | MayHaveRun = NotRun(Reason.NO_UPSTREAM)
+
+
+async def handle_any(entry: Entry, request: Request) -> Answer:
+    """Answer a request that any upstream of the service may take."""
+    service = entry.get_configuration().services[request.service]
+    spendable = entry.budgets.setdefault(request.service, budget.make_budget())
+    budget.earn(spendable, service.retry_ratio)
+    attempts = Attempts(retry.permit_first(request))
+    while True:
+        if request.deadline_ms <= entry.now_ms():
+            return _refuse(request, attempts, Reason.DEADLINE_PASSED)
+        target = _choose(entry, request, attempts)
+        if target is None:
+            return _refuse(request, attempts, Reason.NO_UPSTREAM)
+        if request.idempotent:
+            answer = await _send_hedged(entry, target, request, attempts)
+        else:
+            attempts.tried.add(target.member_id)
+            answered = await _send_measured(entry, target, request, attempts.permit)
+            answer = answered.answer
+        attempts.ending = sending.merge_endings(attempts.ending, answer.verdict)
+        step = retry.step_for_any(attempts.permit, answer.verdict)
+        if step is retry.Step.FINISH or not budget.spend(spendable):
+            return sending.conclude(request, answer, attempts.ending)
+        entry.metrics.count("entry.retried")
+        attempts.permit = retry.permit_next(attempts.permit, answer.verdict)
+
+
+def _choose(entry: Entry, request: Request, attempts: Attempts) -> Member | None:
+    allowed = candidates.list_candidates(
+        entry.get_configuration(), entry.list_members(request.service), request
+    )
+    return choice.choose_member(
+        entry.measurements,
+        entry.own_member(),
+        allowed,
+        attempts.tried,
+        entry.now_ms(),
+        entry.rng,
+    )
+
+
+def _refuse(request: Request, attempts: Attempts, reason: Reason) -> Answer:
+    if isinstance(attempts.ending, MayHaveRun) or attempts.tried:
+        return refusals.make_refusal(request.request_id, attempts.ending)
+    return refusals.make_refusal(request.request_id, NotRun(reason))
+
+
+async def _send_measured(
+    entry: Entry, target: Member, request: Request, permit: retry.Permit
+) -> Answered:
+    sent_ms = entry.now_ms()
+    answered = None
+    choice.note_sent(entry.measurements, target.member_id)
+    try:
+        answered = await sending.send(entry, target, request, permit, NO_ROUTE)
+        return answered
+    finally:
+        choice.note_ended(entry.measurements, target.member_id)
+        _measure(entry, target, request, answered, entry.now_ms() - sent_ms)
+
+
+def _measure(
+    entry: Entry,
+    target: Member,
+    request: Request,
+    answered: Answered | None,
+    latency_ms: int,
+) -> None:
+    match answered.answer.verdict if answered else MayHaveRun(Reason.CANCELLED):
+        case Ran():
+            choice.note_latency(entry.measurements, target.member_id, latency_ms)
+            latencies = entry.latencies.setdefault(
+                request.service, stragglers.make_latencies()
+            )
+            stragglers.note_latency(latencies, latency_ms)
+        case MayHaveRun():
+            measured = choice.measured_of(entry.measurements, target.member_id)
+            if latency_ms > measured.latency_ms:
+                choice.note_latency(entry.measurements, target.member_id, latency_ms)
+        case NotRun():
+            choice.note_full(entry.measurements, target.member_id, entry.now_ms())
+
+
+async def _send_hedged(
+    entry: Entry, target: Member, request: Request, attempts: Attempts
+) -> Answer:
+    """Send to one member and, when it is slow, to a second; first whole answer wins."""
+    running = {_start(entry, target, request, attempts)}
+    hedge_ms = entry.latencies.setdefault(
+        request.service, stragglers.make_latencies()
+    ).hedge_ms
+    try:
+        done, running = await asyncio.wait(running, timeout=hedge_ms / 1000)
+        if not done:
+            second = _choose_hedge(entry, request, attempts)
+            if second is not None:
+                entry.metrics.count("entry.hedged")
+                attempts.permit = retry.permit_repeat(attempts.permit)
+                running.add(_start(entry, second, request, attempts))
+        return await _first_whole(request, done, running, attempts)
+    finally:
+        for task in running:
+            task.cancel()
+
+
+def _start(
+    entry: Entry, target: Member, request: Request, attempts: Attempts
+) -> Task[Answered]:
+    attempts.tried.add(target.member_id)
+    return asyncio.create_task(_send_measured(entry, target, request, attempts.permit))
+
+
+def _choose_hedge(entry: Entry, request: Request, attempts: Attempts) -> Member | None:
+    second = _choose(entry, request, attempts)
+    if second is None or not budget.spend(entry.budgets[request.service]):
+        return None
+    return second
+
+
+async def _first_whole(
+    request: Request,
+    done: set[Task[Answered]],
+    running: set[Task[Answered]],
+    attempts: Attempts,
+) -> Answer:
+    """Return the first answer that ran, or the ending once all have ended."""
+    answer = None
+    while True:
+        for task in done:
+            answer = task.result().answer
+            if isinstance(answer.verdict, Ran):
+                return answer
+            attempts.ending = sending.merge_endings(attempts.ending, answer.verdict)
+        if not running:
+            return sending.conclude(request, answer, attempts.ending)
+        done, left = await asyncio.wait(running, return_when=asyncio.FIRST_COMPLETED)
+        running.intersection_update(left)
--- /dev/null
+++ b/fuchsiamoor/daemon/hand_over.py
@@ -0,0 +1,262 @@
+"""Hand-over: takes one request through ownership and admission to the upstream."""
+
+import asyncio
+from asyncio import Future
+from typing import NamedTuple
+
+from fuchsiamoor.core.messages import Answered
+from fuchsiamoor.core.requests import Answer
+from fuchsiamoor.core.verdicts import MayHaveRun, NotRun, Ran, Reason
+from fuchsiamoor.daemon.serving_state import Run, Serving
+from fuchsiamoor.ownership.holder import MayServe, NotOwner, Wait
+from fuchsiamoor.routing import admission, capacity, parking, refusals, routes, runs
+from fuchsiamoor.routing.capacity import Capacity
+from fuchsiamoor.routing.runs import ShardId
+
+WAIT_RECHECK_MS = 50
+CANCELLED_HOLD_MS = 50
+
+
+class Grant(NamedTuple):
+    """Leave to hand a request over, good for the present step of the loop.
+
+    Parameters
+    ----------
+    shard_id : ShardId
+    epoch : int
+    lease_until_ms : int
+        Monotonic; the request's deadline where there is no lease.
+    """
+
+    shard_id: ShardId
+    epoch: int
+    lease_until_ms: int
+
+
+class Withheld(NamedTuple):
+    """The shard may not be served now, but perhaps soon."""
+
+
+class Handed(NamedTuple):
+    """A request at the upstream.
+
+    Parameters
+    ----------
+    shard_id : ShardId
+    held : Capacity
+        Whose slot it takes.
+    handed_ms : int
+    start_by_ms : int
+        Time after which the upstream may not start it.
+    """
+
+    shard_id: ShardId
+    held: Capacity
+    handed_ms: int
+    start_by_ms: int
+
+
+async def run(serving: Serving, run: Run) -> Answered:
+    """Take a request to its ending.
+
+    Raises
+    ------
+    asyncio.CancelledError
+        ``run.handed_over`` tells whether the upstream may have seen it.
+    """
+    while True:
+        grant = _check_grant(serving, run)
+        match grant:
+            case Answered():
+                return grant
+            case Withheld():
+                refused = await _wait_for_change(serving, run)
+                if refused is not None:
+                    return _refuse(run, refused)
+                continue
+        held = await _take_slot(serving, run)
+        if isinstance(held, NotRun):
+            return _refuse(run, held)
+        grant = _check_grant(serving, run)
+        if isinstance(grant, Grant) and _is_bearable(serving, held):
+            return Answered(await _hand_over(serving, run, grant, held), "", 0)
+        release_slot(serving, held)
+
+
+def _check_grant(serving: Serving, run: Run) -> Grant | Withheld | Answered:
+    now_ms = serving.now_ms()
+    request = run.request
+    if request.deadline_ms <= now_ms:
+        return _refuse(run, NotRun(Reason.DEADLINE_PASSED, "before it was handed over"))
+    if not run.domain:
+        return Grant(ShardId("", runs.NO_SHARD), 0, request.deadline_ms)
+    table = serving.get_table(run.domain)
+    if table is None:
+        return Withheld()
+    shard = routes.find_shard(table, request)
+    permission = serving.check_serve(run.domain, shard)
+    match permission:
+        case MayServe(epoch, lease_until_ms) if lease_until_ms > now_ms:
+            return Grant(ShardId(run.domain, shard), epoch, lease_until_ms)
+        case NotOwner(owner):
+            refused = refusals.make_refusal(
+                request.request_id, NotRun(Reason.NOT_OWNER, "owned elsewhere")
+            )
+            return Answered(refused, owner, table.revision)
+        case MayServe() | Wait():
+            return Withheld()
+
+
+async def _wait_for_change(serving: Serving, run: Run) -> NotRun | None:
+    """Park a request until ownership may have changed."""
+    request = run.request
+    limits = serving.get_configuration().services[request.service].limits
+    ticket = asyncio.get_running_loop().create_future()
+    size_bytes = len(request.body)
+    if not parking.park(
+        serving.parking, run.domain, ticket, size_bytes, limits.parked_requests
+    ):
+        serving.metrics.count("serving.parking_full")
+        return NotRun(Reason.OVER_LIMIT, "too many requests wait for the shard")
+    wait_ms = min(WAIT_RECHECK_MS, request.deadline_ms - serving.now_ms())
+    serving.metrics.count("serving.parked")
+    try:
+        await asyncio.wait((ticket,), timeout=max(wait_ms, 1) / 1000)
+    finally:
+        parking.leave(serving.parking, run.domain, ticket)
+    return None
+
+
+def _is_bearable(serving: Serving, held: Capacity) -> bool:
+    """Return whether a slot taken earlier may still be used."""
+    if serving.capacity is not held:
+        return False
+    return held.in_flight <= capacity.compute_requests(held, serving.now_ms())
+
+
+async def _take_slot(serving: Serving, run: Run) -> Capacity | NotRun:
+    """Take a slot of the upstream, waiting in the queue if there is room."""
+    held = serving.capacity
+    if held is None:
+        return NotRun(Reason.STARTING, "the upstream has not announced itself")
+    request = run.request
+    limits = serving.get_configuration().services[request.service].limits
+    ticket = asyncio.get_running_loop().create_future()
+    decided = capacity.ask(
+        held, ticket, request, limits.queued_requests, serving.now_ms()
+    )
+    match decided:
+        case admission.Admitted():
+            return held
+        case admission.Refused(verdict):
+            serving.metrics.count("serving.refused")
+            return verdict
+    serving.metrics.count("serving.queued")
+    refused = await _wait_in_queue(serving, run, held, ticket)
+    return held if refused is None else refused
+
+
+async def _wait_in_queue(
+    serving: Serving, run: Run, held: Capacity, ticket: Future[NotRun | None]
+) -> NotRun | None:
+    wait_ms = max(run.request.deadline_ms - serving.now_ms(), 1)
+    try:
+        await asyncio.wait((ticket,), timeout=wait_ms / 1000)
+    except asyncio.CancelledError:
+        if not capacity.leave_queue(held, ticket) and ticket.result() is None:
+            release_slot(serving, held)
+        raise
+    if ticket.done():
+        return ticket.result()
+    capacity.leave_queue(held, ticket)
+    return NotRun(Reason.DEADLINE_PASSED, "while it waited for a slot")
+
+
+def release_slot(serving: Serving, held: Capacity) -> None:
+    """Give one slot back and wake those who wait."""
+    capacity.release(held)
+    for ticket in capacity.grant(held, serving.now_ms()):
+        ticket.set_result(None)
+
+
+async def _hand_over(
+    serving: Serving, run: Run, grant: Grant, held: Capacity
+) -> Answer:
+    """Give a request to the upstream, in the step of the loop that made the grant."""
+    request = run.request
+    handed_ms = serving.now_ms()
+    start_by_ms = min(request.deadline_ms, grant.lease_until_ms)
+    to_unix_ms = serving.unix_ms() - handed_ms
+    lease_until_unix_ms = grant.lease_until_ms + to_unix_ms if run.domain else 0
+    runs.start(serving.runs, grant.shard_id)
+    run.handed_over = True
+    verdict = MayHaveRun(Reason.CANCELLED, "cancelled while it ran")
+    try:
+        answer = await serving.upstream.run(
+            request,
+            grant.shard_id.shard,
+            grant.epoch,
+            lease_until_unix_ms,
+            start_by_ms + to_unix_ms,
+        )
+        if answer.request_id != request.request_id:
+            verdict = MayHaveRun(Reason.TRUNCATED, "answer to another request")
+            return refusals.make_refusal(request.request_id, verdict)
+        verdict = answer.verdict
+        return answer
+    finally:
+        handed = Handed(grant.shard_id, held, handed_ms, start_by_ms)
+        _settle(serving, request.service, handed, verdict)
+
+
+def _settle(
+    serving: Serving,
+    service: str,
+    handed: Handed,
+    verdict: NotRun | MayHaveRun | Ran,
+) -> None:
+    """Count a run as ended and learn from it."""
+    now_ms = serving.now_ms()
+    match verdict:
+        case MayHaveRun(reason):
+            services = serving.get_configuration().services
+            longest_ms = services[service].longest_run_ms if service in services else 0
+            until_ms = handed.start_by_ms + longest_ms
+            last = runs.end_uncertain(serving.runs, handed.shard_id, until_ms)
+            if reason is Reason.UPSTREAM_LOST:
+                _restart_ramp(serving, handed)
+            hold_ms = CANCELLED_HOLD_MS if reason is Reason.CANCELLED else longest_ms
+            _release_later(serving, handed.held, hold_ms)
+        case NotRun(reason):
+            last = runs.end(serving.runs, handed.shard_id)
+            if reason in (Reason.SHED, Reason.CONNECT_FAILED):
+                _restart_ramp(serving, handed)
+            release_slot(serving, handed.held)
+        case Ran():
+            last = runs.end(serving.runs, handed.shard_id)
+            capacity.note_run(handed.held, now_ms - handed.handed_ms)
+            release_slot(serving, handed.held)
+    if last:
+        _wake_drains(serving)
+
+
+def _restart_ramp(serving: Serving, handed: Handed) -> None:
+    if capacity.note_cold(handed.held, handed.handed_ms, serving.now_ms()):
+        serving.metrics.count("serving.ramp_restarted")
+
+
+def _release_later(serving: Serving, held: Capacity, hold_ms: int) -> None:
+    """Give a slot back once what took it has surely ended."""
+    loop = asyncio.get_running_loop()
+    loop.call_later(hold_ms / 1000, release_slot, serving, held)
+
+
+def _wake_drains(serving: Serving) -> None:
+    waiters, serving.drain_waiters = serving.drain_waiters, []
+    for waiter in waiters:
+        if not waiter.done():
+            waiter.set_result(None)
+
+
+def _refuse(run: Run, verdict: NotRun) -> Answered:
+    return Answered(refusals.make_refusal(run.request.request_id, verdict), "", 0)
--- /dev/null
+++ b/fuchsiamoor/daemon/sending.py
@@ -0,0 +1,129 @@
+"""Sending: the entry side's state, and one sending of a request to one member."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from fuchsiamoor.core import errors, messages
+from fuchsiamoor.core.configuration import Configuration
+from fuchsiamoor.core.members import Member
+from fuchsiamoor.core.messages import Answered, Forward, Message
+from fuchsiamoor.core.requests import Answer, Request
+from fuchsiamoor.core.tables import ShardTable
+from fuchsiamoor.core.verdicts import MayHaveRun, NotRun, Reason
+from fuchsiamoor.routing import refusals, retry, routes
+from fuchsiamoor.routing.budget import Budget
+from fuchsiamoor.routing.choice import Measurements, make_measurements
+from fuchsiamoor.routing.parking import Parking, make_parking
+from fuchsiamoor.routing.stragglers import Latencies
+
+
+class Links(Protocol):
+    """Links to the other daemons."""
+
+    async def call(self, member: Member, message: Message, timeout_ms: int) -> Message:
+        """Send a message and wait for its answer; raises `PeerError`."""
+
+    def tell(self, member: Member, message: Message) -> None:
+        """Send a message that has no answer, if the link is up."""
+
+
+class Metrics(Protocol):
+    """Counters."""
+
+    def count(self, name: str, value: int = 1) -> None:
+        """Add to a counter."""
+
+
+@dataclass(slots=True)
+class Entry:
+    """The entry side of one daemon; made by `make_entry`."""
+
+    get_configuration: Callable[[], Configuration]
+    get_table: Callable[[str], ShardTable | None]
+    get_member: Callable[[str], Member | None]
+    list_members: Callable[[str], list[Member]]
+    own_member: Callable[[], Member]
+    links: Links
+    serve_local: Callable[[Forward], Awaitable[Answered]]
+    metrics: Metrics
+    now_ms: Callable[[], int]
+    rng: random.Random
+    parking: Parking = field(default_factory=make_parking)
+    measurements: Measurements = field(default_factory=make_measurements)
+    budgets: dict[str, Budget] = field(default_factory=dict)
+    latencies: dict[str, Latencies] = field(default_factory=dict)
+
+
+async def send(
+    entry: Entry,
+    target: Member,
+    request: Request,
+    permit: retry.Permit,
+    route: routes.Route,
+) -> Answered:
+    """Send a request to one member under a permit.
+
+    Returns
+    -------
+    Answered
+        Of this very request; failures of the link are turned into refusals.
+    """
+    forward = _make_forward(entry, request, permit, route)
+    if target.member_id == entry.own_member().member_id:
+        return await entry.serve_local(forward)
+    home_regions = entry.get_configuration().tenants.get(request.tenant, frozenset())
+    if target.region not in home_regions:
+        return _refuse(request, NotRun(Reason.OUTSIDE_HOME_REGIONS))
+    try:
+        answered = await entry.links.call(target, forward, forward.request.deadline_ms)
+    except asyncio.CancelledError:
+        entry.links.tell(target, messages.Cancel(request.request_id))
+        raise
+    except errors.PeerUnreachableError:
+        return _refuse(request, NotRun(Reason.CONNECT_FAILED, "peer unreachable"))
+    except errors.PeerTimeoutError:
+        entry.links.tell(target, messages.Cancel(request.request_id))
+        return _refuse(request, MayHaveRun(Reason.DEADLINE_PASSED, "no answer in time"))
+    except errors.PeerError:
+        return _refuse(request, MayHaveRun(Reason.LINK_LOST, "link to the owner lost"))
+    if (
+        not isinstance(answered, Answered)
+        or answered.answer.request_id != request.request_id
+    ):
+        return _refuse(request, MayHaveRun(Reason.LINK_LOST, "answer not understood"))
+    return answered
+
+
+def _make_forward(
+    entry: Entry, request: Request, permit: retry.Permit, route: routes.Route
+) -> Forward:
+    remaining_ms = max(request.deadline_ms - entry.now_ms(), 1)
+    return Forward(
+        request=request._replace(deadline_ms=remaining_ms),
+        domain=route.domain,
+        table_revision=route.revision,
+        attempt=permit.attempt,
+        hops=1,
+        configuration_revision=entry.get_configuration().revision,
+    )
+
+
+def _refuse(request: Request, verdict: NotRun | MayHaveRun) -> Answered:
+    return Answered(refusals.make_refusal(request.request_id, verdict), "", 0)
+
+
+def merge_endings(
+    before: NotRun | MayHaveRun, verdict: NotRun | MayHaveRun
+) -> NotRun | MayHaveRun:
+    """Return what is known of a request after one more of its attempts has ended."""
+    return before if isinstance(before, MayHaveRun) else verdict
+
+
+def conclude(request: Request, answer: Answer, ending: NotRun | MayHaveRun) -> Answer:
+    """Return the last answer, unless an earlier attempt may have run."""
+    if isinstance(answer.verdict, NotRun) and isinstance(ending, MayHaveRun):
+        return refusals.make_refusal(request.request_id, ending)
+    return answer
--- /dev/null
+++ b/fuchsiamoor/routing/budget.py
@@ -0,0 +1,46 @@
+"""Budget: retries and hedges as a share of traffic.
+
+Each first sending earns ``ratio`` of a token, each retry or hedge spends a whole one.
+So an overload can be multiplied by no more than 1 + ``ratio``, beyond the reserve.
+"""
+
+from dataclasses import dataclass
+
+RESERVE_TOKENS = 10.0
+
+
+@dataclass(slots=True)
+class Budget:
+    """Tokens at hand."""
+
+    tokens: float
+    tokens_max: float
+
+
+def make_budget(tokens_max: float = RESERVE_TOKENS) -> Budget:
+    """Return a full budget."""
+    return Budget(tokens_max, tokens_max)
+
+
+def earn(budget: Budget, ratio: float) -> None:
+    """Count one first sending."""
+    budget.tokens = min(budget.tokens_max, budget.tokens + ratio)
+
+
+def spend(budget: Budget) -> bool:
+    """Take one token for a retry or hedge; False if there is none.
+
+    Examples
+    --------
+    >>> budget = make_budget(tokens_max=1.0)
+    >>> spend(budget), spend(budget)
+    (True, False)
+    >>> for _ in range(4):
+    ...     earn(budget, ratio=0.25)
+    >>> spend(budget)
+    True
+    """
+    if budget.tokens < 1.0:
+        return False
+    budget.tokens -= 1.0
+    return True
