--- a/fuchsiamoor/daemon/node.py
+++ b/fuchsiamoor/daemon/node.py
@@ -82,6 +82,8 @@
         Answers a peer's message.
     renew_now : asyncio.Event
         Set when leases are to be renewed before their next turn.
+    upstream_suspect : asyncio.Event
+        Set when a connection to the upstream was refused.
     register_now : asyncio.Event
         Set when the registration may have to change.
     last_exchange_ms : int
@@ -111,6 +113,7 @@
     stopped: asyncio.Event = field(default_factory=asyncio.Event)
     superseded: bool = False
     renew_now: asyncio.Event = field(default_factory=asyncio.Event)
+    upstream_suspect: asyncio.Event = field(default_factory=asyncio.Event)
     register_now: asyncio.Event = field(default_factory=asyncio.Event)
     last_exchange_ms: int = 0
     random: random.Random = field(default_factory=random.Random)
@@ -169,6 +172,15 @@
     return node.knowledge.directory.by_id.get(member_id)
 
 
+def list_members(node: Node, service: str) -> list[members.Member]:
+    """Return the registered members of a service."""
+    return [
+        member
+        for member in node.knowledge.directory.by_instance.values()
+        if member.service == service
+    ]
+
+
 def find_table(node: Node, domain: str) -> tables.ShardTable | None:
     """Return the newest table known of a domain."""
     return node.knowledge.tables.get(domain)
@@ -176,24 +188,17 @@
 
 def upstream_is_ready(node: Node) -> bool:
     """Return whether the upstream may be given work."""
-    state = node.upstream
-    if not state.incarnation or state.leaving:
-        return False
-    return node.now_ms() - state.announced_ms <= UPSTREAM_SILENCE_MS
-
-
-UPSTREAM_SILENCE_MS = 3_000
+    return node.serving.capacity is not None and not node.upstream.leaving
 
 
 def make_load(node: Node) -> messages.MemberLoad:
     """Return what this daemon tells its coordinators."""
-    in_flight, limit, latency_us = node.serving.load() if node.serving else (0, 0, 0)
     return messages.MemberLoad(
         upstream_ready=upstream_is_ready(node),
         leaving=node.leaving or node.upstream.leaving,
-        in_flight=in_flight,
-        limit=limit,
-        latency_us=latency_us,
+        in_flight=0,
+        limit=0,
+        latency_us=0,
         shard_rates={},
         hot_keys={},
     )
--- /dev/null
+++ b/fuchsiamoor/daemon/starting.py
@@ -0,0 +1,173 @@
+"""Starting: makes the parts of a node, joins them and runs them."""
+
+import time
+
+from loguru import logger
+
+from fuchsiamoor.core import configuration as configurations
+from fuchsiamoor.core import members, requests, settings
+from fuchsiamoor.daemon import (
+    announcements,
+    callers,
+    coordinating,
+    dispatch,
+    holding,
+    http_servers,
+    metrics,
+    operating,
+    operator_app,
+    ports,
+    registration,
+    stopping,
+    tree,
+    upstream_client,
+    upstream_watch,
+)
+from fuchsiamoor.daemon import entry as entries
+from fuchsiamoor.daemon import node as nodes
+from fuchsiamoor.daemon import serving as servings
+from fuchsiamoor.ownership import coordinator as coordinators
+from fuchsiamoor.peers import links as peer_links
+from fuchsiamoor.store import http_store
+
+STORE_TIMEOUT_MS = 1_000
+UPSTREAM_CONNECTIONS = 64
+ANSWER_LIMIT_BYTES = 4 * 1024 * 1024
+
+
+def make_started_node(config: settings.Settings) -> nodes.Node:
+    """Return a node whose parts are joined, listening nowhere yet."""
+    store = http_store.make_http_store(config.store_url, STORE_TIMEOUT_MS)
+    node = nodes.make_node(config, store, metrics.make_metrics(config.statsd_address))
+    _join_carriers(node)
+    _join_sides(node)
+    _join_changes(node)
+    return node
+
+
+def _join_carriers(node: nodes.Node) -> None:
+    async def handle(sender_id: str, message):
+        return await dispatch.handle_message(node, sender_id, message)
+
+    node.handle_message = handle
+    node.links = ports.LinksPort(
+        peer_links.make_links(
+            node.member.member_id, node.settings.peer_keys, handle, node.metrics
+        )
+    )
+    node.client = upstream_client.make_upstream_client(
+        node.settings.upstream_address, UPSTREAM_CONNECTIONS, ANSWER_LIMIT_BYTES
+    )
+
+
+def _join_sides(node: nodes.Node) -> None:
+    def get_configuration() -> configurations.Configuration:
+        return node.knowledge.configuration
+
+    def own_member() -> members.Member:
+        return node.member
+
+    node.serving = servings.make_serving(
+        get_configuration=get_configuration,
+        get_table=lambda domain: nodes.find_table(node, domain),
+        own_member=own_member,
+        check_serve=lambda domain, shard: holding.check_serve(node, domain, shard),
+        upstream=ports.UpstreamPort(node),
+        metrics=node.metrics,
+        now_ms=node.now_ms,
+        unix_ms=lambda: time.time_ns() // 1_000_000,
+    )
+    node.entry = entries.make_entry(
+        get_configuration=get_configuration,
+        get_table=lambda domain: nodes.find_table(node, domain),
+        get_member=lambda member_id: nodes.find_member(node, member_id),
+        list_members=lambda service: nodes.list_members(node, service),
+        own_member=own_member,
+        links=node.links,
+        serve_local=lambda forward: servings.serve(node.serving, forward),
+        metrics=node.metrics,
+        now_ms=node.now_ms,
+        rng=node.random,
+    )
+
+
+def _join_changes(node: nodes.Node) -> None:
+    knowledge = node.knowledge
+
+    def on_configuration() -> None:
+        revision = knowledge.configuration.revision
+        logger.bind(revision=revision).info("configuration in force")
+        holding.refresh_holders(node)
+        changed = coordinators.ConfigurationChanged(knowledge.configuration)
+        coordinating.feed_all(node, changed)
+        servings.state_changed(node.serving)
+        entries.state_changed(node.entry)
+
+    def on_table(domain: str) -> None:
+        holding.adopt_table(node, domain)
+        servings.state_changed(node.serving)
+        entries.table_changed(node.entry, domain)
+        nodes.spawn(node, upstream_watch.grant_domain(node, domain), "grant")
+
+    def on_directory() -> None:
+        registration.check_superseded(node)
+        coordinating.feed_all(node, coordinating.members_event(node))
+        entries.state_changed(node.entry)
+
+    knowledge.on_configuration = on_configuration
+    knowledge.on_table = on_table
+    knowledge.on_directory = on_directory
+
+
+async def run(node: nodes.Node) -> None:
+    """Listen, run the tree until the daemon is told to stop, and close."""
+    config = node.settings
+    await peer_links.serve(node.links.links, config.peer_address)
+    surfaces = [
+        ("callers", _make_caller_server(node)),
+        ("operators", _make_operator_server(node)),
+        ("announcements", _make_announce_server(node)),
+    ]
+    logger.bind(member=node.member.member_id).info("started")
+    await tree.run_tree(node, surfaces)
+    await peer_links.close(node.links.links)
+
+
+def _make_caller_server(node: nodes.Node):
+    async def handle(request: requests.Request) -> requests.Answer:
+        return await entries.handle(node.entry, request)
+
+    app = callers.make_caller_app(
+        lambda: node.knowledge.configuration,
+        handle,
+        lambda: operating.is_ready(node),
+        node.metrics,
+    )
+    return http_servers.make_server(app, node.settings.caller_address)
+
+
+def _make_operator_server(node: nodes.Node):
+    app = operator_app.make_operator_app(
+        operating.make_view(node),
+        operating.make_apply(node),
+        node.settings.operator_keys,
+        node.metrics,
+    )
+    return http_servers.make_server(app, node.settings.operator_address)
+
+
+def _make_announce_server(node: nodes.Node):
+    async def on_announce(announcement):
+        return upstream_watch.take_announcement(node, announcement)
+
+    async def on_leave(incarnation: str) -> None:
+        await upstream_watch.leave(node, incarnation)
+
+    app = announcements.make_announce_app(on_announce, on_leave)
+    return http_servers.make_server(app, node.settings.announce_address)
+
+
+def request_stop(node: nodes.Node) -> None:
+    """Begin a planned stop, once."""
+    if not node.leaving:
+        nodes.spawn(node, stopping.stop(node), "stop")
--- a/fuchsiamoor/daemon/upstream_watch.py
+++ b/fuchsiamoor/daemon/upstream_watch.py
@@ -54,6 +54,25 @@
     node.register_now.set()
 
 
+async def watch_upstream(node: nodes.Node) -> None:
+    """Notice an upstream that is gone or answers no more.
+
+    A refused connection shows that the process is gone. Silence is counted from the
+    last answer to a probe, since announcements come only every second.
+    """
+    answered_ms = node.now_ms()
+    while True:
+        if await node.client.health():
+            answered_ms = node.now_ms()
+        elif node.now_ms() - answered_ms > UPSTREAM_SILENCE_MS:
+            lose_upstream(node)
+        try:
+            await asyncio.wait_for(node.upstream_suspect.wait(), PROBE_EVERY_MS / 1000)
+        except TimeoutError:
+            pass
+        node.upstream_suspect.clear()
+
+
 async def leave(node: nodes.Node, incarnation: str) -> None:
     """Hand everything of the upstream over; returns when nothing of it runs."""
     if incarnation != node.upstream.incarnation:
