--- a/fuchsiamoor/core/errors.py
+++ b/fuchsiamoor/core/errors.py
@@ -33,6 +33,10 @@
     """The call's answer was lost; it may have taken effect."""
 
 
+class StoreHistoryLostError(StoreError):
+    """The store no longer remembers the version that a watch starts from: list again."""
+
+
 class PeerError(FuchsiamoorError):
     """Base of the failures of a link to another daemon."""
 
