--- a/fuchsiamoor/core/errors.py
+++ b/fuchsiamoor/core/errors.py
@@ -34,7 +34,7 @@
 
 
 class StoreHistoryLostError(StoreError):
-    """The store no longer remembers the version that a watch starts from: list again."""
+    """The store no longer remembers where a watch starts from: list again."""
 
 
 class PeerError(FuchsiamoorError):
