--- /dev/null
+++ b/fuchsiamoor/testing/scripted_server.py
@@ -0,0 +1,110 @@
+"""An HTTP server that plays one prepared step for each request that it reads.
+
+A step is the bytes to send, None to stay silent, or a function of the raw request that
+returns either. After bytes that are not a whole answer the connection is closed.
+"""
+
+import asyncio
+import contextlib
+import re
+from collections.abc import AsyncIterator, Callable
+from dataclasses import dataclass, field
+
+Step = bytes | None | Callable[[bytes], bytes | None]
+
+_CONTENT_LENGTH = re.compile(rb"\r\ncontent-length: *(\d+)\r\n", re.IGNORECASE)
+
+
+@dataclass(slots=True)
+class ScriptedServer:
+    """What the server has seen.
+
+    Parameters
+    ----------
+    host : str
+    port : int
+    steps : list of Step
+        Steps not yet played, the next one first.
+    requests : list of bytes
+        Each whole request as read, in order.
+    connection_count : int
+        Connections accepted so far.
+    """
+
+    host: str
+    port: int
+    steps: list[Step]
+    requests: list[bytes] = field(default_factory=list)
+    connection_count: int = 0
+    tasks: set[asyncio.Task] = field(default_factory=set)
+
+    @property
+    def netloc(self) -> str:
+        """Host and port as in a URL."""
+        return f"{self.host}:{self.port}"
+
+
+def make_answer(status: int, body: bytes = b"", headers: str = "") -> bytes:
+    """Return a whole HTTP answer; ``headers`` holds lines that end with CRLF."""
+    head = f"HTTP/1.1 {status} X\r\ncontent-length: {len(body)}\r\n{headers}\r\n"
+    return head.encode() + body
+
+
+@contextlib.asynccontextmanager
+async def serve_script(steps: list[Step]) -> AsyncIterator[ScriptedServer]:
+    """Serve steps on a port of 127.0.0.1 until the block ends."""
+    server = ScriptedServer("127.0.0.1", 0, list(steps))
+    listener = await asyncio.start_server(
+        lambda reader, writer: _play(server, reader, writer), server.host, 0
+    )
+    server.port = listener.sockets[0].getsockname()[1]
+    try:
+        yield server
+    finally:
+        listener.close()
+        for task in server.tasks:
+            task.cancel()
+        await asyncio.gather(*server.tasks, return_exceptions=True)
+
+
+async def _play(
+    server: ScriptedServer, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    server.connection_count += 1
+    server.tasks.add(asyncio.current_task())
+    try:
+        while request := await _read_request(reader):
+            server.requests.append(request)
+            step = server.steps.pop(0) if server.steps else b""
+            answer = step(request) if callable(step) else step
+            if answer is None:
+                await asyncio.sleep(3600)
+            writer.write(answer)
+            await writer.drain()
+            if not is_whole(answer):
+                return
+    except (OSError, asyncio.CancelledError):
+        pass
+    finally:
+        server.tasks.discard(asyncio.current_task())
+        writer.close()
+
+
+def is_whole(answer: bytes) -> bool:
+    """Return whether an answer holds at least the body that its length names."""
+    head, separator, body = answer.partition(b"\r\n\r\n")
+    length = _CONTENT_LENGTH.search(head + b"\r\n")
+    if not separator:
+        return False
+    if length is None:
+        return body.endswith(b"0\r\n\r\n") or b" 204 " in head
+    return len(body) >= int(length[1])
+
+
+async def _read_request(reader: asyncio.StreamReader) -> bytes:
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+    except asyncio.IncompleteReadError:
+        return b""
+    length = _CONTENT_LENGTH.search(head)
+    return head + (await reader.readexactly(int(length[1])) if length else b"")
