--- a/fuchsiamoor/peers/accepted.py
+++ b/fuchsiamoor/peers/accepted.py
@@ -110,15 +110,15 @@
         offer = access.parse_offer(request.headers)
         access.admit(acceptor.guard, offer, time.time_ns() // 1_000_000)
     except (AccessDeniedError, LookupError) as error:
-        acceptor.metrics.incr("peers.strangers_refused")
+        acceptor.metrics.count("peers.refused")
         return _make_refusal(http.HTTPStatus.UNAUTHORIZED, str(error))
     if offer.receiver != acceptor.own_member_id:
-        acceptor.metrics.incr("peers.other_member_expected")
+        acceptor.metrics.count("peers.other_member_expected")
         return _make_refusal(
             http.HTTPStatus.MISDIRECTED_REQUEST, f"this is {acceptor.own_member_id}"
         )
     if acceptor.is_leaving or len(acceptor.open_links) >= MAX_CONNECTIONS:
-        acceptor.metrics.incr("peers.links_refused")
+        acceptor.metrics.count("peers.links_refused")
         return _make_refusal(http.HTTPStatus.SERVICE_UNAVAILABLE, "no link now")
     return None
 
@@ -151,7 +151,7 @@
             for envelope in codec.decode_frame(frame):
                 _receive(acceptor, link, envelope)
     except FrameError:
-        acceptor.metrics.incr("peers.bad_frames")
+        acceptor.metrics.count("peers.bad_frames")
         await connection.close(1002)
     except websockets.ConnectionClosed:
         pass
@@ -166,11 +166,11 @@
     if role not in (Role.TELL, Role.CALL):
         raise FrameError(f"found role {role!r}, expected a call")
     if correlation_id <= link.last_correlation_id:
-        acceptor.metrics.incr("peers.duplicate_messages")
+        acceptor.metrics.count("peers.duplicate_messages")
         return
     link.last_correlation_id = correlation_id
     if acceptor.is_leaving or link.running >= MAX_RUNNING_CALLS:
-        acceptor.metrics.incr("peers.calls_refused")
+        acceptor.metrics.count("peers.calls_refused")
         if role is Role.CALL:
             _send(link, Envelope(correlation_id, Role.REFUSED, None))
         return
@@ -186,7 +186,7 @@
         answer = await acceptor.handle(link.sender, message)
         reply = Envelope(correlation_id, Role.ANSWER, answer)
     except Exception as error:
-        acceptor.metrics.incr("peers.handler_failures")
+        acceptor.metrics.count("peers.handler_failures")
         logger.opt(exception=error).error("handler of {} failed", type(message))
         reply = Envelope(correlation_id, Role.FAILED, None)
     finally:
@@ -197,12 +197,12 @@
 
 def _answer(acceptor: Acceptor, link: AcceptedLink, reply: Envelope) -> None:
     if id(link) not in acceptor.open_links:
-        acceptor.metrics.incr("peers.answers_without_link")
+        acceptor.metrics.count("peers.answers_without_link")
         return
     try:
         _send(link, reply)
     except FrameError as error:
-        acceptor.metrics.incr("peers.handler_failures")
+        acceptor.metrics.count("peers.handler_failures")
         logger.error("answer not sent: {}", error)
         _send(link, Envelope(reply.correlation_id, Role.FAILED, None))
 
--- a/fuchsiamoor/peers/dialled.py
+++ b/fuchsiamoor/peers/dialled.py
@@ -94,7 +94,7 @@
     loop = asyncio.get_running_loop()
     link = _ready_link(dialler, member, loop.time())
     if len(link.calls) >= MAX_CALLS_IN_FLIGHT:
-        dialler.metrics.incr("peers.calls_over_limit")
+        dialler.metrics.count("peers.calls_over_limit")
         raise PeerUnreachableError(f"{member.member_id}: too many calls in flight")
     correlation_id = _add_message(dialler, link, Role.CALL, message)
     future = loop.create_future()
@@ -114,7 +114,7 @@
         link = _ready_link(dialler, member, asyncio.get_running_loop().time())
         _add_message(dialler, link, Role.TELL, message)
     except PeerUnreachableError:
-        dialler.metrics.incr("peers.messages_dropped")
+        dialler.metrics.count("peers.messages_dropped")
 
 
 async def close(dialler: Dialler, grace_ms: int) -> None:
@@ -167,7 +167,7 @@
     except FrameError as error:
         raise PeerUnreachableError(f"{link.member.member_id}: {error}") from error
     if not outbox.has_room(link.unsent, len(encoded)):
-        dialler.metrics.incr("peers.calls_over_limit")
+        dialler.metrics.count("peers.calls_over_limit")
         raise PeerUnreachableError(
             f"{link.member.member_id}: too much waits to be sent"
         )
@@ -186,7 +186,7 @@
     if outbox.discard(link.unsent, correlation_id):
         future.set_exception(PeerUnreachableError(f"{name}: not sent in time"))
         return
-    dialler.metrics.incr("peers.timeouts")
+    dialler.metrics.count("peers.timeouts")
     future.set_exception(PeerTimeoutError(f"{name}: no answer in time"))
     if link.connection is not None and link.ping_task is None:
         link.ping_task = asyncio.create_task(_ping(link, link.connection))
@@ -256,10 +256,10 @@
         proof = connection.response.headers.get(access.PROOF_HEADER, "")
         access.check_acceptance(dialler.keys, offer, proof)
     except AccessDeniedError as error:
-        dialler.metrics.incr("peers.strangers_refused")
+        dialler.metrics.count("peers.refused")
         connection.transport.abort()
         raise PeerUnreachableError(str(error)) from error
-    dialler.metrics.incr("peers.dialled")
+    dialler.metrics.count("peers.dialled")
     return connection
 
 
@@ -319,7 +319,7 @@
             if link.is_leaving and not link.calls and not link.unsent.waiting:
                 return
     except FrameError:
-        dialler.metrics.incr("peers.bad_frames")
+        dialler.metrics.count("peers.bad_frames")
     except websockets.ConnectionClosed:
         pass
 
@@ -332,7 +332,7 @@
         return
     future = link.calls.pop(correlation_id, None)
     if future is None or future.done():
-        dialler.metrics.incr("peers.late_answers")
+        dialler.metrics.count("peers.late_answers")
         return
     name = link.member.member_id
     match role:
@@ -347,7 +347,7 @@
 
 
 def _back_off(dialler: Dialler, link: DialledLink) -> None:
-    dialler.metrics.incr("peers.dial_failures")
+    dialler.metrics.count("peers.dial_failures")
     delay_s = min(MAX_BACK_OFF_S, FIRST_BACK_OFF_S * 2**link.failures)
     link.failures = min(link.failures + 1, 10)
     link.dial_after_s = asyncio.get_running_loop().time() + delay_s
@@ -362,7 +362,7 @@
     calls, link.calls = link.calls, {}
     unsent, link.unsent = link.unsent, outbox.Outbox()
     if calls:
-        dialler.metrics.incr("peers.links_lost")
+        dialler.metrics.count("peers.links_lost")
     for correlation_id, future in calls.items():
         if future.done():
             continue
--- a/fuchsiamoor/peers/links.py
+++ b/fuchsiamoor/peers/links.py
@@ -17,8 +17,8 @@
 class Metrics(Protocol):
     """Where events are counted."""
 
-    def incr(self, name: str) -> None:
-        """Count one event."""
+    def count(self, name: str, n: int = 1) -> None:
+        """Add to a counter."""
 
 
 @dataclass(slots=True)
@@ -28,6 +28,46 @@
     dialler: dialled.Dialler
     acceptor: accepted.Acceptor
 
+    async def call(
+        self, member: members.Member, message: messages.Message, timeout_ms: int
+    ) -> messages.Message:
+        """Send a message to a member and return its answer.
+
+        Parameters
+        ----------
+        member : Member
+        message : Message
+        timeout_ms : int
+            Time to wait for the answer, dialling included.
+
+        Raises
+        ------
+        PeerUnreachableError
+            If the member has certainly not handled the message and never will.
+        PeerLinkLostError
+            If the link broke, or the handler failed, after the message may have left.
+        PeerTimeoutError
+            If the message may have left and no answer came in time.
+        """
+        return await dialled.call(self.dialler, member, message, timeout_ms)
+
+    def tell(self, member: members.Member, message: messages.Message) -> None:
+        """Send a message that has no answer; it may be lost."""
+        dialled.tell(self.dialler, member, message)
+
+    async def close(self, grace_ms: int = CLOSE_GRACE_MS) -> None:
+        """Take no more calls, finish those in flight both ways, and close all links.
+
+        Parameters
+        ----------
+        grace_ms : int
+            Longest time to wait for calls in flight.
+        """
+        await asyncio.gather(
+            accepted.leave(self.acceptor, grace_ms),
+            dialled.close(self.dialler, grace_ms),
+        )
+
 
 def make_links(
     own_member_id: str,
@@ -63,48 +103,3 @@
         With the port that was bound.
     """
     return await accepted.listen(links.acceptor, address)
-
-
-async def call(
-    links: Links, member: members.Member, message: messages.Message, timeout_ms: int
-) -> messages.Message:
-    """Send a message to a member and return its answer.
-
-    Parameters
-    ----------
-    links : Links
-    member : Member
-    message : Message
-    timeout_ms : int
-        Time to wait for the answer, dialling included.
-
-    Raises
-    ------
-    PeerUnreachableError
-        If the member has certainly not handled the message and never will.
-    PeerLinkLostError
-        If the link broke, or the handler failed, after the message may have left.
-    PeerTimeoutError
-        If the message may have left and no answer came in time.
-    """
-    return await dialled.call(links.dialler, member, message, timeout_ms)
-
-
-def tell(links: Links, member: members.Member, message: messages.Message) -> None:
-    """Send a message that has no answer; it may be lost."""
-    dialled.tell(links.dialler, member, message)
-
-
-async def close(links: Links, grace_ms: int = CLOSE_GRACE_MS) -> None:
-    """Take no more calls, finish those in flight both ways, and close all links.
-
-    Parameters
-    ----------
-    links : Links
-    grace_ms : int
-        Longest time to wait for calls in flight.
-    """
-    await asyncio.gather(
-        accepted.leave(links.acceptor, grace_ms),
-        dialled.close(links.dialler, grace_ms),
-    )
--- a/fuchsiamoor/testing/fake_store.py
+++ b/fuchsiamoor/testing/fake_store.py
@@ -116,12 +116,11 @@
     async def swap(
         self, key: str, expected_version: int, value: bytes, lease_id: str = ""
     ) -> port.SwapResult:
-        """Set a key that is at ``expected_version``."""
+        """Set a key that is at ``expected_version``; a lapsed lease is a conflict."""
         await _begin(self)
-        if lease_id and lease_id not in self.leases:
-            raise StoreUnavailableError(f"lease {lease_id!r} has lapsed")
         current = self.entries.get(key)
-        if _version_of(current) != expected_version:
+        has_lapsed = lease_id != "" and lease_id not in self.leases
+        if has_lapsed or _version_of(current) != expected_version:
             return await _end_write(self, port.Conflict(current))
         _put(self, key, value)
         self.key_leases.pop(key, None)
--- a/fuchsiamoor/testing/wire.py
+++ b/fuchsiamoor/testing/wire.py
@@ -90,6 +90,6 @@
     def __init__(self):
         self.counts = collections.Counter()
 
-    def incr(self, name: str) -> None:
-        """Count one event."""
-        self.counts[name] += 1
+    def count(self, name: str, n: int = 1) -> None:
+        """Add to a counter."""
+        self.counts[name] += n
