--- a/fuchsiamoor/daemon/coordinating.py
+++ b/fuchsiamoor/daemon/coordinating.py
@@ -325,7 +325,9 @@
     except errors.PeerError:
         reply = None
     if isinstance(reply, messages.Released):
-        feed(node, coordination, coordinators.ReleasedReceived(action.member_id, reply))
+        feed(
+            node, coordination, coordinators.ReleasedReceived(action.member_id, reply)
+        )
         return
     feed(node, coordination, coordinators.ReleaseFailed(action.member_id, move_id))
 
--- a/fuchsiamoor/daemon/exchange.py
+++ b/fuchsiamoor/daemon/exchange.py
@@ -97,7 +97,9 @@
 def take_listing(node: nodes.Node, listing) -> None:
     """Take in a listing of all registrations."""
     found = [
-        codec.decode_member(entry.value)._replace(registered_version=entry.version)
+        codec.decode_member(entry.value)._replace(
+            registered_version=entry.version
+        )
         for entry in listing.entries
     ]
     if directories.take_listing(node.knowledge.directory, listing.version, found):
--- a/fuchsiamoor/daemon/holding.py
+++ b/fuchsiamoor/daemon/holding.py
@@ -45,9 +45,7 @@
     node.renew_now.set()
 
 
-def check_serve(
-    node: nodes.Node, domain: str, shard: int
-) -> holders.MayServe | holders.Wait | holders.NotOwner:
+def check_serve(node: nodes.Node, domain: str, shard: int) -> holders.MayServe | holders.Wait | holders.NotOwner:
     """Return whether this daemon may serve a shard now."""
     holder = node.holders.get(domain)
     if holder is None or node.superseded:
