Let a member name the runs whose address it took over

A voter whose run is over can never acknowledge a table. Without a proof that it is over, a domain whose voters were all restarted would wait for ever.

--- a/fuchsiamoor/core/members.py
+++ b/fuchsiamoor/core/members.py
@@ -30,6 +30,9 @@
     registered_version : int
         The store's version of the registration, 0 until registered. Of two members with
         one instance, the one with the higher version holds it.
+    replaces : tuple of str
+        Earlier members of the instance that listened at the same peer address, newest
+        first. They are over, as an address has one listener.
     """
 
     member_id: str
@@ -44,6 +47,7 @@
     slots: int
     connections: int
     registered_version: int = 0
+    replaces: tuple[str, ...] = ()
 
 
 def make_member_id(instance: str, nonce: str) -> str:
