--- /dev/null
+++ b/fuchsiamoor/ownership/coordinator.py
@@ -0,0 +1,402 @@
+"""A domain's coordinator: turns events into writes, pushes and planned moves.
+
+It is a state machine without clock or socket. Its shell holds the role in the store,
+carries the actions out and tells the outcomes. At most one write is in flight, and
+nothing is decided on a table that the store has not confirmed.
+"""
+
+from fuchsiamoor.core import configuration as configurations
+from fuchsiamoor.core import messages, settings, tables
+from fuchsiamoor.ownership import (
+    events,
+    liveness,
+    overrides,
+    planning,
+    pushes,
+    settlement,
+    state,
+    transfer,
+    writes,
+)
+
+Coordinator = state.Coordinator
+CUT_OFF_AFTER_MS = 3_000
+_REWRITE_AFTER_MS = 200
+
+
+def make_coordinator(
+    domain: str,
+    member_id: str,
+    timing: settings.Timing,
+    table: tables.ShardTable | None,
+    table_version: int,
+    now_ms: int,
+) -> Coordinator:
+    """Return a coordinator that has just taken the role in the store.
+
+    Parameters
+    ----------
+    domain : str
+    member_id : str
+        Its own member.
+    timing : Timing
+    table : ShardTable or None
+        As read from the store after the role was taken; None for a new domain.
+    table_version : int
+        The store's version of the table, `ABSENT` without one.
+    now_ms : int
+        Monotonic time, in milliseconds.
+
+    Returns
+    -------
+    Coordinator
+        It answers no renewal until its first write is confirmed.
+    """
+    made = Coordinator(
+        domain,
+        member_id,
+        timing,
+        None,
+        0,
+        liveness.Roster(domain, quiet_since_ms=now_ms),
+        now_ms,
+    )
+    _take_over(made, table, table_version)
+    return made
+
+
+def handle(
+    coordinator: Coordinator, event: events.Event, now_ms: int
+) -> list[events.Action]:
+    """Take one event in and return what has to be done.
+
+    Parameters
+    ----------
+    coordinator : Coordinator
+    event : Event
+    now_ms : int
+        Monotonic time, in milliseconds.
+
+    Returns
+    -------
+    list of Action
+        To be started in this order.
+    """
+    if coordinator.resigned:
+        return []
+    _notice_pause(coordinator, now_ms)
+    match event:
+        case events.MembersChanged(members):
+            liveness.set_members(coordinator.roster, members)
+            coordinator.changed = True
+            actions = []
+        case events.ConfigurationChanged(configuration):
+            actions = _adopt_configuration(coordinator, configuration)
+        case events.RenewReceived(renew):
+            if not _record_renew(coordinator, renew, now_ms):
+                return []
+            actions = []
+        case events.StoreLeaseRenewed(sent_ms):
+            coordinator.lease_sent_ms = max(sent_ms, coordinator.lease_sent_ms or 0)
+            actions = []
+        case events.StoreLeaseLost():
+            return _resign(coordinator, "its store lease has lapsed")
+        case events.TableWritten(revision, version):
+            actions = _confirm(coordinator, revision, version, now_ms)
+        case events.TableConflict(version, table):
+            actions = _resolve_conflict(coordinator, version, table, now_ms)
+        case events.TableNotWritten(revision):
+            actions = _record_not_written(coordinator, revision, now_ms)
+        case events.TableOutcomeUnknown(revision):
+            actions = _record_unknown(coordinator, revision)
+        case events.TableAckReceived(member_id, revision):
+            settlement.record_known(coordinator.settling, member_id, revision)
+            actions = []
+        case events.ReleasedReceived(member_id, released):
+            actions = _record_released(coordinator, member_id, released, now_ms)
+        case events.ReleaseFailed(member_id, move_id):
+            actions = _give_up(coordinator, move_id, now_ms)
+        case events.Tick():
+            actions = []
+    if coordinator.resigned:
+        return actions
+    return actions + _advance(coordinator, now_ms)
+
+
+def answer_renew(
+    coordinator: Coordinator, renew: messages.Renew, now_ms: int
+) -> messages.Renewed | messages.RenewRefused:
+    """Decide whether a member's lease is renewed; changes nothing.
+
+    Parameters
+    ----------
+    coordinator : Coordinator
+    renew : Renew
+    now_ms : int
+        Monotonic time, in milliseconds.
+
+    Returns
+    -------
+    Renewed | RenewRefused
+    """
+    table = coordinator.table
+    if table is None or coordinator.resigned or not coordinator.installed:
+        return messages.RenewRefused(renew.domain, tables.NO_OWNER, 0)
+    refusal = messages.RenewRefused(renew.domain, coordinator.member_id, table.revision)
+    if not state.is_fresh(coordinator, now_ms) or not _is_entitled(coordinator, renew):
+        return refusal
+    return messages.Renewed(
+        renew.domain,
+        table.term,
+        table.revision,
+        coordinator.configuration.revision,
+    )
+
+
+def _is_entitled(coordinator: Coordinator, renew: messages.Renew) -> bool:
+    if renew.domain != coordinator.domain:
+        return False
+    if renew.member_id not in coordinator.roster.members:
+        return False
+    if coordinator.in_flight and _is_behind(coordinator.in_flight, renew):
+        return False
+    return not _is_behind(coordinator.table, renew)
+
+
+def _is_behind(table: tables.ShardTable, renew: messages.Renew) -> bool:
+    if not table.previous_voters and renew.revision < table.voters_revision:
+        return True
+    return table.lost.get(renew.member_id, 0) > renew.revision
+
+
+def _notice_pause(coordinator: Coordinator, now_ms: int) -> None:
+    if now_ms - coordinator.last_event_ms > coordinator.timing.renew_every_ms:
+        _excuse_silence(coordinator, now_ms)
+    coordinator.last_event_ms = now_ms
+
+
+def _excuse_silence(coordinator: Coordinator, now_ms: int) -> None:
+    coordinator.roster.quiet_since_ms = now_ms - coordinator.timing.renew_every_ms
+    coordinator.cut_off_since_ms = None
+
+
+def _adopt_configuration(
+    coordinator: Coordinator, configuration: configurations.Configuration
+) -> list[events.Action]:
+    if configuration.revision >= coordinator.configuration.revision:
+        coordinator.configuration = configuration
+        coordinator.holds = overrides.resolve_holds(configuration, coordinator.domain)
+        coordinator.changed = True
+    return []
+
+
+def _record_renew(coordinator: Coordinator, renew: messages.Renew, now_ms: int) -> bool:
+    if coordinator.table is None or not _is_entitled(coordinator, renew):
+        return False
+    is_news = settlement.record_known(
+        coordinator.settling, renew.member_id, renew.revision
+    )
+    if liveness.record_renew(coordinator.roster, renew, now_ms):
+        coordinator.changed = True
+        is_news = True
+    return is_news
+
+
+def _confirm(
+    coordinator: Coordinator, revision: int, version: int, now_ms: int
+) -> list[events.Action]:
+    written = coordinator.in_flight
+    if written is None or written.revision != revision:
+        return []
+    before = coordinator.table
+    is_first = not coordinator.installed
+    _set_table(coordinator, written, version)
+    known = coordinator.transfers
+    for move_id in known.writing:
+        known.under_way.pop(move_id, None)
+    known.writing = frozenset()
+    coordinator.changed = True
+    if before is None or written.term > before.term:
+        coordinator.raises_term = False
+    if is_first:
+        coordinator.installed = True
+        coordinator.installed_ms = now_ms
+        coordinator.isolation_revision = revision
+        _excuse_silence(coordinator, now_ms)
+    elif written.isolated != before.isolated:
+        coordinator.isolation_revision = revision
+    settlement.refresh_waits(
+        coordinator.settling, written, coordinator.roster.ended, now_ms
+    )
+    return pushes.announce(coordinator, before, now_ms)
+
+
+def _set_table(
+    coordinator: Coordinator, table: tables.ShardTable, version: int
+) -> None:
+    coordinator.table = table
+    coordinator.table_version = version
+    coordinator.in_flight = None
+    coordinator.outcome_unknown = False
+    coordinator.rewrites = False
+    coordinator.owned = {}
+    for owner in table.owners:
+        if owner != tables.NO_OWNER:
+            coordinator.owned[owner] = coordinator.owned.get(owner, 0) + 1
+
+
+def _take_over(
+    coordinator: Coordinator, table: tables.ShardTable | None, version: int
+) -> None:
+    if table is None:
+        return
+    _set_table(coordinator, table, version)
+    if table.coordinator != coordinator.member_id:
+        coordinator.predecessor = table.coordinator
+
+
+def _resolve_conflict(
+    coordinator: Coordinator, version: int, table: tables.ShardTable | None, now_ms: int
+) -> list[events.Action]:
+    written = coordinator.in_flight
+    if written is None:
+        return []
+    if table == written:
+        return _confirm(coordinator, written.revision, version, now_ms)
+    if version == coordinator.table_version:
+        coordinator.rewrites = True
+        coordinator.retry_at_ms = now_ms + _REWRITE_AFTER_MS
+        return []
+    if coordinator.installed or table is None or table.term >= written.term:
+        return _resign(coordinator, "another coordinator has written the table")
+    coordinator.in_flight = None
+    _take_over(coordinator, table, version)
+    return []
+
+
+def _record_not_written(
+    coordinator: Coordinator, revision: int, now_ms: int
+) -> list[events.Action]:
+    written = coordinator.in_flight
+    if written is None or written.revision != revision:
+        return []
+    coordinator.retry_at_ms = now_ms + _REWRITE_AFTER_MS
+    if coordinator.outcome_unknown:
+        coordinator.rewrites = True
+        return []
+    coordinator.in_flight = None
+    coordinator.transfers.writing = frozenset()
+    return []
+
+
+def _record_unknown(coordinator: Coordinator, revision: int) -> list[events.Action]:
+    written = coordinator.in_flight
+    if written is not None and written.revision == revision:
+        coordinator.outcome_unknown = True
+    return []
+
+
+def _record_released(
+    coordinator: Coordinator,
+    member_id: str,
+    released: messages.Released,
+    now_ms: int,
+) -> list[events.Action]:
+    table = coordinator.table
+    if table is None or released.term != table.term:
+        return []
+    known = coordinator.transfers
+    if transfer.record_released(known, table, member_id, released):
+        return []
+    if released.move_id in known.under_way or coordinator.in_flight is not None:
+        return []
+    if not _is_plainly_owned(table, member_id, released.shards):
+        return []
+    abort = messages.AbortMove(released.domain, released.term, released.move_id)
+    return [events.SendAbort(member_id, abort)]
+
+
+def _is_plainly_owned(
+    table: tables.ShardTable, member_id: str, shards: tuple[int, ...]
+) -> bool:
+    return all(
+        tables.shard_state(table, shard) == tables.ShardState.OWNED
+        and table.owners[shard] == member_id
+        for shard in shards
+    )
+
+
+def _give_up(
+    coordinator: Coordinator, move_id: int, now_ms: int
+) -> list[events.Action]:
+    actions = transfer.give_up(
+        coordinator.transfers, coordinator.table, move_id, now_ms
+    )
+    if actions:
+        coordinator.raises_term = True
+    return actions
+
+
+def _advance(coordinator: Coordinator, now_ms: int) -> list[events.Action]:
+    if not state.is_fresh(coordinator, now_ms):
+        return []
+    if coordinator.table is not None:
+        settlement.refresh_waits(
+            coordinator.settling,
+            coordinator.table,
+            coordinator.roster.ended,
+            now_ms,
+        )
+    actions = _expire_moves(coordinator, now_ms)
+    if coordinator.in_flight is not None:
+        return (
+            actions + _rewrite(coordinator, now_ms) + pushes.repeat(coordinator, now_ms)
+        )
+    is_planning = now_ms >= coordinator.plan_due_ms or coordinator.changed
+    if now_ms >= coordinator.retry_at_ms:
+        table = writes.compose_write(coordinator, now_ms, is_planning)
+        if table is not None:
+            coordinator.in_flight = table
+            actions.append(events.WriteTable(table, coordinator.table_version))
+    if coordinator.in_flight is None and is_planning and coordinator.installed:
+        actions += planning.plan_moves(coordinator, now_ms)
+    actions += pushes.repeat(coordinator, now_ms)
+    return actions + _consider_resigning(coordinator, now_ms)
+
+
+def _expire_moves(coordinator: Coordinator, now_ms: int) -> list[events.Action]:
+    if not coordinator.transfers.under_way:
+        return []
+    actions = transfer.give_up_overdue(coordinator.transfers, coordinator.table, now_ms)
+    if actions:
+        coordinator.raises_term = True
+    return actions
+
+
+def _rewrite(coordinator: Coordinator, now_ms: int) -> list[events.Action]:
+    if not coordinator.rewrites or now_ms < coordinator.retry_at_ms:
+        return []
+    coordinator.rewrites = False
+    return [events.WriteTable(coordinator.in_flight, coordinator.table_version)]
+
+
+def _consider_resigning(coordinator: Coordinator, now_ms: int) -> list[events.Action]:
+    if coordinator.in_flight is not None or not coordinator.installed:
+        return []
+    others = coordinator.roster.members.keys() - {coordinator.member_id}
+    if not others:
+        return []
+    if state.has_quorum(coordinator, now_ms):
+        coordinator.cut_off_since_ms = None
+    elif coordinator.cut_off_since_ms is None:
+        coordinator.cut_off_since_ms = now_ms
+    elif now_ms - coordinator.cut_off_since_ms > CUT_OFF_AFTER_MS:
+        return _resign(coordinator, "it reaches less than half of the votes")
+    if planning.is_done_here(coordinator, now_ms):
+        return _resign(coordinator, "its member leaves")
+    return []
+
+
+def _resign(coordinator: Coordinator, reason: str) -> list[events.Action]:
+    coordinator.resigned = True
+    return [events.Resign(reason)]
--- a/fuchsiamoor/ownership/holder.py
+++ b/fuchsiamoor/ownership/holder.py
@@ -9,7 +9,7 @@
 from typing import NamedTuple
 
 from fuchsiamoor.core import messages, settings, tables
-from fuchsiamoor.ownership import voucher, votes
+from fuchsiamoor.ownership import votes, voucher
 
 NO_LEASE_MS = -1
 _VOUCH_AFTER_RENEWALS = 2
--- /dev/null
+++ b/fuchsiamoor/ownership/isolation.py
@@ -0,0 +1,153 @@
+"""Hot keys: which get a shard of their own, and which go back."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from fuchsiamoor.core import messages, tables
+from fuchsiamoor.ownership import placement
+
+MAX_HOT_KEYS = 64
+MAX_HELD_KEYS = 512
+_HOT_SHARE = 0.2
+_COOL_FACTOR = 0.25
+_COOL_AFTER_MS = 60_000
+
+
+class IsolationPlan(NamedTuple):
+    """Changes to the isolated keys.
+
+    Parameters
+    ----------
+    isolate : tuple of int
+        Key hashes that get a shard of their own.
+    merge : tuple of int
+        Key hashes that go back, both shards having one owner.
+    moves : tuple of Move
+        Cooled keys' shards that have to join their hashed shards' owners first.
+    """
+
+    isolate: tuple[int, ...]
+    merge: tuple[int, ...]
+    moves: tuple[placement.Move, ...]
+
+
+@dataclass(slots=True)
+class HotKeys:
+    """Since when each isolated key has been cool, in milliseconds."""
+
+    cool_since_ms: dict[int, int] = field(default_factory=dict)
+
+
+def sum_rates(loads: Iterable[Mapping[int, int]]) -> dict[int, int]:
+    """Add up rates per key hash or shard.
+
+    Examples
+    --------
+    >>> sum_rates([{7: 2}, {7: 1, 8: 5}])
+    {7: 3, 8: 5}
+    """
+    total: dict[int, int] = {}
+    for rates in loads:
+        for name, rate in rates.items():
+            total[name] = total.get(name, 0) + rate
+    return total
+
+
+def compute_hot_rate(loads: Mapping[str, messages.MemberLoad]) -> float:
+    """Return the rate from which a key is hot: a fifth of a member's mean rate."""
+    total = sum(sum(load.shard_rates.values()) for load in loads.values())
+    return max(1.0, _HOT_SHARE * total / max(1, len(loads)))
+
+
+def plan_isolation(
+    table: tables.ShardTable,
+    loads: Mapping[str, messages.MemberLoad],
+    held: Iterable[int],
+    hot_keys: HotKeys,
+    now_ms: int,
+) -> IsolationPlan:
+    """Decide which keys are isolated and which go back.
+
+    Parameters
+    ----------
+    table : ShardTable
+    loads : mapping of str to MemberLoad
+        Newest report of each living member.
+    held : iterable of int
+        Key hashes that an override holds; isolated whatever their rate.
+    hot_keys : HotKeys
+        Kept from call to call.
+    now_ms : int
+        Monotonic time, in milliseconds.
+
+    Returns
+    -------
+    IsolationPlan
+    """
+    held = frozenset(held)
+    rates = sum_rates(load.hot_keys for load in loads.values())
+    hot_rate = compute_hot_rate(loads)
+    cooled = _find_cooled(table, rates, hot_rate, held, hot_keys, now_ms)
+    staying = {key for key in table.isolated if key not in held and key not in cooled}
+    room = max(0, MAX_HOT_KEYS - len(staying))
+    hot = [
+        key_hash
+        for key_hash, rate in sorted(rates.items(), key=lambda pair: (-pair[1], pair))
+        if rate >= hot_rate and key_hash not in table.isolated and key_hash not in held
+    ]
+    missing = sorted(held - table.isolated.keys())[:MAX_HELD_KEYS]
+    isolate = [
+        key for key in missing + hot[:room] if _is_movable(table, _base(table, key))
+    ]
+    merge = [key for key in cooled if _is_together(table, key)]
+    moves = [
+        placement.Move(
+            table.isolated[key],
+            table.owners[table.isolated[key]],
+            table.owners[_base(table, key)],
+        )
+        for key in cooled
+        if key not in merge
+        and _is_movable(table, table.isolated[key])
+        and _is_movable(table, _base(table, key))
+    ]
+    return IsolationPlan(tuple(isolate), tuple(merge), tuple(moves))
+
+
+def _base(table: tables.ShardTable, key_hash: int) -> int:
+    return key_hash % table.shard_count
+
+
+def _is_movable(table: tables.ShardTable, shard: int) -> bool:
+    return tables.shard_state(table, shard) == tables.ShardState.OWNED
+
+
+def _is_together(table: tables.ShardTable, key_hash: int) -> bool:
+    shards = (table.isolated[key_hash], _base(table, key_hash))
+    if not all(_is_movable(table, shard) for shard in shards):
+        return False
+    return table.owners[shards[0]] == table.owners[shards[1]]
+
+
+def _find_cooled(
+    table: tables.ShardTable,
+    rates: Mapping[int, int],
+    hot_rate: float,
+    held: frozenset[int],
+    hot_keys: HotKeys,
+    now_ms: int,
+) -> list[int]:
+    cool = {
+        key_hash
+        for key_hash in table.isolated
+        if key_hash not in held and rates.get(key_hash, 0) < _COOL_FACTOR * hot_rate
+    }
+    hot_keys.cool_since_ms = {
+        key_hash: hot_keys.cool_since_ms.get(key_hash, now_ms) for key_hash in cool
+    }
+    return sorted(
+        key_hash
+        for key_hash, since_ms in hot_keys.cool_since_ms.items()
+        if now_ms - since_ms >= _COOL_AFTER_MS
+    )
--- /dev/null
+++ b/fuchsiamoor/ownership/state.py
@@ -0,0 +1,173 @@
+"""What a coordinator knows, and the questions that its parts ask of it."""
+
+from dataclasses import dataclass, field
+
+from fuchsiamoor.core import configuration as configurations
+from fuchsiamoor.core import keys, settings, tables
+from fuchsiamoor.ownership import (
+    drafts,
+    isolation,
+    liveness,
+    overrides,
+    placement,
+    settlement,
+    transfer,
+    votes,
+)
+
+
+@dataclass(slots=True)
+class Coordinator:
+    """State of one coordinator; made by `make_coordinator`.
+
+    Parameters
+    ----------
+    domain, member_id : str
+    timing : Timing
+    table : ShardTable or None
+        As the store last confirmed it.
+    table_version : int
+        The store's version of ``table``.
+    in_flight : ShardTable or None
+        Write whose outcome is not known yet.
+    outcome_unknown : bool
+        Whether the write in flight may have taken effect.
+    rewrites : bool
+        Whether the write in flight has to be sent again, unchanged.
+    retry_at_ms : int
+        Time before which nothing is written.
+    installed : bool
+        Whether a write under this coordinator's own term is confirmed.
+    installed_ms : int
+    predecessor : str
+        Member that coordinated before, empty if it was this one or none.
+    lease_sent_ms : int or None
+        Sending time of the newest renewal of the store lease.
+    configuration : Configuration
+    holds : DomainHolds
+    roster : Roster
+    settling : Settling
+    transfers : Transfers
+    hot_keys : HotKeys
+    owned : dict of str to int
+        Number of shards of each owner in ``table``.
+    isolation_revision : int
+        Owners have to know this revision before they may be asked to release.
+    push_to : dict of str to int
+        Members to be told, and the revision that they have to know.
+    push_due_ms, plan_due_ms : int
+    balanced_ms : list of int
+        Times of the balancing moves of the last minute.
+    raises_term : bool
+        Whether the next write has to start a new term, so that owners take up
+        released shards whose move was given up.
+    changed : bool
+        Whether something happened that may call for planned moves.
+    last_event_ms : int
+    cut_off_since_ms : int or None
+    resigned : bool
+    """
+
+    domain: str
+    member_id: str
+    timing: settings.Timing
+    table: tables.ShardTable | None
+    table_version: int
+    roster: liveness.Roster
+    last_event_ms: int
+    predecessor: str = tables.NO_OWNER
+    in_flight: tables.ShardTable | None = None
+    outcome_unknown: bool = False
+    rewrites: bool = False
+    retry_at_ms: int = 0
+    installed: bool = False
+    installed_ms: int = 0
+    lease_sent_ms: int | None = None
+    configuration: configurations.Configuration = field(
+        default_factory=configurations.make_empty_configuration
+    )
+    holds: overrides.DomainHolds = overrides.DomainHolds((), {}, ())
+    settling: settlement.Settling = field(default_factory=settlement.Settling)
+    transfers: transfer.Transfers = field(default_factory=transfer.Transfers)
+    hot_keys: isolation.HotKeys = field(default_factory=isolation.HotKeys)
+    owned: dict[str, int] = field(default_factory=dict)
+    isolation_revision: int = 0
+    push_to: dict[str, int] = field(default_factory=dict)
+    push_due_ms: int = 0
+    plan_due_ms: int = 0
+    balanced_ms: list[int] = field(default_factory=list)
+    raises_term: bool = False
+    changed: bool = True
+    cut_off_since_ms: int | None = None
+    resigned: bool = False
+
+
+def is_fresh(coordinator: Coordinator, now_ms: int) -> bool:
+    """Return whether the store lease certainly still holds."""
+    if coordinator.lease_sent_ms is None:
+        return False
+    timing = coordinator.timing
+    lease_ms = int(timing.store_lease_ms * (1 - timing.drift_ratio))
+    return now_ms < coordinator.lease_sent_ms + lease_ms
+
+
+def find_service(coordinator: Coordinator) -> configurations.Service | None:
+    """Return the domain's service, None while the configuration lacks it."""
+    service, _ = keys.split_domain_id(coordinator.domain)
+    return coordinator.configuration.services.get(service)
+
+
+def list_targets(coordinator: Coordinator, now_ms: int) -> list[placement.Target]:
+    """Return the members that may be given shards."""
+    return liveness.list_targets(
+        coordinator.roster, coordinator.configuration, now_ms, coordinator.timing
+    )
+
+
+def make_layout(
+    coordinator: Coordinator, draft: drafts.Draft | tables.ShardTable, now_ms: int
+) -> placement.Layout:
+    """Return what the plans look at, for the table or for a draft of the next."""
+    return placement.Layout(
+        draft.owners,
+        tuple(sorted(list_targets(coordinator, now_ms))),
+        coordinator.holds,
+        {shard: key_hash for key_hash, shard in draft.isolated.items()},
+    )
+
+
+def list_lost(coordinator: Coordinator, now_ms: int) -> list[str]:
+    """Return the owners that have to be taken for lost."""
+    return sorted(
+        owner
+        for owner in coordinator.owned
+        if liveness.is_lost(coordinator.roster, owner, now_ms, coordinator.timing)
+        or _is_lost_predecessor(coordinator, owner, now_ms)
+    )
+
+
+def is_reached(coordinator: Coordinator, member_id: str, now_ms: int) -> bool:
+    """Return whether a member has been heard and is not silent."""
+    known = coordinator.roster
+    return member_id in known.heard_ms and not liveness.is_silent(
+        known, member_id, now_ms, coordinator.timing
+    )
+
+
+def has_quorum(coordinator: Coordinator, now_ms: int) -> bool:
+    """Return whether enough voters can acknowledge what is written."""
+    if coordinator.table is None:
+        return True
+    return votes.have_acknowledged(
+        coordinator.table,
+        lambda voter_id: (
+            voter_id in coordinator.roster.ended
+            or is_reached(coordinator, voter_id, now_ms)
+        ),
+    )
+
+
+def _is_lost_predecessor(coordinator: Coordinator, owner: str, now_ms: int) -> bool:
+    if owner != coordinator.predecessor or owner in coordinator.roster.heard_ms:
+        return False
+    return now_ms - coordinator.installed_ms > coordinator.timing.renew_every_ms
--- a/fuchsiamoor/ownership/tables_codec.py
+++ b/fuchsiamoor/ownership/tables_codec.py
@@ -79,7 +79,7 @@
         voters=_decode_voters(names, fields[12]),
         previous_voters=_decode_voters(names, fields[13]),
         voters_revision=fields[14],
-        isolated={key_hash: shard for key_hash, shard in fields[15]},
+        isolated=dict(fields[15]),
     )
 
 
--- /dev/null
+++ b/fuchsiamoor/ownership/transfer.py
@@ -0,0 +1,183 @@
+"""Planned moves under way: owners asked to release shards, and what came of it."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from fuchsiamoor.core import messages, tables
+from fuchsiamoor.ownership import events, placement
+
+RETRY_AFTER_MS = 5_000
+_ANSWER_MARGIN_MS = 1_000
+
+
+class Transfer(NamedTuple):
+    """One owner asked to release shards.
+
+    Parameters
+    ----------
+    move_id : int
+    term : int
+    source : str
+    targets : dict of int to str
+        New owner of each shard.
+    deadline_ms : int
+        When the owner's answer is given up.
+    released : bool
+    """
+
+    move_id: int
+    term: int
+    source: str
+    targets: dict[int, str]
+    deadline_ms: int
+    released: bool = False
+
+
+@dataclass(slots=True)
+class Transfers:
+    """Planned moves of one coordinator.
+
+    Parameters
+    ----------
+    under_way : dict of int to Transfer
+        By move id.
+    writing : frozenset of int
+        Moves that the write in flight carries out.
+    last_move_id : int
+    retry_at_ms : dict of str to int
+        Owners that failed to release, and when they may be asked again.
+    """
+
+    under_way: dict[int, Transfer] = field(default_factory=dict)
+    writing: frozenset[int] = frozenset()
+    last_move_id: int = 0
+    retry_at_ms: dict[str, int] = field(default_factory=dict)
+
+
+def begin(
+    transfers: Transfers,
+    table: tables.ShardTable,
+    moves: Iterable[placement.Move],
+    run_ms: int,
+    now_ms: int,
+) -> list[events.Action]:
+    """Ask owners for shards, each owner for all of its own at once.
+
+    Owners that are being asked already, or failed a short while ago, are passed over.
+
+    Parameters
+    ----------
+    transfers : Transfers
+    table : ShardTable
+    moves : iterable of Move
+    run_ms : int
+        Longest time that the work under way may take, in milliseconds.
+    now_ms : int
+        Monotonic time, in milliseconds.
+
+    Returns
+    -------
+    list of Action
+    """
+    targets_of: dict[str, dict[int, str]] = {}
+    for move in moves:
+        if move.source != move.target and move.shard not in table.pending:
+            targets_of.setdefault(move.source, {})[move.shard] = move.target
+    actions: list[events.Action] = []
+    for source in sorted(targets_of.keys() - _list_unavailable(transfers, now_ms)):
+        transfers.last_move_id += 1
+        timeout_ms = run_ms + _ANSWER_MARGIN_MS
+        transfer = Transfer(
+            transfers.last_move_id,
+            table.term,
+            source,
+            targets_of[source],
+            now_ms + timeout_ms + _ANSWER_MARGIN_MS,
+        )
+        transfers.under_way[transfer.move_id] = transfer
+        prepare = messages.Prepare(
+            table.domain, table.term, transfer.move_id, tuple(sorted(transfer.targets))
+        )
+        actions.append(events.AskRelease(source, prepare, timeout_ms))
+    return actions
+
+
+def record_released(
+    transfers: Transfers,
+    table: tables.ShardTable,
+    member_id: str,
+    released: messages.Released,
+) -> bool:
+    """Note an owner's answer; return whether it belongs to a move under way."""
+    transfer = transfers.under_way.get(released.move_id)
+    if (
+        transfer is None
+        or released.term != transfer.term
+        or released.domain != table.domain
+    ):
+        return False
+    if transfer.source != member_id or set(released.shards) != set(transfer.targets):
+        return False
+    transfers.under_way[released.move_id] = transfer._replace(released=True)
+    return True
+
+
+def list_released(transfers: Transfers) -> list[Transfer]:
+    """Return the moves that can be written."""
+    return [transfer for transfer in transfers.under_way.values() if transfer.released]
+
+
+def list_moving(transfers: Transfers) -> frozenset[int]:
+    """Return the shards of all moves under way."""
+    return frozenset(
+        shard for transfer in transfers.under_way.values() for shard in transfer.targets
+    )
+
+
+def give_up(
+    transfers: Transfers, table: tables.ShardTable, move_id: int, now_ms: int
+) -> list[events.Action]:
+    """Abort a move, unless a write may already carry it out."""
+    if move_id in transfers.writing or move_id not in transfers.under_way:
+        return []
+    transfer = transfers.under_way.pop(move_id)
+    transfers.retry_at_ms[transfer.source] = now_ms + RETRY_AFTER_MS
+    abort = messages.AbortMove(table.domain, transfer.term, move_id)
+    return [events.SendAbort(transfer.source, abort)]
+
+
+def give_up_overdue(
+    transfers: Transfers, table: tables.ShardTable, now_ms: int
+) -> list[events.Action]:
+    """Abort the moves whose owners have not answered in time."""
+    overdue = [
+        transfer.move_id
+        for transfer in transfers.under_way.values()
+        if not transfer.released and now_ms >= transfer.deadline_ms
+    ]
+    return [
+        action
+        for move_id in overdue
+        for action in give_up(transfers, table, move_id, now_ms)
+    ]
+
+
+def drop_sources(transfers: Transfers, sources: Iterable[str]) -> None:
+    """Forget the moves of lost owners."""
+    gone = frozenset(sources)
+    transfers.under_way = {
+        move_id: transfer
+        for move_id, transfer in transfers.under_way.items()
+        if transfer.source not in gone
+    }
+
+
+def _list_unavailable(transfers: Transfers, now_ms: int) -> set[str]:
+    asked = {transfer.source for transfer in transfers.under_way.values()}
+    resting = {
+        source
+        for source, retry_at_ms in transfers.retry_at_ms.items()
+        if now_ms < retry_at_ms
+    }
+    return asked | resting
