--- /dev/null
+++ b/fuchsiamoor/documents/apply_test.py
@@ -0,0 +1,140 @@
+import asyncio
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from fuchsiamoor.core import errors
+from fuchsiamoor.documents import apply, stored
+from fuchsiamoor.store import port
+from fuchsiamoor.testing import documents_data
+
+OK, DOWN, LOST_BEFORE, LOST_AFTER, DELAYED = range(5)
+
+
+class FakeStore:
+    """Keeps one key; each call takes the next ending from a plan."""
+
+    def __init__(self, plan=(), seed=0):
+        self.entry = None
+        self.version = 0
+        self.plan = list(plan)
+        self.delayed = []
+        self.random = random.Random(seed)
+
+    async def _step(self):
+        for _ in range(self.random.randrange(3)):
+            await asyncio.sleep(0)
+        if self.delayed and self.random.random() < 0.5:
+            self._swap(*self.delayed.pop())
+        ending = self.plan.pop(0) if self.plan else OK
+        if ending == DOWN:
+            raise errors.StoreUnavailableError
+        return ending
+
+    def _swap(self, key, expected_version, value):
+        at = self.entry.version if self.entry else port.ABSENT
+        if at != expected_version:
+            return port.Conflict(self.entry)
+        self.version += 1
+        self.entry = port.Entry(key, value, self.version)
+        return port.Swapped(self.version)
+
+    async def get(self, key):
+        if await self._step() != OK:
+            raise errors.StoreOutcomeUnknownError
+        return self.entry
+
+    async def swap(self, key, expected_version, value, lease_id=""):
+        ending = await self._step()
+        if ending == DELAYED:
+            self.delayed.append((key, expected_version, value))
+        if ending in (LOST_BEFORE, DELAYED):
+            raise errors.StoreOutcomeUnknownError
+        result = self._swap(key, expected_version, value)
+        if ending == LOST_AFTER:
+            raise errors.StoreOutcomeUnknownError
+        return result
+
+    def whole(self):
+        if self.entry is None:
+            return stored.make_first_stored()
+        return stored.decode_whole(self.entry.value)
+
+
+def _document(moves=1, **fields):
+    return documents_data.make_configuration_document(moves_per_minute=moves, **fields)
+
+
+def _apply(store, based_on, apply_id, document):
+    return asyncio.run(apply.apply_document(store, based_on, apply_id, document))
+
+
+def test_applies_rise_by_one_and_repeat_safely():
+    store = FakeStore()
+    assert _apply(store, 0, "a", _document(1)) == apply.Applied(1)
+    assert _apply(store, 1, "b", _document(2)) == apply.Applied(2)
+    assert _apply(store, 0, "a", _document(1)) == apply.Applied(1)
+    assert store.whole().configuration.moves_per_minute == 2
+
+
+def test_a_conflict_names_who_was_first_and_what_changed():
+    store = FakeStore()
+    _apply(store, 0, "a", _document(1))
+    _apply(store, 1, "dana@b", _document(2))
+    result = _apply(store, 1, "c", _document(3))
+    past = stored.PastApply(2, "dana@b", ("~ moves_per_minute: 1 -> 2",))
+    assert result == apply.Conflicted(2, "dana@b", (past,))
+
+
+def test_refusals_change_nothing():
+    store = FakeStore()
+    _apply(store, 0, "a", _document(1))
+    before = store.entry
+    assert isinstance(_apply(store, 1, "b", {}), apply.Refused)
+    assert isinstance(_apply(store, 1, "b c", _document(1)), apply.Refused)
+    moved = _document(tenants={"clinics": {"home_regions": ["almaty"]}})
+    assert isinstance(_apply(store, 1, "b", moved), apply.Refused)
+    large = _document(services={f"s{number}": {} for number in range(3_000)})
+    [fault] = _apply(store, 1, "b", large).faults
+    assert (fault.path, fault.expected) == ("document", "at most 921600 bytes")
+    assert store.entry == before
+
+
+def test_lost_answers_are_resolved_by_reading_back():
+    lost = FakeStore([OK, LOST_AFTER])
+    assert _apply(lost, 0, "a", _document(1)) == apply.Applied(1)
+    down = FakeStore([DOWN] * 9)
+    assert _apply(down, 0, "a", _document(1)) == apply.StoreDown()
+    unknown = FakeStore([OK, LOST_AFTER] + [DOWN] * 9)
+    assert _apply(unknown, 0, "a", _document(1)) == apply.OutcomeUnknown()
+    assert _apply(FakeStore([LOST_BEFORE] * 9), 0, "a", {}) != apply.Applied(1)
+
+
+@given(
+    st.lists(st.sampled_from([OK, OK, DOWN, LOST_BEFORE, LOST_AFTER, DELAYED])),
+    st.integers(0, 2**32),
+)
+def test_one_of_racing_applies_wins_whatever_answers_are_lost(plan, seed):
+    store = FakeStore(plan, seed)
+    revisions = []
+
+    async def race(name):
+        result = None
+        while not isinstance(result, apply.Applied | apply.Conflicted):
+            result = await apply.apply_document(store, 0, name, _document(len(name)))
+            revisions.append(store.whole().configuration.revision)
+        return result
+
+    async def race_all():
+        return await asyncio.gather(*map(race, ["a", "bb", "ccc"]))
+
+    results = asyncio.run(race_all())
+    winners = [found for found in results if isinstance(found, apply.Applied)]
+    losers = [found for found in results if isinstance(found, apply.Conflicted)]
+    assert winners == [apply.Applied(1)]
+    assert all(
+        loser.apply_id == store.whole().configuration.apply_id for loser in losers
+    )
+    assert revisions == sorted(revisions)
+    assert store.whole().configuration.revision == 1
