--- /dev/null
+++ b/fuchsiamoor/daemon/metrics.py
@@ -0,0 +1,216 @@
+"""Counters, gauges and timings of a daemon.
+
+Counting only touches memory. The shell calls `Metrics.flush` once a second, which sends
+what changed to statsd and keeps the counts by minute that the reports are made from.
+"""
+
+from dataclasses import dataclass
+
+import statsd
+
+from fuchsiamoor.core.addresses import Address
+from fuchsiamoor.reports import counts, metric_names
+from fuchsiamoor.reports.counts import CountsSnapshot, Outcome
+from fuchsiamoor.reports.histogram import find_bucket
+from fuchsiamoor.reports.metric_names import Kind
+
+TIMINGS_PER_FLUSH = 20
+PREFIX = "fuchsiamoor"
+
+_KINDS = {name: metric.kind for name, metric in metric_names.METRICS.items()}
+
+
+@dataclass(slots=True)
+class Metrics:
+    """Everything that one daemon counts.
+
+    Parameters
+    ----------
+    client : StatsClient or None
+    totals : dict of str to int
+        Counters since the start.
+    sent_totals : dict of str to int
+        Those of them that statsd has been told.
+    gauges : dict of str to float
+    changed_gauges : set of str
+        Not yet told to statsd.
+    timings_ms : dict of str to list of float
+        The latest since the last flush.
+    timing_counts : dict of str to int
+        How many there were since the last flush.
+    slow_after_us : dict of str to int
+        By service, from its objective.
+    data_centres_out : frozenset of str
+    by_period : Counts
+    """
+
+    client: statsd.StatsClient | None
+    totals: dict[str, int]
+    sent_totals: dict[str, int]
+    gauges: dict[str, float]
+    changed_gauges: set[str]
+    timings_ms: dict[str, list[float]]
+    timing_counts: dict[str, int]
+    slow_after_us: dict[str, int]
+    data_centres_out: frozenset[str]
+    by_period: counts.Counts
+
+    def count(self, name: str, n: int = 1) -> None:
+        """Add to a counter."""
+        if name not in self.totals:
+            name, n = metric_names.METRICS_DROPPED, 1
+        self.totals[name] += n
+
+    def gauge(self, name: str, value: float) -> None:
+        """Set a gauge."""
+        if _KINDS.get(name) is not Kind.GAUGE:
+            self.count(metric_names.METRICS_DROPPED)
+            return
+        if self.gauges.get(name) != value:
+            self.gauges[name] = value
+            self.changed_gauges.add(name)
+
+    def timing(self, name: str, time_ms: float) -> None:
+        """Note how long something took, in milliseconds."""
+        seen = self.timing_counts.get(name)
+        if seen is None:
+            self.count(metric_names.METRICS_DROPPED)
+            return
+        self.timing_counts[name] = seen + 1
+        kept = self.timings_ms[name]
+        if seen < TIMINGS_PER_FLUSH:
+            kept.append(time_ms)
+        else:
+            kept[seen % TIMINGS_PER_FLUSH] = time_ms
+
+    def request_ended(self, service: str, outcome: Outcome, latency_us: int) -> None:
+        """Count the ending of a caller's request.
+
+        Parameters
+        ----------
+        service : str
+            Known to the configuration.
+        outcome : Outcome
+            By `counts.classify_answer`.
+        latency_us : int
+            From the whole request to the whole answer.
+        """
+        if outcome is Outcome.NOT_COUNTED:
+            return
+        found = counts.find_current(self.by_period, service)
+        if found is None:
+            return
+        if outcome is Outcome.FAILED:
+            found.failed += 1
+            return
+        found.succeeded += 1
+        if latency_us > self.slow_after_us.get(service, latency_us):
+            found.slow += 1
+        bucket = find_bucket(latency_us)
+        found.latency[bucket] = found.latency.get(bucket, 0) + 1
+
+    def upstream_served(self, service: str) -> None:
+        """Count a request that the upstream beside the daemon ran."""
+        found = counts.find_current(self.by_period, service)
+        if found is not None:
+            found.served += 1
+
+    def shards_moved(self, service: str, planned: bool, n: int = 1) -> None:
+        """Count shards that this daemon moved as a coordinator."""
+        found = counts.find_current(self.by_period, service)
+        if found is None:
+            return
+        if planned:
+            found.moved_planned += n
+        else:
+            found.moved_unplanned += n
+
+    def shards_unavailable(self, service: str, shard_ms: int) -> None:
+        """Add time without an owner, shards times milliseconds, as a coordinator."""
+        found = counts.find_current(self.by_period, service)
+        if found is not None:
+            found.unavailable_shard_ms += shard_ms
+
+    def flush(self, now_ms: int) -> None:
+        """Send what changed to statsd and begin a new minute when it is time.
+
+        Parameters
+        ----------
+        now_ms : int
+            Unix time.
+        """
+        counts.advance(self.by_period, now_ms, self.data_centres_out)
+        if self.client is not None:
+            self._send(self.client)
+        for name, kept in self.timings_ms.items():
+            kept.clear()
+            self.timing_counts[name] = 0
+
+    def snapshot(self, instance: str, service: str, data_centre: str) -> CountsSnapshot:
+        """Return everything for the reports."""
+        return CountsSnapshot(
+            instance=instance,
+            service=service,
+            data_centre=data_centre,
+            since_ms=self.by_period.since_ms,
+            counters=dict(self.totals),
+            gauges=dict(self.gauges),
+            minutes=tuple(self.by_period.minutes),
+            hours=tuple(self.by_period.hours),
+        )
+
+    def _send(self, client: statsd.StatsClient) -> None:
+        with client.pipeline() as pipe:
+            for name, total in self.totals.items():
+                new = total - self.sent_totals[name]
+                if new:
+                    pipe.incr(name, new)
+                    self.sent_totals[name] = total
+            for name in sorted(self.changed_gauges):
+                pipe.gauge(name, self.gauges[name])
+            for name, kept in self.timings_ms.items():
+                for time_ms in kept:
+                    pipe.timing(name, time_ms)
+        self.changed_gauges.clear()
+
+
+def make_metrics(
+    statsd_address: Address | None, instance: str = "", now_ms: int = 0
+) -> Metrics:
+    """Return metrics that have counted nothing.
+
+    Parameters
+    ----------
+    statsd_address : Address or None
+        None to keep the metrics in memory only.
+    instance : str
+        Part of each name sent.
+    now_ms : int
+        Unix time.
+    """
+    counters = _names(Kind.COUNTER)
+    timings = _names(Kind.TIMING)
+    return Metrics(
+        client=_make_client(statsd_address, instance),
+        totals=dict.fromkeys(counters, 0),
+        sent_totals=dict.fromkeys(counters, 0),
+        gauges={},
+        changed_gauges=set(),
+        timings_ms={name: [] for name in timings},
+        timing_counts=dict.fromkeys(timings, 0),
+        slow_after_us={},
+        data_centres_out=frozenset(),
+        by_period=counts.make_counts(now_ms),
+    )
+
+
+def _names(kind: Kind) -> list[str]:
+    return [name for name, found in _KINDS.items() if found is kind]
+
+
+def _make_client(address: Address | None, instance: str) -> statsd.StatsClient | None:
+    if address is None:
+        return None
+    part = instance.replace(".", "_")
+    prefix = f"{PREFIX}.{part}" if part else PREFIX
+    return statsd.StatsClient(address.host, address.port, prefix=prefix)
--- /dev/null
+++ b/fuchsiamoor/daemon/operator_app.py
@@ -0,0 +1,164 @@
+"""The operators' HTTP surface of a daemon."""
+
+import hmac
+from collections.abc import Awaitable, Callable, Sequence
+from typing import Protocol
+
+import litestar
+from litestar.connection import ASGIConnection
+from litestar.exceptions import NotAuthorizedException
+from litestar.handlers import BaseRouteHandler
+
+from fuchsiamoor.core import errors, faults
+from fuchsiamoor.core.configuration import Configuration
+from fuchsiamoor.daemon.metrics import Metrics
+from fuchsiamoor.documents import apply, model, reader, validation
+from fuchsiamoor.reports import codec, metric_names, wire
+from fuchsiamoor.reports.counts import CountsSnapshot
+from fuchsiamoor.reports.status import Explanation, Status
+
+MAX_BODY_BYTES = model.MAX_DOCUMENT_BYTES + 4096
+BEARER = "Bearer "
+
+ApplyDocument = Callable[[int, str, object], Awaitable[apply.ApplyResult]]
+
+
+class View(Protocol):
+    """What the daemon lets operators see."""
+
+    def status(self) -> Status:
+        """Return the daemon's state."""
+
+    def configuration(self) -> Configuration:
+        """Return the configuration in force."""
+
+    def explain(self, service: str, tenant: str, key: str) -> Explanation | None:
+        """Return where a key is served; None if service or tenant is unknown."""
+
+    def report(self) -> CountsSnapshot:
+        """Return the counts for the reports."""
+
+
+def make_operator_app(
+    view: View,
+    apply_document: ApplyDocument,
+    operator_keys: Sequence[str],
+    metrics: Metrics,
+) -> litestar.Litestar:
+    """Return the application that listens at the operator address.
+
+    Parameters
+    ----------
+    view : View
+    apply_document : callable
+        Takes ``based_on``, ``apply_id`` and the decoded document.
+    operator_keys : sequence of str
+        Keys in force; a caller proves one of them.
+    metrics : Metrics
+    """
+
+    def check_key(connection: ASGIConnection, _: BaseRouteHandler) -> None:
+        header = connection.headers.get("authorization", "")
+        if is_key_in_force(header, operator_keys):
+            return
+        metrics.count(metric_names.OPERATORS_REFUSED)
+        raise NotAuthorizedException(detail="an operator key is needed")
+
+    @litestar.get("/v1/status", sync_to_thread=False)
+    def get_status() -> litestar.Response[bytes]:
+        return _answer(view.status())
+
+    @litestar.get("/v1/configuration", sync_to_thread=False)
+    def get_configuration() -> litestar.Response[bytes]:
+        found = view.configuration()
+        document = reader.write_document(found)
+        return _answer(wire.InForce(found.revision, found.apply_id, document))
+
+    @litestar.post("/v1/configuration")
+    async def post_configuration(request: litestar.Request) -> litestar.Response[bytes]:
+        try:
+            body = _read_apply(await request.body())
+        except errors.InvalidDocumentError as error:
+            metrics.count(metric_names.CONFIGURATION_REFUSED)
+            return _answer(wire.FaultsBody(tuple(error.faults)), 422)
+        result = await apply_document(*body)
+        return _answer_apply(result, metrics)
+
+    @litestar.get("/v1/explain", sync_to_thread=False)
+    def get_explanation(
+        service: str, key: str, tenant: str = "default"
+    ) -> litestar.Response[bytes]:
+        found = view.explain(service, tenant, key)
+        if found is None:
+            return _answer(wire.ProblemBody("unknown service or tenant"), 404)
+        return _answer(found)
+
+    @litestar.get("/v1/report", sync_to_thread=False)
+    def get_report() -> litestar.Response[bytes]:
+        return _answer(view.report())
+
+    return litestar.Litestar(
+        route_handlers=[
+            get_status,
+            get_configuration,
+            post_configuration,
+            get_explanation,
+            get_report,
+        ],
+        guards=[check_key],
+        request_max_body_size=MAX_BODY_BYTES,
+        openapi_config=None,
+        logging_config=None,
+    )
+
+
+def is_key_in_force(authorization: str, keys: Sequence[str]) -> bool:
+    """Return whether an Authorization header proves a key, in constant time.
+
+    Examples
+    --------
+    >>> is_key_in_force("Bearer second", ["first", "second"])
+    True
+    >>> is_key_in_force("Bearer ", ["first", "second"])
+    False
+    """
+    if not authorization.startswith(BEARER):
+        return False
+    given = authorization.removeprefix(BEARER).encode()
+    matches = [hmac.compare_digest(given, key.encode()) for key in keys]
+    return any(matches)
+
+
+def _read_apply(text: bytes) -> tuple[int, str, object]:
+    match validation.load_json(text, MAX_BODY_BYTES):
+        case {"based_on": int(based_on), "apply_id": str(apply_id), "document": given}:
+            return based_on, apply_id, given
+        case found:
+            expected = "an object with based_on, apply_id and document"
+            fault = faults.Fault("body", validation.show(found), expected)
+            raise errors.InvalidDocumentError([fault])
+
+
+def _answer_apply(
+    result: apply.ApplyResult, metrics: Metrics
+) -> litestar.Response[bytes]:
+    match result:
+        case apply.Applied(revision):
+            metrics.count(metric_names.CONFIGURATION_APPLIED)
+            return _answer(wire.AppliedBody(revision))
+        case apply.Conflicted():
+            metrics.count(metric_names.CONFIGURATION_CONFLICTS)
+            return _answer(wire.ConflictBody(*result), 409)
+        case apply.Refused(found):
+            metrics.count(metric_names.CONFIGURATION_REFUSED)
+            return _answer(wire.FaultsBody(found), 422)
+        case apply.StoreDown():
+            return _answer(wire.ProblemBody("the store is down; nothing changed"), 503)
+        case apply.OutcomeUnknown():
+            return _answer(wire.ProblemBody("outcome unknown; apply it again"), 504)
+
+
+def _answer(body: object, status_code: int = 200) -> litestar.Response[bytes]:
+    return litestar.Response(
+        codec.encode(body), media_type="application/json", status_code=status_code
+    )
--- /dev/null
+++ b/fuchsiamoor/daemon/operator_app_test.py
@@ -0,0 +1,136 @@
+import json
+
+import pytest
+from litestar.testing import TestClient
+
+from fuchsiamoor.core import faults
+from fuchsiamoor.daemon import metrics as daemon_metrics
+from fuchsiamoor.daemon import operator_app
+from fuchsiamoor.documents import apply, reader, stored
+from fuchsiamoor.reports import codec, counts, metric_names, status, wire
+from fuchsiamoor.testing import documents_data, reports_data
+
+KEYS = ("first-operator-key", "second-operator-key")
+DOCUMENT = documents_data.make_configuration_document()
+
+
+class FakeView:
+    def __init__(self, metrics):
+        self.metrics = metrics
+
+    def status(self):
+        return reports_data.make_status()
+
+    def configuration(self):
+        return reader.read_value(DOCUMENT)._replace(revision=4, apply_id="dana-4")
+
+    def explain(self, service, tenant, key):
+        if service != "stock":
+            return None
+        return reports_data.make_explanation(tenant=tenant, key=key)
+
+    def report(self):
+        return self.metrics.snapshot("almaty-1-a", "stock", "almaty-1")
+
+
+def _authorization(key):
+    return {"Authorization": f"Bearer {key}".encode("latin-1")}
+
+
+class Surface:
+    def __init__(self):
+        self.metrics = daemon_metrics.make_metrics(None)
+        self.applied = []
+        self.result = apply.Applied(5)
+        app = operator_app.make_operator_app(
+            FakeView(self.metrics), self.apply, KEYS, self.metrics
+        )
+        self.client = TestClient(app)
+
+    async def apply(self, *given):
+        self.applied.append(given)
+        return self.result
+
+    def get(self, path, key=KEYS[0]):
+        return self.client.get(path, headers=_authorization(key))
+
+    def post(self, body, key=KEYS[0]):
+        return self.client.post(
+            "/v1/configuration",
+            content=body if isinstance(body, bytes) else json.dumps(body),
+            headers=_authorization(key),
+        )
+
+
+@pytest.fixture(name="surface")
+def _surface():
+    return Surface()
+
+
+def test_reports_travel_whole(surface):
+    read = codec.decode(status.Status, surface.get("/v1/status").content)
+    assert read == reports_data.make_status()
+    explained = surface.get("/v1/explain?service=stock&key=k%201", KEYS[1])
+    read = codec.decode(status.Explanation, explained.content)
+    assert read == reports_data.make_explanation(key="k 1")
+    in_force = codec.decode(wire.InForce, surface.get("/v1/configuration").content)
+    assert (in_force.revision, in_force.apply_id) == (4, "dana-4")
+    assert reader.read_value(in_force.document) == reader.read_value(DOCUMENT)
+    report = codec.decode(counts.CountsSnapshot, surface.get("/v1/report").content)
+    assert report == surface.metrics.snapshot("almaty-1-a", "stock", "almaty-1")
+    assert surface.get("/v1/explain?service=none&key=k").status_code == 404
+
+
+@pytest.mark.parametrize("key", ["", "first-operator-ke", "first-operator-keyx", "é"])
+def test_a_stranger_is_refused_and_counted(surface, key):
+    answers = [
+        surface.client.get("/v1/status"),
+        surface.get("/v1/status", key),
+        surface.post({"based_on": 0, "apply_id": "a", "document": DOCUMENT}, key),
+    ]
+    assert [answer.status_code for answer in answers] == [401, 401, 401]
+    assert surface.metrics.totals[metric_names.OPERATORS_REFUSED] == 3
+    assert surface.applied == []
+
+
+@pytest.mark.parametrize(
+    ("result", "status_code", "body"),
+    [
+        (apply.Applied(5), 200, {"revision": 5}),
+        (
+            apply.Conflicted(6, "b", (stored.PastApply(6, "b", ("+ x",)),)),
+            409,
+            {
+                "revision": 6,
+                "apply_id": "b",
+                "past_applies": [{"revision": 6, "apply_id": "b", "changed": ["+ x"]}],
+            },
+        ),
+        (
+            apply.Refused((faults.Fault("p", "v", "e"),)),
+            422,
+            {"faults": [{"path": "p", "value": "v", "expected": "e"}]},
+        ),
+        (apply.StoreDown(), 503, {"problem": "the store is down; nothing changed"}),
+        (apply.OutcomeUnknown(), 504, {"problem": "outcome unknown; apply it again"}),
+    ],
+)
+def test_an_apply_answers_with_its_result(surface, result, status_code, body):
+    surface.result = result
+    answer = surface.post({"based_on": 4, "apply_id": "a", "document": DOCUMENT})
+    assert (answer.status_code, answer.json()) == (status_code, body)
+    assert surface.applied == [(4, "a", DOCUMENT)]
+
+
+@pytest.mark.parametrize(
+    "body", [b"", b"{", b"[]", b'{"based_on": true}', b'{"a": 1, "a": 2}', b"\xff"]
+)
+def test_a_body_that_is_no_apply_is_refused_with_faults(surface, body):
+    answer = surface.post(body)
+    assert answer.status_code == 422
+    assert codec.decode(wire.FaultsBody, answer.content).faults
+    assert surface.applied == []
+
+
+def test_a_body_that_is_too_large_is_refused(surface):
+    assert surface.post(b" " * (operator_app.MAX_BODY_BYTES + 1)).status_code == 413
--- /dev/null
+++ b/fuchsiamoor/reports/counts.py
@@ -0,0 +1,193 @@
+"""Counts by minute and by hour, kept in a daemon's memory for the reports.
+
+A minute holds everything; an hour holds the totals without latencies. What a daemon
+counted is lost with it, which the reports say.
+"""
+
+from collections import deque
+from dataclasses import dataclass, field, fields
+from enum import StrEnum
+from typing import NamedTuple
+
+from fuchsiamoor.core import verdicts
+from fuchsiamoor.core.requests import Answer
+from fuchsiamoor.core.verdicts import Reason
+from fuchsiamoor.reports import histogram
+
+MINUTE_MS = 60_000
+HOUR_MS = 60 * MINUTE_MS
+MINUTES_KEPT = 60
+HOURS_KEPT = 31 * 24
+MAX_SERVICES = 64
+FIRST_SERVER_ERROR_STATUS = 500
+
+_NOT_COUNTED = frozenset(
+    {
+        Reason.BAD_REQUEST,
+        Reason.BODY_TOO_LARGE,
+        Reason.CANCELLED,
+        Reason.OUTSIDE_HOME_REGIONS,
+        Reason.UNKNOWN_SERVICE,
+        Reason.UNKNOWN_TENANT,
+    }
+)
+
+
+class Outcome(StrEnum):
+    """How a request counts towards its service's objective."""
+
+    SUCCEEDED = "succeeded"
+    FAILED = "failed"
+    NOT_COUNTED = "not-counted"
+
+
+@dataclass(slots=True)
+class ServiceCounts:
+    """Counts of one service in one period.
+
+    Parameters
+    ----------
+    succeeded, failed : int
+        Requests of callers of this daemon.
+    slow : int
+        Those that succeeded later than the objective asks.
+    served : int
+        Requests that the upstream beside this daemon ran.
+    moved_planned, moved_unplanned : int
+        Shards moved by this daemon as a coordinator.
+    unavailable_shard_ms : int
+        Time without an owner, added over shards, seen as a coordinator.
+    latency : Histogram
+        Of the requests that succeeded, in microseconds.
+    """
+
+    succeeded: int = 0
+    failed: int = 0
+    slow: int = 0
+    served: int = 0
+    moved_planned: int = 0
+    moved_unplanned: int = 0
+    unavailable_shard_ms: int = 0
+    latency: histogram.Histogram = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class Period:
+    """Counts of one minute or hour, by service.
+
+    Parameters
+    ----------
+    start_ms : int
+        Unix time.
+    data_centres_out : frozenset of str
+        Out of service at some time of the period.
+    services : dict of str to ServiceCounts
+    """
+
+    start_ms: int
+    data_centres_out: frozenset[str] = frozenset()
+    services: dict[str, ServiceCounts] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class Counts:
+    """All periods of a daemon, the current ones included.
+
+    Parameters
+    ----------
+    since_ms : int
+        Unix time of the daemon's start.
+    minutes, hours : deque of Period
+        Oldest first; the last one of each is current.
+    """
+
+    since_ms: int
+    minutes: deque[Period]
+    hours: deque[Period]
+
+
+class CountsSnapshot(NamedTuple):
+    """The counts of one daemon, as they are reported."""
+
+    instance: str
+    service: str
+    data_centre: str
+    since_ms: int
+    counters: dict[str, int]
+    gauges: dict[str, float]
+    minutes: tuple[Period, ...]
+    hours: tuple[Period, ...]
+
+
+def classify_answer(answer: Answer) -> Outcome:
+    """Return how an answer counts; a caller's own mistakes do not.
+
+    Examples
+    --------
+    >>> str(classify_answer(Answer("r", verdicts.Ran(), 200)))
+    'succeeded'
+    >>> str(classify_answer(Answer("r", verdicts.NotRun(Reason.UNKNOWN_TENANT), 403)))
+    'not-counted'
+    """
+    match answer.verdict:
+        case verdicts.Ran():
+            failed = answer.status >= FIRST_SERVER_ERROR_STATUS
+            return Outcome.FAILED if failed else Outcome.SUCCEEDED
+        case verdicts.NotRun(reason) | verdicts.MayHaveRun(reason):
+            return Outcome.NOT_COUNTED if reason in _NOT_COUNTED else Outcome.FAILED
+
+
+def make_counts(now_ms: int) -> Counts:
+    """Return empty counts that begin at a Unix time."""
+    return Counts(
+        since_ms=now_ms,
+        minutes=deque([Period(now_ms - now_ms % MINUTE_MS)], MINUTES_KEPT),
+        hours=deque([Period(now_ms - now_ms % HOUR_MS)], HOURS_KEPT),
+    )
+
+
+def find_current(counts: Counts, service: str) -> ServiceCounts | None:
+    """Return where to count now; None if there are too many services to count."""
+    services = counts.minutes[-1].services
+    found = services.get(service)
+    if found is None and len(services) < MAX_SERVICES:
+        found = services[service] = ServiceCounts()
+    return found
+
+
+def advance(counts: Counts, now_ms: int, data_centres_out: frozenset[str]) -> None:
+    """Begin a new minute and hour when it is time for one; time never runs back.
+
+    Parameters
+    ----------
+    counts : Counts
+    now_ms : int
+        Unix time.
+    data_centres_out : frozenset of str
+        In the configuration in force.
+    """
+    minute_ms = now_ms - now_ms % MINUTE_MS
+    if minute_ms > counts.minutes[-1].start_ms:
+        _fold(counts.minutes[-1], counts.hours[-1])
+        counts.minutes.append(Period(minute_ms))
+    hour_ms = now_ms - now_ms % HOUR_MS
+    if hour_ms > counts.hours[-1].start_ms:
+        counts.hours.append(Period(hour_ms))
+    counts.minutes[-1].data_centres_out |= data_centres_out
+
+
+def add_service_counts(into: ServiceCounts, other: ServiceCounts) -> None:
+    """Add the counts of one service to another's."""
+    for item in fields(ServiceCounts):
+        if item.name != "latency":
+            total = getattr(into, item.name) + getattr(other, item.name)
+            setattr(into, item.name, total)
+    histogram.add(into.latency, other.latency)
+
+
+def _fold(minute: Period, hour: Period) -> None:
+    hour.data_centres_out |= minute.data_centres_out
+    for service, found in minute.services.items():
+        into = hour.services.setdefault(service, ServiceCounts())
+        add_service_counts(into, found)
+        into.latency = {}
