--- /dev/null
+++ b/fuchsiamoor/daemon/entry_serving_test.py
@@ -0,0 +1,123 @@
+"""Entry and serving sides together, under random schedules of failures."""
+
+import asyncio
+from typing import NamedTuple
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from fuchsiamoor.core.verdicts import NotRun, Ran
+from fuchsiamoor.daemon import entry
+from fuchsiamoor.testing import requests_data, routing_world, virtual_time
+from fuchsiamoor.testing.routing_world import LinkFault, UpstreamFault, World
+
+MEMBERS = [
+    requests_data.make_member("a", "north-1"),
+    requests_data.make_member("b", "north-2"),
+    requests_data.make_member("c", "south-1"),
+    requests_data.make_member("d", "west-1"),
+]
+HOME_IDS = [member.member_id for member in MEMBERS[:3]]
+WEST_ID = MEMBERS[3].member_id
+
+
+class Call(NamedTuple):
+    at_ms: int
+    key: str
+    idempotent: bool
+    idempotency_key: str
+    entry_index: int
+    deadline_in_ms: int
+    cancel_after_ms: int | None
+
+
+class Move(NamedTuple):
+    at_ms: int
+    owner_index: int
+
+
+CALLS = st.builds(
+    Call,
+    at_ms=st.integers(0, 400),
+    key=st.sampled_from(["", "chair-1", "chair-2"]),
+    idempotent=st.booleans(),
+    idempotency_key=st.sampled_from(["", "", "once"]),
+    entry_index=st.integers(0, 3),
+    deadline_in_ms=st.integers(1, 600),
+    cancel_after_ms=st.none() | st.integers(0, 60),
+)
+MOVES = st.builds(Move, at_ms=st.integers(0, 500), owner_index=st.integers(0, 2))
+
+
+async def play(world: World, calls: list[Call], moves: list[Move]) -> dict:
+    routing_world.announce(world)
+    answers = {}
+
+    async def place(index: int, call: Call) -> None:
+        await asyncio.sleep(call.at_ms / 1000)
+        node = list(world.nodes.values())[call.entry_index]
+        request = requests_data.make_request(
+            f"r{index}",
+            key=call.key,
+            idempotent=call.idempotent,
+            idempotency_key=call.idempotency_key,
+            path="/same" if call.idempotency_key else f"/{index}",
+            deadline_ms=virtual_time.now_ms() + call.deadline_in_ms,
+        )
+        timeout_s = (
+            None if call.cancel_after_ms is None else call.cancel_after_ms / 1000
+        )
+        try:
+            handled = entry.handle(node.entry, request)
+            answers[request.request_id] = await asyncio.wait_for(handled, timeout_s)
+        except TimeoutError:
+            answers[request.request_id] = None
+
+    async def move() -> None:
+        for each in sorted(moves):
+            await asyncio.sleep(max(each.at_ms - virtual_time.now_ms(), 0) / 1000)
+            await routing_world.move_planned(world, HOME_IDS[each.owner_index])
+
+    await asyncio.gather(move(), *(place(i, call) for i, call in enumerate(calls)))
+    await asyncio.sleep(10)
+    return answers
+
+
+@given(
+    st.lists(CALLS, max_size=8),
+    st.lists(MOVES, max_size=3),
+    st.lists(st.sampled_from(LinkFault), max_size=10),
+    st.lists(st.sampled_from(UpstreamFault), max_size=8),
+)
+def test_answers_are_true_under_failures(calls, moves, link_faults, upstream_faults):
+    world = routing_world.make_world(MEMBERS)
+    world.link_faults = link_faults
+    world.upstream_faults = upstream_faults
+    answers = virtual_time.run(play(world, calls, moves))
+    for index, call in enumerate(calls):
+        request_id = f"r{index}"
+        run_count = routing_world.count_runs(world, request_id)
+        answer = answers[request_id]
+        assert call.idempotent or run_count <= 1, world.log
+        if answer is None:
+            continue
+        assert answer.request_id == request_id
+        if isinstance(answer.verdict, NotRun):
+            assert run_count == 0, world.log
+        if isinstance(answer.verdict, Ran) and not call.idempotency_key:
+            assert answer.body == f"{request_id} /{index}".encode()
+    check_exclusive(world)
+    assert WEST_ID not in {member_id for member_id, _ in world.received}
+    assert "d" not in {record.instance for record in world.runs}
+    assert routing_world.list_leftovers(world) == []
+
+
+def check_exclusive(world: World) -> None:
+    """Check that no shard runs at two instances at once."""
+    keyed = [record for record in world.runs if record.shard >= 0]
+    for one in keyed:
+        for other in keyed:
+            if one.shard != other.shard or one.instance == other.instance:
+                continue
+            apart = one.ended_ms <= other.started_ms or other.ended_ms <= one.started_ms
+            assert apart, (one, other, world.log)
