Let a daemon listen to peers at another address than it tells them

Purely additive: an optional field at the end of Settings. A relay in front of a daemon's peer address, which the tests need to cut links, or address translation in a deployment, makes the address that peers use differ from the one to bind.

--- a/fuchsiamoor/core/settings.py
+++ b/fuchsiamoor/core/settings.py
@@ -57,6 +57,9 @@
     operator_keys : tuple of str
         The same for operators.
     timing : Timing
+    peer_bind_address : Address or None
+        Where it listens to other daemons when they reach `peer_address` by way of a
+        relay or address translation.
     """
 
     instance: str
@@ -73,3 +76,4 @@
     peer_keys: tuple[str, ...]
     operator_keys: tuple[str, ...]
     timing: Timing
+    peer_bind_address: Address | None = None
