--- a/fuchsiamoor/testing/standins_data.py
+++ b/fuchsiamoor/testing/standins_data.py
@@ -35,6 +35,7 @@
         verdict="ran",
         status=200,
         answer_token="t1",
+        served_by="a",
         sent_ms=90.0,
         received_ms=120.0,
     )
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import json
 import random
 import secrets
 from collections import Counter, defaultdict
@@ -20,6 +21,7 @@
 
 ANSWER_TIMEOUT_MS = 15_000
 NO_ANSWER = "no-answer"
+NOTHING = {"status": 0, "answer_token": None, "served_by": ""}
 
 
 class Plan(NamedTuple):
@@ -29,7 +31,7 @@
     ----------
     service : str
     keys : tuple of (str, str)
-        Tenants and keys to choose from.
+        Tenants and keys to choose from; an empty key is left out.
     home_regions : dict of str to list of str
         Home regions of each tenant.
     requests_per_s : float
@@ -97,25 +99,38 @@
     return Summary(dict(Counter(call.verdict for call in calls)), gaps_ms)
 
 
+def _find_token(body: bytes) -> str | None:
+    """Return the token that an upstream's answer echoes, None in a refusal."""
+    try:
+        answer = json.loads(body)
+    except ValueError:
+        return None
+    return answer.get("token") if isinstance(answer, dict) else None
+
+
 async def _exchange(
     caller: Caller, method: str, headers: dict[str, str]
-) -> tuple[str, int, str | None]:
-    """Send one request; return verdict, status and the token of the answer."""
+) -> dict[str, Any]:
+    """Send one request; return what `check.Call` tells of its ending."""
     for url in caller.rng.sample(caller.urls, len(caller.urls)):
         target = f"{url}/{caller.plan.service}/chairs"
         try:
             async with caller.client.request(
                 method, target, headers=headers
             ) as response:
-                body = await response.json(content_type=None)
+                body = await response.read()
                 verdict = response.headers.get("Fuchsiamoor-Verdict", NO_ANSWER)
-                token = body.get("token") if isinstance(body, dict) else None
-                return verdict, response.status, token
+                return {
+                    "verdict": verdict,
+                    "status": response.status,
+                    "answer_token": _find_token(body),
+                    "served_by": response.headers.get("Fuchsiamoor-Served-By", ""),
+                }
         except aiohttp.ClientConnectorError:
             continue
-        except (aiohttp.ClientError, TimeoutError, ValueError):
-            return NO_ANSWER, 0, None
-    return "not-run", 0, None
+        except (aiohttp.ClientError, TimeoutError):
+            return NOTHING | {"verdict": NO_ANSWER}
+    return NOTHING | {"verdict": "not-run"}
 
 
 async def call_once(caller: Caller, tenant: str, key: str, method: str) -> check.Call:
@@ -131,7 +146,9 @@
         "Test-Run-Ms": str(plan.run_ms),
     }
     sent_ms = programs.monotonic_ms()
-    verdict, status, answer_token = await _exchange(caller, method, headers)
+    if not key:
+        del headers["Fuchsiamoor-Key"]
+    ending = await _exchange(caller, method, headers)
     call = check.Call(
         token=token,
         service=plan.service,
@@ -139,11 +156,9 @@
         key=key,
         idempotent=method == "GET",
         home_regions=frozenset(plan.home_regions[tenant]),
-        verdict=verdict,
-        status=status,
-        answer_token=answer_token,
         sent_ms=sent_ms,
         received_ms=programs.monotonic_ms(),
+        **ending,
     )
     caller.calls.append(call)
     record = call._asdict() | {"home_regions": sorted(call.home_regions)}
--- a/standins/check.py
+++ b/standins/check.py
@@ -43,6 +43,7 @@
     verdict: str
     status: int
     answer_token: str | None
+    served_by: str
     sent_ms: float
     received_ms: float
 
@@ -117,8 +118,11 @@
         yield Breach("not-run ran", where)
     if call.verdict == "ran" and not any(run.end_ms for run in runs):
         yield Breach("ran without a run", f"{call.token}: status {call.status}")
+        return
     if call.answer_token != call.token and (call.answer_token or call.verdict == "ran"):
         yield Breach("wrong answer", f"{call.token} received {call.answer_token}")
+    if call.verdict == "ran" and call.served_by not in {run.instance for run in runs}:
+        yield Breach("wrong served-by", f"{call.served_by} for {where}")
     for run in runs:
         if (run.service, run.tenant, run.key) != (call.service, call.tenant, call.key):
             yield Breach("altered request", f"{_describe(run)}: {call} as {run}")
--- /dev/null
+++ b/standins/deployment.py
@@ -0,0 +1,333 @@
+"""A deployment on 127.0.0.1: store, upstreams and daemons, each its own process.
+
+`start_deployment` starts what an example file such as ``examples/dala.json``
+describes. Instances are then killed, paused or stopped by name; each signal goes to
+the process ids that this module started and to no other.
+"""
+
+import asyncio
+import contextlib
+import json
+import secrets
+import signal
+import socket
+from collections.abc import Awaitable, Callable, Iterable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+
+from fuchsiamoor.core import addresses
+from standins import programs, relay
+
+ADDRESSES = ("caller", "peer", "operator", "announce", "upstream")
+BOTH = ("daemon", "upstream")
+HOST = "127.0.0.1"
+READY_TIMEOUT_MS = 40_000
+STOP_TIMEOUT_MS = 15_000
+WAIT_STEP_MS = 20
+
+
+@dataclass(slots=True)
+class Instance:
+    """An upstream instance and the daemon beside it.
+
+    Parameters
+    ----------
+    spec : dict
+        Its entry in the example file.
+    addresses : dict of str to str
+        ``HOST:PORT`` for each of `ADDRESSES`.
+    settings_path : Path
+    processes : dict of str to Process
+        Under ``daemon`` and ``upstream``.
+    """
+
+    spec: dict
+    addresses: dict[str, str]
+    settings_path: Path
+    processes: dict[str, asyncio.subprocess.Process] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class Deployment:
+    """Everything that runs; ``relays`` lead to an instance's peers or to the store."""
+
+    example: dict
+    directory: Path
+    client: aiohttp.ClientSession
+    operator_key: str = field(default_factory=lambda: secrets.token_hex(16))
+    peer_key: str = field(default_factory=lambda: secrets.token_hex(16))
+    store_url: str = ""
+    store: asyncio.subprocess.Process | None = None
+    instances: dict[str, Instance] = field(default_factory=dict)
+    relays: dict[str, relay.Relay] = field(default_factory=dict)
+    reserved: list[socket.socket] = field(default_factory=list)
+    logs: list[Any] = field(default_factory=list)
+
+
+async def wait_until(
+    holds: Callable[[], Awaitable[bool]], what: str, timeout_ms: int = READY_TIMEOUT_MS
+) -> None:
+    """Wait until a condition holds; raise TimeoutError that names it otherwise."""
+    ends_ms = programs.monotonic_ms() + timeout_ms
+    while not await holds():
+        if programs.monotonic_ms() > ends_ms:
+            raise TimeoutError(f"not within {timeout_ms} ms: {what}")
+        await asyncio.sleep(WAIT_STEP_MS / 1000)
+
+
+def _reserve_address(deployment: Deployment) -> str:
+    """Let the operating system choose a port and keep it from being chosen again."""
+    reserved = socket.socket()
+    reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    reserved.bind((HOST, 0))
+    deployment.reserved.append(reserved)
+    return f"{HOST}:{reserved.getsockname()[1]}"
+
+
+def _open_log(deployment: Deployment, name: str) -> Any:
+    log = (deployment.directory / f"{name}.log").open("a")
+    deployment.logs.append(log)
+    return log
+
+
+async def _start_store(deployment: Deployment) -> None:
+    deployment.store = await programs.start_program("standins.store")
+    line = json.loads(await deployment.store.stdout.readline())
+    deployment.store_url = f"http://{HOST}:{line['port']}"
+
+
+async def _put_relay(deployment: Deployment, name: str, target: str) -> str:
+    """Place a relay in front of an address; return the relay's own."""
+    placed = await relay.start_relay(addresses.parse_address(target))
+    deployment.relays[name] = placed
+    return f"{HOST}:{placed.port}"
+
+
+async def _add_instance(deployment: Deployment, spec: dict, relayed: bool) -> None:
+    """Choose an instance's addresses and write its settings file."""
+    name = spec["instance"]
+    chosen = {kind: _reserve_address(deployment) for kind in ADDRESSES}
+    settings = dict(spec)
+    store_address = deployment.store_url.removeprefix("http://")
+    if relayed:
+        settings["peer_bind_address"] = chosen["peer"]
+        chosen["peer"] = await _put_relay(deployment, f"{name}/peer", chosen["peer"])
+        store_address = await _put_relay(deployment, f"{name}/store", store_address)
+    settings |= {f"{kind}_address": chosen[kind] for kind in ADDRESSES}
+    settings |= {
+        "store_url": f"http://{store_address}",
+        "statsd_address": None,
+        "peer_keys": [deployment.peer_key],
+        "operator_keys": [deployment.operator_key],
+        "timing": deployment.example.get("timing", {}),
+    }
+    path = deployment.directory / f"settings-{name}.json"
+    path.write_text(json.dumps(settings, indent=2))
+    deployment.instances[name] = Instance(spec, chosen, path)
+
+
+async def start_daemon(deployment: Deployment, name: str) -> None:
+    """Start the daemon of an instance; also after it has ended."""
+    instance = deployment.instances[name]
+    instance.processes["daemon"] = await programs.start_program(
+        "fuchsiamoor.daemon.main",
+        str(instance.settings_path),
+        output=_open_log(deployment, f"daemon-{name}"),
+    )
+
+
+async def start_upstream(deployment: Deployment, name: str) -> None:
+    """Start the upstream of an instance; also after it has ended."""
+    instance = deployment.instances[name]
+    service = deployment.example["services"][instance.spec["service"]]
+    configured = deployment.example["configuration"]["services"]
+    cold_start = configured[instance.spec["service"]]["cold_start"]
+    options = instance.spec | {
+        "journal": deployment.directory,
+        "announce": instance.addresses["announce"],
+        "port": addresses.parse_address(instance.addresses["upstream"]).port,
+        "slots": service["slots"],
+        "connections": service["connections"],
+        **cold_start,
+    }
+    arguments = [f"--{key.replace('_', '-')}={options[key]}" for key in options]
+    if service["checks_grants"]:
+        arguments.append("--checks-grants")
+    output = _open_log(deployment, f"upstream-{name}")
+    instance.processes["upstream"] = await programs.start_program(
+        "standins.upstream", *arguments, output=output
+    )
+
+
+async def start_instance(deployment: Deployment, name: str) -> None:
+    """Start the daemon and the upstream of an instance."""
+    await asyncio.gather(
+        start_daemon(deployment, name), start_upstream(deployment, name)
+    )
+
+
+def send_signal(
+    deployment: Deployment, name: str, number: int, parts: Iterable[str] = BOTH
+) -> None:
+    """Send a signal to an instance's daemon, its upstream or both."""
+    for part in parts:
+        process = deployment.instances[name].processes[part]
+        if process.returncode is None:
+            process.send_signal(number)
+
+
+async def terminate(
+    deployment: Deployment, name: str, parts: Iterable[str] = BOTH
+) -> list[int]:
+    """Send SIGTERM and wait for the end; return the exit statuses."""
+    parts = list(parts)
+    send_signal(deployment, name, signal.SIGTERM, parts)
+    processes = [deployment.instances[name].processes[part] for part in parts]
+    async with asyncio.timeout(STOP_TIMEOUT_MS / 1000):
+        return [await process.wait() for process in processes]
+
+
+def list_urls(deployment: Deployment, kind: str = "caller") -> dict[str, str]:
+    """Return the URL of one surface of every instance."""
+    return {
+        name: f"http://{instance.addresses[kind]}"
+        for name, instance in deployment.instances.items()
+    }
+
+
+async def _is_ready(deployment: Deployment, name: str) -> bool:
+    daemon = deployment.instances[name].processes["daemon"]
+    if daemon.returncode is not None:
+        raise RuntimeError(f"daemon {name} ended with status {daemon.returncode}")
+    url = f"{list_urls(deployment)[name]}/_ready"
+    with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+        async with deployment.client.get(url) as response:
+            return response.status == 200
+    return False
+
+
+async def wait_ready(deployment: Deployment, names: Iterable[str]) -> None:
+    """Wait until the caller surfaces of the instances say that they are ready."""
+    waits = [
+        wait_until(lambda name=name: _is_ready(deployment, name), f"{name} ready")
+        for name in names
+    ]
+    await asyncio.gather(*waits)
+
+
+async def ask_operator(
+    deployment: Deployment, method: str, path: str, body: dict | None = None
+) -> tuple[int, Any]:
+    """Ask the operator surface of the first instance that answers."""
+    headers = {"Authorization": f"Bearer {deployment.operator_key}"}
+    for url in list_urls(deployment, "operator").values():
+        with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+            async with deployment.client.request(
+                method, url + path, headers=headers, json=body
+            ) as response:
+                return response.status, await response.json(content_type=None)
+    return 0, None
+
+
+async def apply_configuration(
+    deployment: Deployment, document: dict, based_on: int = 0
+) -> int:
+    """Apply a configuration document; return its revision."""
+    apply_id = secrets.token_hex(8)
+    body = {"based_on": based_on, "apply_id": apply_id, "document": document}
+    applied: dict = {}
+
+    async def is_applied() -> bool:
+        status, answer = await ask_operator(
+            deployment, "POST", "/v1/configuration", body
+        )
+        if status in (400, 409, 422):
+            raise RuntimeError(f"configuration refused with {status}: {answer}")
+        if status == 200:
+            applied.update(answer)
+        return status == 200
+
+    await wait_until(is_applied, "configuration applied")
+    return applied["revision"]
+
+
+async def control_store(deployment: Deployment, mode: str, **more: int) -> None:
+    """Set the store's mode: up, down, unavailable, slow or lose-answers."""
+    url = f"{deployment.store_url}/control"
+    async with deployment.client.post(url, json={"mode": mode, **more}) as response:
+        response.raise_for_status()
+
+
+async def count_store_calls(deployment: Deployment) -> dict:
+    """Return the store's calls so far, by kind, and the time that they took."""
+    async with deployment.client.get(
+        f"{deployment.store_url}/control/calls"
+    ) as response:
+        return await response.json()
+
+
+async def control_upstream(deployment: Deployment, name: str, **faults: Any) -> None:
+    """Set faults of an upstream; see `standins.upstream.Faults`."""
+    url = f"{list_urls(deployment, 'upstream')[name]}/_control/fault"
+    async with deployment.client.post(url, json=faults) as response:
+        response.raise_for_status()
+
+
+async def start_deployment(
+    example: dict,
+    directory: Path,
+    upstreams: int | None = None,
+    relayed: Iterable[str] = (),
+) -> Deployment:
+    """Start the first instances of an example and wait until all are ready.
+
+    Parameters
+    ----------
+    example : dict
+        Content of an example file; ``timing`` in it overrides the daemons' times.
+    directory : Path
+        Takes settings files, logs and journals.
+    upstreams : int, optional
+        How many instances to start; all by default.
+    relayed : iterable of str
+        Instances whose peer address and way to the store lead through relays.
+    """
+    directory = directory.resolve()
+    directory.mkdir(parents=True, exist_ok=True)
+    timeout = aiohttp.ClientTimeout(5)
+    deployment = Deployment(example, directory, aiohttp.ClientSession(timeout=timeout))
+    try:
+        await _start_store(deployment)
+        for spec in example["instances"][:upstreams]:
+            await _add_instance(deployment, spec, spec["instance"] in relayed)
+        names = list(deployment.instances)
+        await asyncio.gather(*(start_instance(deployment, name) for name in names))
+        await apply_configuration(deployment, example["configuration"])
+        await wait_ready(deployment, names)
+    except BaseException:
+        await stop_deployment(deployment)
+        raise
+    return deployment
+
+
+async def stop_deployment(deployment: Deployment) -> None:
+    """End every process that the deployment started."""
+    processes = [
+        process
+        for instance in deployment.instances.values()
+        for process in instance.processes.values()
+    ]
+    if deployment.store is not None:
+        processes.append(deployment.store)
+    for process in processes:
+        if process.returncode is None:
+            process.kill()
+    await asyncio.gather(*(process.wait() for process in processes))
+    for placed in deployment.relays.values():
+        await relay.stop_relay(placed)
+    for opened in [*deployment.reserved, *deployment.logs]:
+        opened.close()
+    await deployment.client.close()
