--- /dev/null
+++ b/fuchsiamoor/daemon/http_headers.py
@@ -0,0 +1,53 @@
+"""Which HTTP headers travel on, and which end with their hop."""
+
+from collections.abc import Iterable
+
+from fuchsiamoor.core.requests import Headers
+
+OWN_PREFIX = b"fuchsiamoor-"
+
+_ENDS_HERE = frozenset(
+    (
+        b"connection",
+        b"content-length",
+        b"expect",
+        b"host",
+        b"idempotency-key",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    )
+)
+
+
+def keep_end_to_end(headers: Iterable[tuple[bytes, bytes]]) -> Headers:
+    """Return the headers that travel on.
+
+    Left out are those of one hop, those that the ``Connection`` header names, this
+    project's own, and those that every hop writes itself.
+
+    Parameters
+    ----------
+    headers : iterable of (bytes, bytes)
+        Names in lower case.
+
+    Examples
+    --------
+    >>> keep_end_to_end([(b"accept", b"*/*"), (b"x", b"1"), (b"connection", b"X")])
+    ((b'accept', b'*/*'),)
+    """
+    kept = [
+        header
+        for header in headers
+        if header[0] not in _ENDS_HERE and not header[0].startswith(OWN_PREFIX)
+    ]
+    named = [value for name, value in headers if name == b"connection"]
+    if not named:
+        return tuple(kept)
+    dropped = {token.strip().lower() for value in named for token in value.split(b",")}
+    return tuple(header for header in kept if header[0] not in dropped)
--- /dev/null
+++ b/fuchsiamoor/daemon/upstream_client.py
@@ -0,0 +1,290 @@
+"""Client of the upstream beside this daemon: runs requests, and gives it orders.
+
+A request is written to a connection at most once, whatever its method, and every ending
+carries a verdict that is true: see `UpstreamClient.run`.
+"""
+
+import asyncio
+import json
+import re
+import time
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from fuchsiamoor.core.addresses import Address
+from fuchsiamoor.core.requests import Answer, Request
+from fuchsiamoor.core.verdicts import MayHaveRun, NotRun, Ran, Reason
+from fuchsiamoor.daemon import http_headers, upstream_pool
+from fuchsiamoor.daemon.upstream_connection import Lost, Received, WholeAnswer
+from fuchsiamoor.routing import refusals
+
+CONTROL_TIMEOUT_MS = 1000
+CONTROL_CONNECTIONS = 2
+NOT_RUN_STATUS = 503
+
+_REASONS = {
+    b"shed": Reason.SHED,
+    b"fenced": Reason.FENCED,
+    b"deadline": Reason.DEADLINE_PASSED,
+    b"draining": Reason.SHUTTING_DOWN,
+}
+_BODILESS = frozenset(("GET", "HEAD", "DELETE", "OPTIONS"))
+_METHOD = re.compile(r"[A-Z]+(?:-[A-Z]+)*")
+_PATH = re.compile(r"/[!-~]*")
+
+
+class MalformedRequestError(ValueError):
+    """A request that cannot be written as HTTP."""
+
+
+@dataclass(slots=True)
+class UpstreamClient:
+    """Everything that this daemon sends to its upstream.
+
+    Parameters
+    ----------
+    instance : str
+        Named as the one that served, in answers that ran.
+    pool, control_pool : Pool
+        Connections for requests and for orders, so that neither waits for the other.
+    """
+
+    instance: str
+    pool: upstream_pool.Pool
+    control_pool: upstream_pool.Pool
+
+    async def run(
+        self,
+        request: Request,
+        shard: int,
+        epoch: int,
+        lease_until_unix_ms: int,
+        deadline_at_unix_ms: int,
+    ) -> Answer:
+        """Run a request at the upstream; raises nothing but `asyncio.CancelledError`.
+
+        Parameters
+        ----------
+        request : Request
+        shard : int
+            Negative for a request without a key.
+        epoch : int
+            Fencing epoch of the shard.
+        lease_until_unix_ms : int
+        deadline_at_unix_ms : int
+            No answer is waited for after it.
+
+        Returns
+        -------
+        Answer
+            `NotRun` if nothing was written or the upstream said so, `Ran` with the
+            whole answer, `MayHaveRun` in every other case.
+        """
+        try:
+            payload = _encode_request(
+                self.pool.address,
+                request,
+                (shard, epoch, lease_until_unix_ms),
+                deadline_at_unix_ms,
+            )
+        except ValueError as error:
+            return _refuse(request, NotRun(Reason.BAD_REQUEST, str(error)))
+        remaining_ms = deadline_at_unix_ms - time.time_ns() // 1_000_000
+        received = await _exchange(
+            self.pool, payload, request.method == "HEAD", remaining_ms
+        )
+        match received:
+            case NotRun():
+                return _refuse(request, received)
+            case Lost(reason, detail):
+                return _refuse(request, MayHaveRun(reason, detail))
+            case WholeAnswer():
+                return _make_answer(self.instance, request, received)
+
+    async def grant(
+        self, domain: str, shards: Iterable[tuple[int, int]], until_ms: int
+    ) -> bool:
+        """Tell the upstream of shards and their epochs; False if it did not confirm."""
+        body = {"domain": domain, "shards": [*map(list, shards)], "until_ms": until_ms}
+        return await _order(self, "grant", body)
+
+    async def cancel(self, request_id: str) -> bool:
+        """Tell the upstream that nobody waits for a request any more."""
+        return await _order(self, "cancel", {"request_id": request_id})
+
+    async def drain(self) -> bool:
+        """Tell the upstream to take no more requests."""
+        return await _order(self, "drain", {})
+
+    async def health(self) -> bool:
+        """Return whether the upstream says that it is ready."""
+        found = await _ask(self, "health")
+        return found.get("ready") is True
+
+    async def load(self) -> int | None:
+        """Return the requests in flight that the upstream reports, None if unknown."""
+        in_flight = (await _ask(self, "load")).get("in_flight")
+        return in_flight if type(in_flight) is int and in_flight >= 0 else None
+
+    def close(self) -> None:
+        """Close all connections at once."""
+        upstream_pool.close(self.pool)
+        upstream_pool.close(self.control_pool)
+
+
+run = UpstreamClient.run
+
+
+def make_upstream_client(
+    address: Address, connections: int, answer_limit_bytes: int, instance: str = ""
+) -> UpstreamClient:
+    """Return a client without any connection.
+
+    Parameters
+    ----------
+    address : Address
+    connections : int
+        Largest number of connections that the upstream accepts, more than two.
+    answer_limit_bytes : int
+        Largest body of an answer.
+    instance : str
+        Named as the one that served.
+    """
+    for_requests = connections - CONTROL_CONNECTIONS
+    if for_requests < 1:
+        raise ValueError(
+            f"connections: found {connections}, expected over {CONTROL_CONNECTIONS}"
+        )
+    return UpstreamClient(
+        instance,
+        upstream_pool.Pool(address, for_requests, answer_limit_bytes),
+        upstream_pool.Pool(address, CONTROL_CONNECTIONS, answer_limit_bytes),
+    )
+
+
+async def _exchange(
+    pool: upstream_pool.Pool, payload: bytes, is_head: bool, timeout_ms: int
+) -> Received | NotRun:
+    """Write a request once and wait for its ending."""
+    loop = asyncio.get_running_loop()
+    deadline_s = loop.time() + timeout_ms / 1000
+    if timeout_ms <= 0:
+        return NotRun(Reason.DEADLINE_PASSED, "before it was written")
+    connection = await upstream_pool.acquire(pool, deadline_s)
+    if isinstance(connection, NotRun):
+        return connection
+    future = loop.create_future()
+    timer = loop.call_at(deadline_s, _expire, future)
+    try:
+        connection.exchange(payload, is_head, future)
+        received = await future
+    except BaseException:
+        connection.abort()
+        raise
+    finally:
+        timer.cancel()
+    if isinstance(received, Lost):
+        connection.abort()
+    else:
+        upstream_pool.release(pool, connection)
+    return received
+
+
+def _expire(future: asyncio.Future) -> None:
+    if not future.done():
+        future.set_result(Lost(Reason.DEADLINE_PASSED, "no whole answer in time"))
+
+
+def _encode_request(
+    address: Address,
+    request: Request,
+    fence: tuple[int, int, int],
+    deadline_at_unix_ms: int,
+) -> bytes:
+    """Return a request as HTTP/1.1.
+
+    Raises
+    ------
+    MalformedRequestError
+        If a part of it would be read as something else.
+    """
+    if not _METHOD.fullmatch(request.method) or not _PATH.fullmatch(request.path):
+        raise MalformedRequestError(f"{request.method!r:.20} {request.path!r:.200}")
+    lines = [
+        f"{request.method} {request.path} HTTP/1.1",
+        f"Host: {address.host}:{address.port}",
+        f"Fuchsiamoor-Request-Id: {request.request_id}",
+        f"Fuchsiamoor-Tenant: {request.tenant}",
+        f"Fuchsiamoor-Deadline-At-Ms: {deadline_at_unix_ms}",
+    ]
+    shard, epoch, lease_until_unix_ms = fence
+    if request.key:
+        lines.append(f"Fuchsiamoor-Key: {request.key}")
+    if shard >= 0:
+        lines.append(f"Fuchsiamoor-Shard: {shard}")
+        lines.append(f"Fuchsiamoor-Epoch: {epoch}")
+        lines.append(f"Fuchsiamoor-Lease-Until-Ms: {lease_until_unix_ms}")
+    if request.idempotency_key:
+        lines.append(f"Idempotency-Key: {request.idempotency_key}")
+    if request.body or request.method not in _BODILESS:
+        lines.append(f"Content-Length: {len(request.body)}")
+    head = [
+        "\r\n".join(lines).encode(),
+        *(b"%b: %b" % header for header in request.headers),
+        b"\r\n",
+    ]
+    joined = b"\r\n".join(head)
+    expected = len(lines) + len(request.headers) + 1
+    if joined.count(b"\n") != expected or joined.count(b"\r") != expected:
+        raise MalformedRequestError("line breaks within headers")
+    return joined + request.body
+
+
+def _make_answer(instance: str, request: Request, whole: WholeAnswer) -> Answer:
+    for name, value in whole.headers:
+        if name == b"fuchsiamoor-request-id" and value != request.request_id.encode():
+            crossed = MayHaveRun(Reason.TRUNCATED, "answer to another request")
+            return _refuse(request, crossed)
+        if name == b"fuchsiamoor-not-run" and whole.status == NOT_RUN_STATUS:
+            reason = _REASONS.get(value, Reason.SHED)
+            return _refuse(request, NotRun(reason, "refused by the upstream"))
+    return Answer(
+        request.request_id,
+        Ran(),
+        whole.status,
+        http_headers.keep_end_to_end(whole.headers),
+        whole.body,
+        instance,
+    )
+
+
+def _refuse(request: Request, verdict: NotRun | MayHaveRun) -> Answer:
+    return refusals.make_refusal(request.request_id, verdict)
+
+
+async def _order(client: UpstreamClient, name: str, body: dict) -> bool:
+    received = await _call_control(client, "POST", name, json.dumps(body).encode())
+    return isinstance(received, WholeAnswer) and received.status < 300
+
+
+async def _ask(client: UpstreamClient, name: str) -> dict[str, object]:
+    received = await _call_control(client, "GET", name, b"")
+    if not isinstance(received, WholeAnswer) or received.status != 200:
+        return {}
+    try:
+        found = json.loads(received.body)
+    except ValueError:
+        return {}
+    return found if isinstance(found, dict) else {}
+
+
+async def _call_control(
+    client: UpstreamClient, method: str, name: str, body: bytes
+) -> Received | NotRun:
+    host, port = client.pool.address
+    head = (
+        f"{method} /_control/{name} HTTP/1.1\r\nHost: {host}:{port}\r\n"
+        f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n"
+    )
+    payload = head.encode() + body
+    return await _exchange(client.control_pool, payload, False, CONTROL_TIMEOUT_MS)
