--- a/fuchsiamoor/daemon/callers.py
+++ b/fuchsiamoor/daemon/callers.py
@@ -191,7 +191,7 @@
                 return None, 0, False
             own[name] = value
         elif name == b"content-length":
-            content_length = int(value)
+            content_length = int(value) if value.isdigit() else 0
         elif name == b"transfer-encoding":
             is_chunked = True
     return own, content_length, is_chunked
@@ -301,7 +301,7 @@
             if detail and not body:
                 body = f"{detail}\n".encode()
                 headers.append(_PLAIN_TEXT)
-    if answer.status not in _BODILESS_STATUSES:
+    if answer.status not in _BODILESS_STATUSES and method != "HEAD":
         headers.append((b"content-length", str(len(body)).encode()))
     if closes_connection:
         headers.append((b"connection", b"close"))
