--- a/fuchsiamoor/daemon/coordinating.py
+++ b/fuchsiamoor/daemon/coordinating.py
@@ -14,15 +14,15 @@
 from fuchsiamoor.daemon import knowledge as knowledges
 from fuchsiamoor.daemon import node as nodes
 from fuchsiamoor.ownership import coordinator as coordinators
+from fuchsiamoor.ownership import events, tables_codec
 from fuchsiamoor.ownership import holder as holders
-from fuchsiamoor.ownership import tables_codec
 from fuchsiamoor.store import port
 
 TICK_MS = 50
 CANDIDATE_CHECK_MS = 100
 RANK_DELAY_MS = 150
 LARGEST_RANK_DELAY_MS = 5_000
-SETTLE_DELAY_MS = 50
+READ_BACK_DELAY_MS = 50
 
 
 @dataclass(slots=True)
@@ -60,7 +60,7 @@
 ) -> messages.Message:
     """Answer a renewal and take note of the sign of life."""
     reply = coordinators.answer_renew(coordination.machine, renew, node.now_ms())
-    feed(node, coordination, coordinators.RenewReceived(renew))
+    feed(node, coordination, events.RenewReceived(renew))
     if isinstance(reply, messages.Renewed):
         return reply._replace(
             configuration_revision=node.knowledge.configuration.revision
@@ -83,11 +83,9 @@
         feed(node, coordination, event)
 
 
-def members_event(node: nodes.Node) -> coordinators.MembersChanged:
+def members_event(node: nodes.Node) -> events.MembersChanged:
     """Return the directory as an event."""
-    return coordinators.MembersChanged(
-        tuple(node.knowledge.directory.by_instance.values())
-    )
+    return events.MembersChanged(tuple(node.knowledge.directory.by_instance.values()))
 
 
 async def run_candidacies(node: nodes.Node) -> None:
@@ -185,11 +183,11 @@
     node.coordinating[domain] = coordination
     node.coordinator_hints[domain] = node.member.member_id
     node.metrics.count("coordinator.acquired")
-    feed(node, coordination, coordinators.StoreLeaseRenewed(sent_ms))
+    feed(node, coordination, events.StoreLeaseRenewed(sent_ms))
     feed(
         node,
         coordination,
-        coordinators.ConfigurationChanged(node.knowledge.configuration),
+        events.ConfigurationChanged(node.knowledge.configuration),
     )
     feed(node, coordination, members_event(node))
     try:
@@ -210,7 +208,7 @@
     renewing = nodes.spawn(node, _keep_store_lease(node, coordination), "store lease")
     try:
         while not coordination.ended.is_set():
-            feed(node, coordination, coordinators.Tick())
+            feed(node, coordination, events.Tick())
             await asyncio.sleep(TICK_MS / 1000)
     finally:
         renewing.cancel()
@@ -227,74 +225,67 @@
             node.metrics.count("coordinator.renew_failed")
             continue
         if not alive:
-            feed(node, coordination, coordinators.StoreLeaseLost())
+            feed(node, coordination, events.StoreLeaseLost())
             coordination.ended.set()
             return
-        feed(node, coordination, coordinators.StoreLeaseRenewed(sent_ms))
+        feed(node, coordination, events.StoreLeaseRenewed(sent_ms))
 
 
 async def _act(node: nodes.Node, coordination: Coordination, action) -> None:
     match action:
-        case coordinators.WriteTable():
+        case events.WriteTable():
             await _write_table(node, coordination, action)
-        case coordinators.PushTable():
+        case events.PushTable():
             _push_table(node, coordination, action)
-        case coordinators.AskRelease():
+        case events.AskRelease():
             await _ask_release(node, coordination, action)
-        case coordinators.SendAbort():
+        case events.SendAbort():
             await _send_abort(node, action)
-        case coordinators.Resign():
+        case events.Resign():
             await resign(node, coordination)
 
 
-async def _write_table(node, coordination, action: coordinators.WriteTable) -> None:
+async def _write_table(node, coordination, action: events.WriteTable) -> None:
+    revision = action.table.revision
     value = tables_codec.encode_table(action.table)
     key = table_key(coordination.domain)
     try:
         result = await node.store.swap(key, action.expected_version, value)
+    except errors.StoreUnavailableError:
+        node.metrics.count("coordinator.write_refused")
+        feed(node, coordination, events.TableNotWritten(revision))
+        return
     except errors.StoreError:
         node.metrics.count("coordinator.write_unknown")
-        feed(
-            node, coordination, coordinators.TableOutcomeUnknown(action.table.revision)
-        )
-        result = await _settle_write(node, coordination, action, value)
+        feed(node, coordination, events.TableOutcomeUnknown(revision))
+        result = port.Conflict(await _read_back(node, coordination, key))
     match result:
         case port.Swapped(version):
-            knowledges.adopt_table(node.knowledge, value)
-            feed(
-                node,
-                coordination,
-                coordinators.TableWritten(action.table.revision, version),
-            )
+            _take_written(node, coordination, revision, value, version)
+        case port.Conflict(current) if current and current.value == value:
+            _take_written(node, coordination, revision, value, current.version)
         case port.Conflict(current):
             table, version = _read_table(current)
-            feed(node, coordination, coordinators.TableConflict(version, table))
+            feed(node, coordination, events.TableConflict(version, table))
 
 
-async def _settle_write(
-    node, coordination, action: coordinators.WriteTable, value: bytes
-) -> port.SwapResult:
-    """Repeat a write whose outcome is unknown until the store gives an answer.
+def _take_written(node, coordination, revision: int, value: bytes, version: int):
+    knowledges.adopt_table(node.knowledge, value)
+    feed(node, coordination, events.TableWritten(revision, version))
 
-    The repetition expects the same version, so at most one of the two takes effect, and
-    a conflict shows that the first can take effect no more unless it already has.
-    """
-    key = table_key(coordination.domain)
-    while True:
-        await asyncio.sleep(SETTLE_DELAY_MS / 1000)
-        if coordination.ended.is_set():
-            return port.Conflict(None)
+
+async def _read_back(node, coordination, key: str) -> port.Entry | None:
+    """Read a key until the store answers."""
+    while not coordination.ended.is_set():
+        await asyncio.sleep(READ_BACK_DELAY_MS / 1000)
         try:
-            result = await node.store.swap(key, action.expected_version, value)
+            return await node.store.get(key)
         except errors.StoreError:
-            continue
-        match result:
-            case port.Conflict(current) if current and current.value == value:
-                return port.Swapped(current.version)
-        return result
+            node.metrics.count("coordinator.read_back_failed")
+    return None
 
 
-def _push_table(node, coordination, action: coordinators.PushTable) -> None:
+def _push_table(node, coordination, action: events.PushTable) -> None:
     value = tables_codec.encode_table(action.table)
     push = messages.TablePush(coordination.domain, action.table.revision, value)
     for member_id in action.member_ids:
@@ -312,11 +303,11 @@
         feed(
             node,
             coordination,
-            coordinators.TableAckReceived(member_id, reply.revision),
+            events.TableAckReceived(member_id, reply.revision),
         )
 
 
-async def _ask_release(node, coordination, action: coordinators.AskRelease) -> None:
+async def _ask_release(node, coordination, action: events.AskRelease) -> None:
     move_id = action.prepare.move_id
     try:
         reply = await calls.call_member(
@@ -325,14 +316,12 @@
     except errors.PeerError:
         reply = None
     if isinstance(reply, messages.Released):
-        feed(
-            node, coordination, coordinators.ReleasedReceived(action.member_id, reply)
-        )
+        feed(node, coordination, events.ReleasedReceived(action.member_id, reply))
         return
-    feed(node, coordination, coordinators.ReleaseFailed(action.member_id, move_id))
+    feed(node, coordination, events.ReleaseFailed(action.member_id, move_id))
 
 
-async def _send_abort(node, action: coordinators.SendAbort) -> None:
+async def _send_abort(node, action: events.SendAbort) -> None:
     try:
         await calls.call_member(
             node, action.member_id, action.abort, exchange.CALL_TIMEOUT_MS
--- a/fuchsiamoor/daemon/exchange.py
+++ b/fuchsiamoor/daemon/exchange.py
@@ -83,9 +83,7 @@
     ------
     StoreError
     """
-    entry = await node.store.get(CONFIGURATION_KEY)
-    if entry is not None:
-        knowledges.adopt_configuration(node.knowledge, entry.value)
+    await read_configuration(node)
     listing = await node.store.list_prefix(MEMBERS_PREFIX)
     take_listing(node, listing)
     tables = await node.store.list_prefix(TABLES_PREFIX)
@@ -94,12 +92,22 @@
             knowledges.adopt_table(node.knowledge, entry.value)
 
 
+async def read_configuration(node: nodes.Node) -> None:
+    """Take in the configuration that the store holds.
+
+    Raises
+    ------
+    StoreError
+    """
+    entry = await node.store.get(CONFIGURATION_KEY)
+    if entry is not None:
+        knowledges.adopt_configuration(node.knowledge, entry.value)
+
+
 def take_listing(node: nodes.Node, listing) -> None:
     """Take in a listing of all registrations."""
     found = [
-        codec.decode_member(entry.value)._replace(
-            registered_version=entry.version
-        )
+        codec.decode_member(entry.value)._replace(registered_version=entry.version)
         for entry in listing.entries
     ]
     if directories.take_listing(node.knowledge.directory, listing.version, found):
--- a/fuchsiamoor/daemon/holding.py
+++ b/fuchsiamoor/daemon/holding.py
@@ -45,7 +45,9 @@
     node.renew_now.set()
 
 
-def check_serve(node: nodes.Node, domain: str, shard: int) -> holders.MayServe | holders.Wait | holders.NotOwner:
+def check_serve(
+    node: nodes.Node, domain: str, shard: int
+) -> holders.MayServe | holders.Wait | holders.NotOwner:
     """Return whether this daemon may serve a shard now."""
     holder = node.holders.get(domain)
     if holder is None or node.superseded:
@@ -57,7 +59,7 @@
     """Renew all leases at the pace of the settings, and at once on a new table."""
     interval_s = node.settings.timing.renew_every_ms / 1000
     while True:
-        if not node.superseded:
+        if node.member.registered_version:
             for holder in list(node.holders.values()):
                 _renew(node, holder)
         try:
--- a/fuchsiamoor/daemon/knowledge.py
+++ b/fuchsiamoor/daemon/knowledge.py
@@ -12,8 +12,8 @@
 from fuchsiamoor.core import errors, members, messages, tables
 from fuchsiamoor.documents import stored
 from fuchsiamoor.membership import directory as directories
-from fuchsiamoor.peers import codec
 from fuchsiamoor.ownership import tables_codec
+from fuchsiamoor.peers import codec
 
 
 @dataclass(slots=True)
--- a/fuchsiamoor/daemon/main.py
+++ b/fuchsiamoor/daemon/main.py
@@ -29,7 +29,7 @@
         for fault in error.faults:
             print(faults.format_fault(fault), file=sys.stderr)
         raise typer.Exit(EXIT_WRONG_SETTINGS) from error
-    logs.configure_logs(config.instance)
+    logs.make_logger(config.instance)
     uvloop.run(_run(config))
 
 
--- a/fuchsiamoor/daemon/node.py
+++ b/fuchsiamoor/daemon/node.py
@@ -29,8 +29,8 @@
         Empty until the first announcement.
     slots, connections : int
     checks_grants : bool
-    announced_ms : int
-        Monotonic time of the last announcement.
+    answered_ms : int
+        Monotonic time of its last announcement or answer to a probe.
     leaving : bool
         Whether it asked to be drained.
     """
@@ -39,7 +39,7 @@
     slots: int = 0
     connections: int = 0
     checks_grants: bool = False
-    announced_ms: int = 0
+    answered_ms: int = 0
     leaving: bool = False
 
 
@@ -80,6 +80,8 @@
         Whether a later registration holds the instance.
     handle_message : callable
         Answers a peer's message.
+    store_reachable : bool
+        Whether the last call to the store was answered.
     renew_now : asyncio.Event
         Set when leases are to be renewed before their next turn.
     upstream_suspect : asyncio.Event
@@ -112,6 +114,7 @@
     closing: asyncio.Event = field(default_factory=asyncio.Event)
     stopped: asyncio.Event = field(default_factory=asyncio.Event)
     superseded: bool = False
+    store_reachable: bool = False
     renew_now: asyncio.Event = field(default_factory=asyncio.Event)
     upstream_suspect: asyncio.Event = field(default_factory=asyncio.Event)
     register_now: asyncio.Event = field(default_factory=asyncio.Event)
--- /dev/null
+++ b/fuchsiamoor/daemon/operating.py
@@ -0,0 +1,197 @@
+"""Operating: what a node shows to operators, and how it applies a configuration."""
+
+from typing import NamedTuple
+
+from fuchsiamoor.core import addresses, keys, members, settings, tables
+from fuchsiamoor.core import configuration as configurations
+from fuchsiamoor.daemon import exchange
+from fuchsiamoor.daemon import node as nodes
+from fuchsiamoor.documents import apply
+from fuchsiamoor.ownership import holder as holders
+from fuchsiamoor.reports import counts, status
+
+
+def is_ready(node: nodes.Node) -> bool:
+    """Return whether callers may send to this daemon."""
+    return (
+        node.knowledge.configuration.revision > 0
+        and not node.draining_callers
+        and node.member.registered_version > 0
+    )
+
+
+class NodeView(NamedTuple):
+    """The node, as the operators' surface takes it."""
+
+    node: nodes.Node
+
+    def status(self) -> status.Status:
+        """Return the daemon's state."""
+        return describe_node(self.node)
+
+    def configuration(self) -> configurations.Configuration:
+        """Return the configuration in force."""
+        return self.node.knowledge.configuration
+
+    def explain(self, service: str, tenant: str, key: str) -> status.Explanation | None:
+        """Return where a key is served; None if service or tenant is unknown."""
+        return explain_key(self.node, keys.KeyId(service, tenant, key))
+
+    def report(self) -> counts.CountsSnapshot:
+        """Return the counts for the reports."""
+        own = self.node.settings
+        return self.node.metrics.snapshot(own.instance, own.service, own.data_centre)
+
+
+def make_apply(node: nodes.Node):
+    """Return the function that applies a document through this node's store."""
+
+    async def apply_document(
+        based_on: int, apply_id: str, document: object
+    ) -> apply.ApplyResult:
+        result = await apply.apply_document(node.store, based_on, apply_id, document)
+        if isinstance(result, apply.Applied):
+            await exchange.read_configuration(node)
+        return result
+
+    return apply_document
+
+
+def describe_node(node: nodes.Node) -> status.Status:
+    """Return the status of a node."""
+    configuration = node.knowledge.configuration
+    directory = node.knowledge.directory
+    return status.Status(
+        instance=node.settings.instance,
+        member_id=node.member.member_id,
+        service=node.settings.service,
+        region=node.settings.region,
+        data_centre=node.settings.data_centre,
+        configuration_revision=configuration.revision,
+        apply_id=configuration.apply_id,
+        ready=is_ready(node),
+        leaving=node.leaving or node.upstream.leaving,
+        store_reachable=node.store_reachable,
+        upstream=_describe_upstream(node),
+        domains=tuple(
+            _describe_domain(node, domain) for domain in sorted(node.knowledge.tables)
+        ),
+        members=tuple(
+            _describe_member(member)
+            for _, member in sorted(directory.by_instance.items())
+        ),
+        data_centres_out=tuple(sorted(configuration.data_centres_out)),
+        overrides=(),
+    )
+
+
+def _describe_upstream(node: nodes.Node) -> status.UpstreamStatus:
+    load = nodes.make_load(node)
+    return status.UpstreamStatus(
+        node.upstream.incarnation, load.upstream_ready, load.limit, load.in_flight
+    )
+
+
+def _describe_member(member: members.Member) -> status.MemberStatus:
+    return status.MemberStatus(
+        member.member_id,
+        member.instance,
+        member.service,
+        member.data_centre,
+        addresses.format_address(member.operator_address),
+    )
+
+
+def _describe_domain(node: nodes.Node, domain: str) -> status.DomainStatus:
+    table = node.knowledge.tables[domain]
+    by_instance: dict[str, int] = {}
+    for owner in table.owners:
+        if owner != tables.NO_OWNER:
+            instance = members.instance_of(owner)
+            by_instance[instance] = by_instance.get(instance, 0) + 1
+    return status.DomainStatus(
+        domain=domain,
+        term=table.term,
+        coordinator=table.coordinator,
+        table_revision=table.revision,
+        lease=_describe_lease(node, domain),
+        owned_shards=by_instance.get(node.settings.instance, 0),
+        pending_shards=len(table.pending),
+        unowned_shards=table.owners.count(tables.NO_OWNER),
+        shards_by_instance=dict(sorted(by_instance.items())),
+    )
+
+
+def _describe_lease(node: nodes.Node, domain: str) -> status.LeaseState:
+    holder = node.holders.get(domain)
+    if holder is None or holders.lease_until_ms(holder) == holders.NO_LEASE_MS:
+        return status.LeaseState.NONE
+    now_ms = node.now_ms()
+    if now_ms >= holders.lease_until_ms(holder):
+        return status.LeaseState.LAPSED
+    if now_ms < _coordinator_lease_until_ms(holder, node.settings.timing):
+        return status.LeaseState.RENEWED
+    return status.LeaseState.VOUCHED
+
+
+def _coordinator_lease_until_ms(holder: holders.Holder, timing: settings.Timing) -> int:
+    if holder.renewed_sent_ms is None:
+        return holders.NO_LEASE_MS
+    return holder.renewed_sent_ms + timing.lease_ms
+
+
+def explain_key(node: nodes.Node, key_id: keys.KeyId) -> status.Explanation | None:
+    """Return where a key is served and why; None if service or tenant is unknown."""
+    configuration = node.knowledge.configuration
+    domain = configurations.find_domain(configuration, key_id.service, key_id.tenant)
+    if domain is None:
+        return None
+    table = nodes.find_table(node, domain)
+    if table is None:
+        service = configuration.services[key_id.service]
+        table = tables.make_empty_table(domain, service.shard_count)
+    key_hash = keys.hash_key(key_id)
+    shard = tables.find_shard(table, key_hash)
+    owner_id = table.owners[shard]
+    owner = nodes.find_member(node, owner_id)
+    is_own = owner_id == node.member.member_id
+    return status.Explanation(
+        service=key_id.service,
+        tenant=key_id.tenant,
+        key=key_id.key,
+        domain=domain,
+        shard=shard,
+        isolated=key_hash in table.isolated,
+        owner=owner_id,
+        data_centre=owner.data_centre if owner is not None else "",
+        state=str(tables.shard_state(table, shard)),
+        epoch=table.epochs[shard],
+        table_revision=table.revision,
+        coordinator=table.coordinator,
+        lease=_describe_lease(node, domain) if is_own else None,
+        override=None,
+        loss_wait_ms=_loss_wait_ms(node, key_id.service, owner),
+        candidates=_list_candidates(node, domain, owner_id),
+    )
+
+
+def _loss_wait_ms(node: nodes.Node, service: str, owner: members.Member | None) -> int:
+    timing = node.settings.timing
+    if owner is not None and owner.checks_grants:
+        return timing.lease_ms
+    services = node.knowledge.configuration.services
+    return timing.lease_ms + services[service].longest_run_ms
+
+
+def _list_candidates(node: nodes.Node, domain: str, owner_id: str) -> tuple[str, ...]:
+    service, regions = keys.split_domain_id(domain)
+    out = node.knowledge.configuration.data_centres_out
+    return tuple(
+        sorted(
+            member.instance
+            for member in nodes.list_members(node, service)
+            if member.region in regions
+            and member.data_centre not in out
+            and member.member_id != owner_id
+        )
+    )
--- a/fuchsiamoor/daemon/registration.py
+++ b/fuchsiamoor/daemon/registration.py
@@ -6,11 +6,14 @@
 
 import asyncio
 
+from loguru import logger
+
 from fuchsiamoor.core import errors
 from fuchsiamoor.daemon import exchange
 from fuchsiamoor.daemon import knowledge as knowledges
 from fuchsiamoor.daemon import node as nodes
 from fuchsiamoor.membership import directory as directories
+from fuchsiamoor.ownership import holder as holders
 from fuchsiamoor.peers import codec
 from fuchsiamoor.store import port
 
@@ -52,9 +55,9 @@
         _confirm(node, current.version)
         return
     if current is not None and member.registered_version:
-        holder = codec.decode_member(current.value)
-        if holder.member_id != member.member_id:
-            node.superseded = True
+        registered = codec.decode_member(current.value)
+        if registered.member_id != member.member_id:
+            give_up_instance(node)
             return
     expected = current.version if current is not None else port.ABSENT
     match await node.store.swap(key, expected, value):
@@ -84,4 +87,14 @@
     """Give up the instance if a later registration holds it."""
     if node.superseded:
         return
-    node.superseded = directories.is_superseded(node.knowledge.directory, node.member)
+    if not directories.is_superseded(node.knowledge.directory, node.member):
+        return
+    give_up_instance(node)
+
+
+def give_up_instance(node: nodes.Node) -> None:
+    """Own nothing from now on: a later run holds the instance."""
+    node.superseded = True
+    logger.bind(member=node.member.member_id).warning("instance held by a later run")
+    for holder in node.holders.values():
+        holders.retire(holder, node.now_ms())
--- a/fuchsiamoor/daemon/starting.py
+++ b/fuchsiamoor/daemon/starting.py
@@ -26,7 +26,7 @@
 from fuchsiamoor.daemon import entry as entries
 from fuchsiamoor.daemon import node as nodes
 from fuchsiamoor.daemon import serving as servings
-from fuchsiamoor.ownership import coordinator as coordinators
+from fuchsiamoor.ownership import events
 from fuchsiamoor.peers import links as peer_links
 from fuchsiamoor.store import http_store
 
@@ -38,25 +38,32 @@
 def make_started_node(config: settings.Settings) -> nodes.Node:
     """Return a node whose parts are joined, listening nowhere yet."""
     store = http_store.make_http_store(config.store_url, STORE_TIMEOUT_MS)
-    node = nodes.make_node(config, store, metrics.make_metrics(config.statsd_address))
+    node = nodes.make_node(config, store, _make_metrics(config))
     _join_carriers(node)
     _join_sides(node)
     _join_changes(node)
     return node
 
 
+def _make_metrics(config: settings.Settings) -> metrics.Metrics:
+    return metrics.make_metrics(
+        config.statsd_address, config.instance, time.time_ns() // 1_000_000
+    )
+
+
 def _join_carriers(node: nodes.Node) -> None:
     async def handle(sender_id: str, message):
         return await dispatch.handle_message(node, sender_id, message)
 
     node.handle_message = handle
-    node.links = ports.LinksPort(
-        peer_links.make_links(
-            node.member.member_id, node.settings.peer_keys, handle, node.metrics
-        )
+    node.links = peer_links.make_links(
+        node.member.member_id, node.settings.peer_keys, handle, node.metrics
     )
     node.client = upstream_client.make_upstream_client(
-        node.settings.upstream_address, UPSTREAM_CONNECTIONS, ANSWER_LIMIT_BYTES
+        node.settings.upstream_address,
+        UPSTREAM_CONNECTIONS,
+        ANSWER_LIMIT_BYTES,
+        node.settings.instance,
     )
 
 
@@ -98,7 +105,7 @@
         revision = knowledge.configuration.revision
         logger.bind(revision=revision).info("configuration in force")
         holding.refresh_holders(node)
-        changed = coordinators.ConfigurationChanged(knowledge.configuration)
+        changed = events.ConfigurationChanged(knowledge.configuration)
         coordinating.feed_all(node, changed)
         servings.state_changed(node.serving)
         entries.state_changed(node.entry)
@@ -122,7 +129,8 @@
 async def run(node: nodes.Node) -> None:
     """Listen, run the tree until the daemon is told to stop, and close."""
     config = node.settings
-    await peer_links.serve(node.links.links, config.peer_address)
+    bind_address = config.peer_bind_address or config.peer_address
+    await peer_links.serve(node.links, bind_address)
     surfaces = [
         ("callers", _make_caller_server(node)),
         ("operators", _make_operator_server(node)),
@@ -130,7 +138,7 @@
     ]
     logger.bind(member=node.member.member_id).info("started")
     await tree.run_tree(node, surfaces)
-    await peer_links.close(node.links.links)
+    await node.links.close()
 
 
 def _make_caller_server(node: nodes.Node):
@@ -148,7 +156,7 @@
 
 def _make_operator_server(node: nodes.Node):
     app = operator_app.make_operator_app(
-        operating.make_view(node),
+        operating.NodeView(node),
         operating.make_apply(node),
         node.settings.operator_keys,
         node.metrics,
--- a/fuchsiamoor/daemon/tree.py
+++ b/fuchsiamoor/daemon/tree.py
@@ -1,7 +1,7 @@
 """The supervisor tree of the daemon, whole.
 
     daemon
-      carrying     gossip, store reads, watches, registration
+      carrying     gossip, store reads, watches, upstream, registration
       ownership    renewals, candidacies
       surfaces     callers, operators, announcements
       housekeeping metrics
@@ -10,6 +10,7 @@
 """
 
 import asyncio
+import time
 from collections.abc import Sequence
 
 from loguru import logger
@@ -21,6 +22,7 @@
     http_servers,
     registration,
     supervisor,
+    upstream_watch,
     watching,
 )
 from fuchsiamoor.daemon import node as nodes
@@ -72,6 +74,7 @@
             "configuration watch", lambda: watching.watch_configuration(node)
         ),
         supervisor.Child("members watch", lambda: watching.watch_members(node)),
+        supervisor.Child("upstream", lambda: upstream_watch.watch_upstream(node)),
         supervisor.Child("registration", lambda: registration.run_registration(node)),
     ]
 
@@ -104,4 +107,4 @@
 async def _flush_metrics(node: nodes.Node) -> None:
     while True:
         await asyncio.sleep(METRICS_EVERY_S)
-        node.metrics.flush()
+        node.metrics.flush(time.time_ns() // 1_000_000)
--- a/fuchsiamoor/daemon/upstream_watch.py
+++ b/fuchsiamoor/daemon/upstream_watch.py
@@ -2,12 +2,16 @@
 
 import asyncio
 
+from loguru import logger
+
 from fuchsiamoor.core import tables
-from fuchsiamoor.daemon import announcements
+from fuchsiamoor.daemon import announcements, upstream_client
 from fuchsiamoor.daemon import node as nodes
 from fuchsiamoor.daemon import serving as servings
 
 DRAIN_CHECK_MS = 50
+PROBE_EVERY_MS = 300
+UPSTREAM_SILENCE_MS = 1_000
 GRANT_LENGTH_MS = 3_600_000
 
 
@@ -36,8 +40,9 @@
     state.slots = announcement.slots
     state.connections = announcement.connections
     state.checks_grants = announcement.checks_grants
-    state.announced_ms = node.now_ms()
+    state.answered_ms = node.now_ms()
     if restarted:
+        logger.bind(incarnation=announcement.incarnation).info("upstream announced")
         state.leaving = False
         _update_member(node)
         nodes.spawn(node, grant_all(node), "grants")
@@ -57,15 +62,20 @@
 async def watch_upstream(node: nodes.Node) -> None:
     """Notice an upstream that is gone or answers no more.
 
-    A refused connection shows that the process is gone. Silence is counted from the
-    last answer to a probe, since announcements come only every second.
+    A refused connection shows that the process is gone; one that does not answer its
+    probe for a while is taken for frozen. What the probe says of readiness is no more
+    than a hint and is not looked at here.
     """
-    answered_ms = node.now_ms()
     while True:
-        if await node.client.health():
-            answered_ms = node.now_ms()
-        elif node.now_ms() - answered_ms > UPSTREAM_SILENCE_MS:
-            lose_upstream(node)
+        probe = await node.client.probe()
+        match probe:
+            case upstream_client.Probe.ANSWERED:
+                node.upstream.answered_ms = node.now_ms()
+            case upstream_client.Probe.REFUSED:
+                lose_upstream(node)
+            case upstream_client.Probe.SILENT:
+                if node.now_ms() - node.upstream.answered_ms > UPSTREAM_SILENCE_MS:
+                    lose_upstream(node)
         try:
             await asyncio.wait_for(node.upstream_suspect.wait(), PROBE_EVERY_MS / 1000)
         except TimeoutError:
@@ -73,6 +83,16 @@
         node.upstream_suspect.clear()
 
 
+def lose_upstream(node: nodes.Node) -> None:
+    """Give the upstream no more work until it announces itself again."""
+    if not node.upstream.incarnation:
+        return
+    logger.bind(incarnation=node.upstream.incarnation).warning("upstream lost")
+    node.upstream.incarnation = ""
+    servings.upstream_gone(node.serving)
+    node.renew_now.set()
+
+
 async def leave(node: nodes.Node, incarnation: str) -> None:
     """Hand everything of the upstream over; returns when nothing of it runs."""
     if incarnation != node.upstream.incarnation:
