--- a/fuchsiamoor/ownership/writes.py
+++ b/fuchsiamoor/ownership/writes.py
@@ -132,7 +132,7 @@
     unowned = [shard for shard in in_use if draft.owners[shard] == tables.NO_OWNER]
     if not unowned:
         return
-    if not coordinator.owned and now_ms - coordinator.installed_ms < FIRST_WAIT_MS:
+    if _is_gathering(coordinator, now_ms):
         return
     layout = state.make_layout(coordinator, draft, now_ms)
     if not layout.targets:
@@ -141,6 +141,11 @@
         drafts.assign_shard(draft, move.shard, move.target)
 
 
+def _is_gathering(coordinator: state.Coordinator, now_ms: int) -> bool:
+    waited_ms = now_ms - coordinator.installed_ms
+    return not coordinator.owned and waited_ms < FIRST_WAIT_MS
+
+
 def _write_released(
     coordinator: state.Coordinator, draft: drafts.Draft, now_ms: int
 ) -> None:
@@ -199,6 +204,8 @@
     coordinator: state.Coordinator, draft: drafts.Draft, now_ms: int
 ) -> None:
     base = draft.base
+    if _is_gathering(coordinator, now_ms):
+        return
     if base.previous_voters and settlement.is_settled(
         coordinator.settling, base.voters_revision, 0, now_ms, coordinator.timing
     ):
--- /dev/null
+++ b/fuchsiamoor/testing/ownership_schedules.py
@@ -0,0 +1,738 @@
+"""Drives the ownership machines of one domain over a virtual clock and faults.
+
+Holders, voters and coordinators are the real ones; the links, the store and the clocks
+between them are drawn from a random source. Every step checks that no shard can be
+served by two members, and that no confirmed assignment is lost.
+"""
+
+import heapq
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from fuchsiamoor.core import configuration as configurations
+from fuchsiamoor.core import members as members_
+from fuchsiamoor.core import messages, settings, tables
+from fuchsiamoor.ownership import coordinator as coordinators
+from fuchsiamoor.ownership import events, holder, voucher
+from fuchsiamoor.store import port
+from fuchsiamoor.testing import tables as builders
+
+TICK_MS = 50
+CALL_TIMEOUT_MS = 300
+RUN_MS = 100
+TIMING = settings.Timing(drift_ratio=0.04)
+PLACES = ("almaty-1", "almaty-2", "astana-1", "astana-2", "almaty-1")
+
+
+class Kill(NamedTuple):
+    """The daemon on a slot ends; another starts later."""
+
+    slot: int
+    restart_after_ms: int
+
+
+class Pause(NamedTuple):
+    """The daemon on a slot stands still, its clock does not."""
+
+    slot: int
+    duration_ms: int
+
+
+class Cut(NamedTuple):
+    """Slots in ``slots`` reach no others; with ``store`` they lose it, too."""
+
+    slots: frozenset[int]
+    store: bool
+    duration_ms: int
+
+
+class StoreDown(NamedTuple):
+    """The store refuses every call."""
+
+    duration_ms: int
+
+
+class StoreMute(NamedTuple):
+    """The store carries calls out, late, and its answers are lost."""
+
+    duration_ms: int
+
+
+class Lossy(NamedTuple):
+    """Messages are lost, delayed and duplicated."""
+
+    duration_ms: int
+
+
+class Leave(NamedTuple):
+    """The member on a slot wants to hand everything over, then stays again."""
+
+    slot: int
+    duration_ms: int
+
+
+class TakeOut(NamedTuple):
+    """Operators take a data centre out and bring it back."""
+
+    data_centre: str
+    duration_ms: int
+
+
+class Heat(NamedTuple):
+    """One key becomes hot, then cools."""
+
+    key_hash: int
+    duration_ms: int
+
+
+Fault = Kill | Pause | Cut | StoreDown | StoreMute | Lossy | Leave | TakeOut | Heat
+Schedule = list[tuple[int, Fault]]
+
+
+class OverlapError(AssertionError):
+    """Two members could serve one shard at one time."""
+
+
+class LostError(AssertionError):
+    """A confirmed assignment is not in the store's history."""
+
+
+@dataclass(slots=True)
+class Node:
+    """One daemon's run."""
+
+    member: members_.Member
+    slot: int
+    rate: float
+    offset_ms: int
+    holder: holder.Holder
+    coordinator: coordinators.Coordinator | None = None
+    alive: bool = True
+    paused_until_ms: int = 0
+    waiting: list[Callable[[], None]] = field(default_factory=list)
+    next_campaign_ms: int = 0
+    store_lease: int = 0
+    renew_due_ms: int = 0
+
+
+class Run(NamedTuple):
+    """Until when a member's upstream may work on a shard."""
+
+    member_id: str
+    until_ms: int
+
+
+@dataclass(slots=True)
+class World:
+    """Everything that exists in one run."""
+
+    source: random.Random
+    now_ms: int = 0
+    checked_ms: int = 0
+    queue: list = field(default_factory=list)
+    sequence: int = 0
+    nodes: list[Node] = field(default_factory=list)
+    by_id: dict[str, Node] = field(default_factory=dict)
+    slots: list[Node | None] = field(default_factory=list)
+    history: dict[int, tables.ShardTable] = field(default_factory=dict)
+    stored: tables.ShardTable | None = None
+    version: int = 0
+    table_version: int = 0
+    lease: tuple[int, str, int] = (0, "", -1)
+    registered: dict[str, members_.Member] = field(default_factory=dict)
+    configuration: configurations.Configuration = builders.make_configuration()
+    faults: list[tuple[int, Fault]] = field(default_factory=list)
+    runs: dict[int, dict[str, int]] = field(default_factory=dict)
+    stamps_from_receipt: bool = False
+    log: list[str] = field(default_factory=list)
+
+
+def make_world(seed: int, size: int = 5, checks_grants: bool = True) -> World:
+    """Return a world with one daemon on each slot, before anything happens."""
+    world = World(random.Random(seed))
+    world.configuration = builders.make_configuration(
+        service=builders.make_service(longest_run_ms=RUN_MS)
+    )
+    world.slots = [None] * size
+    for slot in range(size):
+        _start(world, slot, checks_grants)
+    return world
+
+
+def run_schedule(
+    world: World, schedule: Schedule, until_ms: int, checks: bool = True
+) -> World:
+    """Run a schedule of faults; raise if two members can serve one shard."""
+    for at_ms, fault in schedule:
+        _at(world, at_ms, lambda fault=fault: _strike(world, fault))
+    while world.queue and world.queue[0][0] <= until_ms:
+        at_ms, _, action = heapq.heappop(world.queue)
+        if checks:
+            _note_runs(world, at_ms)
+        world.now_ms = at_ms
+        action()
+        if checks:
+            _check_runs(world)
+    return world
+
+
+def list_served(world: World) -> dict[int, list[str]]:
+    """Return who serves each shard at this moment."""
+    served: dict[int, list[str]] = {}
+    for shard in range(len(world.stored.owners) if world.stored else 0):
+        served[shard] = [
+            node.member.member_id
+            for node in world.nodes
+            if _is_running(world, node)
+            and isinstance(
+                holder.check_serve(node.holder, shard, _clock(world, node)),
+                holder.MayServe,
+            )
+        ]
+    return served
+
+
+def draw_schedule(source: random.Random, size: int, until_ms: int) -> Schedule:
+    """Draw a few faults from a random source."""
+    schedule = []
+    for _ in range(source.randint(1, 6)):
+        at_ms = source.randint(0, until_ms)
+        slot = source.randrange(size)
+        duration_ms = source.choice((300, 700, 1_200, 2_500, 4_000))
+        slots = frozenset(source.sample(range(size), source.randint(1, size // 2)))
+        fault = source.choice(
+            (
+                Kill(slot, source.choice((0, 300, 2_000, 5_000))),
+                Pause(slot, duration_ms),
+                Cut(slots, source.random() < 0.5, duration_ms),
+                StoreDown(duration_ms),
+                StoreMute(duration_ms),
+                Lossy(duration_ms),
+                Leave(slot, duration_ms),
+                TakeOut(source.choice(PLACES), duration_ms),
+                Heat(source.randrange(1 << 64), duration_ms),
+            )
+        )
+        schedule.append((at_ms, fault))
+    return sorted(schedule, key=lambda pair: pair[0])
+
+
+def _at(world: World, at_ms: int, action: Callable[[], None]) -> None:
+    world.sequence += 1
+    heapq.heappush(world.queue, (at_ms, world.sequence, action))
+
+
+def _clock(world: World, node: Node, at_ms: int | None = None) -> int:
+    return node.offset_ms + int((world.now_ms if at_ms is None else at_ms) * node.rate)
+
+
+def _is_running(world: World, node: Node) -> bool:
+    return node.alive and world.now_ms >= node.paused_until_ms
+
+
+def _on_node(world: World, node: Node, action: Callable[[], None]) -> None:
+    if not node.alive:
+        return
+    if world.now_ms < node.paused_until_ms:
+        node.waiting.append(action)
+        return
+    action()
+
+
+def _start(world: World, slot: int, checks_grants: bool) -> None:
+    instance = f"i{slot}"
+    before = world.registered.get(instance)
+    replaces = (before.member_id, *before.replaces)[:16] if before else ()
+    world.version += 1
+    member = builders.make_member(
+        instance,
+        PLACES[slot],
+        nonce=str(world.version),
+        registered_version=world.version,
+        checks_grants=checks_grants,
+        replaces=replaces,
+    )
+    world.registered[instance] = member
+    half = TIMING.drift_ratio / 2
+    node = Node(
+        member,
+        slot,
+        world.source.uniform(1 - half, 1 + half),
+        world.source.randrange(1_000_000),
+        holder.make_holder(member.member_id, builders.DOMAIN, TIMING),
+    )
+    world.nodes.append(node)
+    world.by_id[member.member_id] = node
+    world.slots[slot] = node
+    if world.stored is not None:
+        holder.adopt_table(node.holder, world.stored, _clock(world, node))
+    for other in world.nodes:
+        _send(world, node, other, lambda other=other: _learn_members(world, other))
+    _at(
+        world,
+        world.now_ms + world.source.randrange(TICK_MS),
+        lambda: _tick(world, node),
+    )
+
+
+def _learn_members(world: World, node: Node) -> None:
+    if node.coordinator is not None:
+        listed = tuple(world.registered.values())
+        _tell(world, node, events.MembersChanged(listed))
+    current = world.registered[node.member.instance]
+    if current.member_id != node.member.member_id:
+        holder.retire(node.holder, _clock(world, node))
+
+
+def _tick(world: World, node: Node) -> None:
+    if not node.alive:
+        return
+    _at(world, world.now_ms + TICK_MS, lambda: _tick(world, node))
+    if world.now_ms < node.paused_until_ms:
+        return
+    load = _make_load(world, node)
+    asks = holder.list_renewals(
+        node.holder, _clock(world, node), load, world.configuration.revision
+    )
+    for ask in asks:
+        _ask(world, node, ask)
+    if world.source.random() < 0.1:
+        _gossip(world, node)
+    if node.coordinator is None:
+        _campaign(world, node)
+        return
+    if _clock(world, node) >= node.renew_due_ms:
+        _renew_store_lease(world, node)
+    _tell(world, node, events.Tick())
+
+
+def _make_load(world: World, node: Node) -> messages.MemberLoad:
+    hot = {f.key_hash: 100 for f in _list_active(world, Heat)}
+    owned = node.holder.owns_any
+    return builders.make_load(
+        leaving=any(f.slot == node.slot for f in _list_active(world, Leave)),
+        shard_rates={0: 100} if owned and hot else {},
+        hot_keys=hot if owned else {},
+    )
+
+
+def _list_active(world: World, kind: type) -> list:
+    return [
+        fault
+        for at_ms, fault in world.faults
+        if isinstance(fault, kind) and world.now_ms < at_ms + fault.duration_ms
+    ]
+
+
+def _is_cut(world: World, first: int, second: int) -> bool:
+    return any(
+        (first in fault.slots) != (second in fault.slots)
+        for fault in _list_active(world, Cut)
+    )
+
+
+def _send(world: World, source: Node, target: Node, action: Callable) -> None:
+    if source.slot != target.slot and _is_cut(world, source.slot, target.slot):
+        return
+    copies, longest_ms = 1, 12
+    if _list_active(world, Lossy) and source.slot != target.slot:
+        copies = world.source.choice((0, 1, 1, 1, 2))
+        longest_ms = world.source.choice((12, 100, 600))
+    for _ in range(copies):
+        delay_ms = world.source.randint(0, longest_ms)
+        _at(world, world.now_ms + delay_ms, lambda: _on_node(world, target, action))
+
+
+def _gossip(world: World, node: Node) -> None:
+    other = world.source.choice(world.nodes)
+    if other.alive and node.holder.table is not None:
+        _push(world, node, other, node.holder.table, lambda revision: None)
+
+
+def _push(world, node: Node, target: Node, table, acknowledged: Callable) -> None:
+    def receive() -> None:
+        if table != world.history.get(table.revision):
+            raise LostError(f"revision {table.revision} is not in the store's history")
+        holder.adopt_table(target.holder, table, _clock(world, target))
+        ack = voucher.acknowledge_table(target.holder.table)
+        _send(world, target, node, lambda: acknowledged(ack.revision))
+
+    _send(world, node, target, receive)
+
+
+def _ask(world: World, node: Node, ask: holder.Ask) -> None:
+    target = world.by_id.get(ask.member_id)
+    if target is None:
+        return
+    sent_ms = _clock(world, node)
+
+    def answer(reply) -> None:
+        stamp_ms = _clock(world, node) if world.stamps_from_receipt else sent_ms
+        match reply:
+            case messages.Renewed(revision=revision):
+                holder.record_renewed(node.holder, ask.member_id, reply, stamp_ms)
+            case messages.Vouched():
+                holder.record_vouched(node.holder, ask.member_id, reply, stamp_ms)
+                return
+            case (
+                messages.RenewRefused(revision=revision)
+                | messages.VouchRefused(revision=revision)
+            ):
+                pass
+        if revision > node.holder.table.revision:
+            _send(world, node, target, lambda: _push_known(world, target, node))
+
+    def receive() -> None:
+        match ask.message:
+            case messages.Renew():
+                reply = _answer_renew(world, target, ask.message)
+            case messages.Vouch():
+                reply = voucher.answer_vouch(
+                    target.holder.table, target.member.member_id, ask.message
+                )
+        _send(world, target, node, lambda: answer(reply))
+
+    _send(world, node, target, receive)
+
+
+def _push_known(world: World, node: Node, target: Node) -> None:
+    known = node.holder.table
+    if node.coordinator is not None and node.coordinator.table is not None:
+        known = node.coordinator.table
+    if known is not None:
+        _push(world, node, target, known, lambda revision: None)
+
+
+def _answer_renew(world: World, node: Node, renew: messages.Renew):
+    if node.coordinator is None:
+        revision = node.holder.table.revision if node.holder.table else 0
+        return messages.RenewRefused(renew.domain, "", revision)
+    _tell(world, node, events.RenewReceived(renew))
+    if node.coordinator is None:
+        return messages.RenewRefused(renew.domain, "", 0)
+    return coordinators.answer_renew(node.coordinator, renew, _clock(world, node))
+
+
+def _reaches_store(world: World, node: Node) -> bool:
+    if _list_active(world, StoreDown):
+        return False
+    return not any(
+        fault.store and node.slot in fault.slots for fault in _list_active(world, Cut)
+    )
+
+
+def _call_store(
+    world: World,
+    node: Node,
+    operation: Callable,
+    answered: Callable,
+    refused: Callable[[], None],
+    unknown: Callable[[], None],
+) -> None:
+    """Carry one call out; exactly one of the last three is called."""
+    if not _reaches_store(world, node):
+        _at(world, world.now_ms + 2, lambda: _on_node(world, node, refused))
+        return
+    is_mute = bool(_list_active(world, StoreMute))
+    delay_ms = world.source.randint(1, 900 if is_mute else 5)
+    has_timed_out = []
+
+    def perform() -> None:
+        result = operation()
+        if is_mute and world.source.random() < 0.7:
+            return
+        delay_ms = world.source.randint(1, 5)
+        _at(
+            world,
+            world.now_ms + delay_ms,
+            lambda: _on_node(world, node, deliver(result)),
+        )
+
+    def deliver(result) -> Callable:
+        def act() -> None:
+            if not has_timed_out:
+                has_timed_out.append(True)
+                answered(result)
+
+        return act
+
+    def time_out() -> None:
+        if not has_timed_out:
+            has_timed_out.append(True)
+            unknown()
+
+    _at(world, world.now_ms + delay_ms, perform)
+    _at(world, world.now_ms + CALL_TIMEOUT_MS, lambda: _on_node(world, node, time_out))
+
+
+def _campaign(world: World, node: Node) -> None:
+    now_ms = _clock(world, node)
+    if now_ms < node.next_campaign_ms or node.holder.retired:
+        return
+    node.next_campaign_ms = now_ms + world.source.randint(100, 400)
+
+    def take():
+        _, _, until_ms = world.lease
+        if world.now_ms <= until_ms:
+            return None
+        world.version += 1
+        world.lease = (
+            world.version,
+            node.member.member_id,
+            world.now_ms + TIMING.store_lease_ms,
+        )
+        return (world.version, world.stored, world.table_version)
+
+    def taken(result) -> None:
+        if result is None or node.coordinator is not None:
+            return
+        node.store_lease, table, version = result
+        node.coordinator = coordinators.make_coordinator(
+            builders.DOMAIN,
+            node.member.member_id,
+            TIMING,
+            table,
+            version,
+            _clock(world, node),
+        )
+        node.renew_due_ms = _clock(world, node)
+        listed = tuple(world.registered.values())
+        _tell(world, node, events.MembersChanged(listed))
+        _tell(world, node, events.ConfigurationChanged(world.configuration))
+        _tell(world, node, events.StoreLeaseRenewed(now_ms))
+
+    _call_store(world, node, take, taken, lambda: None, lambda: None)
+
+
+def _renew_store_lease(world: World, node: Node) -> None:
+    sent_ms = _clock(world, node)
+    lease_id = node.store_lease
+    node.renew_due_ms = sent_ms + TIMING.store_lease_ms // 3
+
+    def renew() -> bool:
+        held, member_id, until_ms = world.lease
+        if held != lease_id or world.now_ms > until_ms:
+            return False
+        world.lease = (held, member_id, world.now_ms + TIMING.store_lease_ms)
+        return True
+
+    def renewed(is_alive: bool) -> None:
+        if node.coordinator is None or node.store_lease != lease_id:
+            return
+        lost = events.StoreLeaseLost()
+        _tell(world, node, events.StoreLeaseRenewed(sent_ms) if is_alive else lost)
+
+    _call_store(world, node, renew, renewed, lambda: None, lambda: None)
+
+
+def _tell(world: World, node: Node, event: events.Event) -> None:
+    acting = node.coordinator
+    if acting is None:
+        return
+    for action in coordinators.handle(acting, event, _clock(world, node)):
+        _carry_out(world, node, acting, action)
+
+
+def _carry_out(world: World, node: Node, acting, action: events.Action) -> None:
+    match action:
+        case events.WriteTable(table, expected_version):
+            _write(world, node, acting, table, expected_version)
+        case events.PushTable(table, member_ids):
+            for member_id in member_ids:
+                target = world.by_id[member_id]
+                _push(
+                    world, node, target, table, _make_ack(world, node, acting, target)
+                )
+        case events.AskRelease(member_id, prepare, timeout_ms):
+            _ask_release(world, node, acting, member_id, prepare, timeout_ms)
+        case events.SendAbort(member_id, abort):
+            target = world.by_id[member_id]
+            _send(
+                world, node, target, lambda: holder.abort_release(target.holder, abort)
+            )
+        case events.Resign():
+            node.coordinator = None
+            node.next_campaign_ms = _clock(world, node) + 1_000
+
+
+def _make_ack(world: World, node: Node, acting, target: Node) -> Callable:
+    def acknowledged(revision: int) -> None:
+        if node.coordinator is acting:
+            member_id = target.member.member_id
+            _tell(world, node, events.TableAckReceived(member_id, revision))
+
+    return acknowledged
+
+
+def _write(world: World, node: Node, acting, table, expected_version: int) -> None:
+    def swap():
+        if world.table_version != expected_version:
+            return port.Conflict(None)
+        world.version += 1
+        world.table_version = world.version
+        world.stored = table
+        world.history[table.revision] = table
+        return port.Swapped(world.version)
+
+    def report(event: events.Event) -> None:
+        if node.coordinator is acting:
+            _tell(world, node, event)
+
+    def swapped(result) -> None:
+        if isinstance(result, port.Swapped):
+            report(events.TableWritten(table.revision, result.version))
+            return
+        read()
+
+    def read() -> None:
+        _call_store(
+            world,
+            node,
+            lambda: (world.table_version, world.stored),
+            lambda found: report(events.TableConflict(*found)),
+            read_later,
+            read_later,
+        )
+
+    def read_later() -> None:
+        _at(world, world.now_ms + 100, lambda: _on_node(world, node, read))
+
+    def unknown() -> None:
+        report(events.TableOutcomeUnknown(table.revision))
+        read()
+
+    def refused() -> None:
+        report(events.TableNotWritten(table.revision))
+
+    _call_store(world, node, swap, swapped, refused, unknown)
+
+
+def _ask_release(
+    world, node: Node, acting, member_id: str, prepare, timeout_ms
+) -> None:
+    target = world.by_id[member_id]
+    settled = []
+
+    def report(event: events.Event) -> None:
+        if not settled and node.coordinator is acting:
+            settled.append(True)
+            _tell(world, node, event)
+
+    def fail() -> None:
+        report(events.ReleaseFailed(member_id, prepare.move_id))
+
+    def drained() -> None:
+        match holder.finish_release(target.holder, prepare):
+            case messages.Released() as released:
+                for shard in prepare.shards:
+                    world.runs.get(shard, {}).pop(member_id, None)
+                event = events.ReleasedReceived(member_id, released)
+                _send(world, target, node, lambda: report(event))
+            case messages.ReleaseRefused():
+                _send(world, target, node, fail)
+
+    def receive() -> None:
+        match holder.begin_release(target.holder, prepare):
+            case holder.ReleaseBegun():
+                at_ms = world.now_ms + world.source.randint(0, 150)
+                _at(world, at_ms, lambda: _on_node(world, target, drained))
+            case messages.ReleaseRefused():
+                _send(world, target, node, fail)
+
+    _send(world, node, target, receive)
+    _at(world, world.now_ms + timeout_ms, lambda: _on_node(world, node, fail))
+
+
+def _strike(world: World, fault: Fault) -> None:
+    world.faults.append((world.now_ms, fault))
+    match fault:
+        case Kill(slot, restart_after_ms):
+            node = world.slots[slot]
+            if node is not None and node.alive:
+                node.alive = False
+                checks = node.member.checks_grants
+                at_ms = world.now_ms + restart_after_ms
+                _at(world, at_ms, lambda: _start(world, slot, checks))
+        case Pause(slot, duration_ms):
+            _pause(world, world.slots[slot], duration_ms)
+        case TakeOut():
+            _configure(world)
+            _at(world, world.now_ms + fault.duration_ms, lambda: _configure(world))
+
+
+def _pause(world: World, node: Node, duration_ms: int) -> None:
+    node.paused_until_ms = max(node.paused_until_ms, world.now_ms + duration_ms)
+
+    def wake() -> None:
+        if world.now_ms < node.paused_until_ms:
+            return
+        waiting, node.waiting = node.waiting, []
+        for action in waiting:
+            _on_node(world, node, action)
+
+    _at(world, node.paused_until_ms, wake)
+
+
+def _configure(world: World) -> None:
+    out = frozenset(fault.data_centre for fault in _list_active(world, TakeOut))
+    world.configuration = world.configuration._replace(
+        revision=world.configuration.revision + 1, data_centres_out=out
+    )
+    event = events.ConfigurationChanged(world.configuration)
+    for node in world.nodes:
+        delay_ms = world.source.randint(0, 100)
+        _at(
+            world,
+            world.now_ms + delay_ms,
+            lambda node=node: _on_node(world, node, lambda: _tell(world, node, event)),
+        )
+
+
+def _note_runs(world: World, until_ms: int) -> None:
+    for node in world.nodes:
+        known = node.holder
+        if known.lease_until_ms <= _clock(world, node) or known.table is None:
+            continue
+        lease_end_ms = int((known.lease_until_ms - node.offset_ms) / node.rate)
+        end_ms = min(until_ms, lease_end_ms)
+        run_ms = 0 if node.member.checks_grants else RUN_MS
+        for shard in _list_servable(world, node):
+            runs = world.runs.setdefault(shard, {})
+            member_id = node.member.member_id
+            runs[member_id] = max(runs.get(member_id, 0), end_ms + run_ms)
+
+
+def _check_runs(world: World) -> None:
+    for node in world.nodes:
+        for shard in _list_servable(world, node):
+            for member_id, until_ms in world.runs.get(shard, {}).items():
+                if member_id != node.member.member_id and until_ms > world.now_ms:
+                    raise OverlapError(
+                        f"{world.now_ms} ms: shard {shard} is served by"
+                        f" {node.member.member_id} while {member_id} may serve it"
+                        f" until {until_ms} ms"
+                    )
+    serving: dict[int, str] = {}
+    for node in world.nodes:
+        for shard in _list_servable(world, node):
+            other = serving.setdefault(shard, node.member.member_id)
+            if other != node.member.member_id:
+                raise OverlapError(
+                    f"{world.now_ms} ms: shard {shard} is served by"
+                    f" {node.member.member_id} and {other}"
+                )
+
+
+def _list_servable(world: World, node: Node) -> list[int]:
+    known = node.holder
+    now_ms = _clock(world, node)
+    if known.table is None or now_ms >= known.lease_until_ms:
+        return []
+    return [
+        shard
+        for shard, owner in enumerate(known.table.owners)
+        if owner == known.member_id
+        and isinstance(holder.check_serve(known, shard, now_ms), holder.MayServe)
+    ]
