Refuse late copies of refused sendings, also of idempotent requests

Cause: only endings of requests that are not idempotent were remembered, so a copy of a refused sending ran after its caller had been told not-run. Found by the property test at 2,000 examples (refused by SHED, arriving again 300 ms later). Change: every not-run ending is remembered by request id and attempt. The regression test failed before and passes now; 2,000 examples pass.

--- a/fuchsiamoor/daemon/entry_serving_test.py
+++ b/fuchsiamoor/daemon/entry_serving_test.py
@@ -121,3 +121,13 @@
                 continue
             apart = one.ended_ms <= other.started_ms or other.ended_ms <= one.started_ms
             assert apart, (one, other, world.log)
+
+
+def test_late_copy_of_a_refused_sending_is_refused():
+    world = routing_world.make_world(MEMBERS)
+    world.link_faults = [LinkFault.TWICE_LATE]
+    world.upstream_faults = [UpstreamFault.SHED]
+    call = Call(0, "chair-1", True, "", 1, 200, None)
+    answers = virtual_time.run(play(world, [call], []))
+    assert isinstance(answers["r0"].verdict, NotRun)
+    assert world.runs == []
--- a/fuchsiamoor/daemon/serving.py
+++ b/fuchsiamoor/daemon/serving.py
@@ -329,13 +329,14 @@
 def _remember(
     serving: Serving, run: Run, name: IdempotencyName | None, answered: Answered
 ) -> None:
-    if run.request.idempotent and name is None:
+    verdict = answered.answer.verdict
+    if run.request.idempotent and name is None and not isinstance(verdict, NotRun):
         return
     ending = recent.Remembered(
         answered.answer, run.attempt, run.fingerprint, serving.now_ms()
     )
     recent.remember(serving.ended, run.request.request_id, ending)
-    if name is not None and not isinstance(answered.answer.verdict, NotRun):
+    if name is not None and not isinstance(verdict, NotRun):
         recent.remember(serving.ended_by_key, name, ending)
 
 
@@ -360,13 +361,9 @@
 
 def _refuse_for_good(serving: Serving, forward: Forward, verdict: NotRun) -> Answered:
     """Refuse a sending, so that a late copy of it is refused as well."""
-    request = forward.request
-    answered = _refuse(request, verdict)
-    if not request.idempotent:
-        ending = recent.Remembered(
-            answered.answer, forward.attempt, 0, serving.now_ms()
-        )
-        recent.remember(serving.ended, request.request_id, ending)
+    answered = _refuse(forward.request, verdict)
+    ending = recent.Remembered(answered.answer, forward.attempt, 0, serving.now_ms())
+    recent.remember(serving.ended, forward.request.request_id, ending)
     return answered
 
 
