--- a/fuchsiamoor/daemon/coordinating.py
+++ b/fuchsiamoor/daemon/coordinating.py
@@ -133,7 +133,7 @@
 
 
 def _score(domain: str, instance: str) -> int:
-    return xxhash.xxh3_64_intdigest(f"{domain}\0{instance}")
+    return xxhash.xxh3_64_intdigest(f"{domain}\0{instance}".encode())
 
 
 async def _try_coordinating(node: nodes.Node, domain: str) -> None:
--- a/fuchsiamoor/daemon/exchange.py
+++ b/fuchsiamoor/daemon/exchange.py
@@ -23,14 +23,14 @@
     """Exchange state with a random peer at the pace of the settings."""
     interval_ms = node.settings.timing.gossip_every_ms
     while True:
-        await asyncio.sleep(node.random.uniform(0.5, 1.5) * interval_ms / 1000)
+        await asyncio.sleep(node.rng.uniform(0.5, 1.5) * interval_ms / 1000)
         peers = [
             member.member_id
             for member in node.knowledge.directory.by_instance.values()
             if member.member_id != node.member.member_id
         ]
         if peers:
-            await exchange_with(node, node.random.choice(peers))
+            await exchange_with(node, node.rng.choice(peers))
 
 
 async def exchange_with(node: nodes.Node, member_id: str) -> None:
@@ -65,7 +65,7 @@
             await read_store(node)
         except errors.StoreError:
             node.metrics.count("store.read_failed")
-        await asyncio.sleep(node.random.uniform(0.5, 1.5) * _pause_ms(node) / 1000)
+        await asyncio.sleep(node.rng.uniform(0.5, 1.5) * _pause_ms(node) / 1000)
 
 
 def _pause_ms(node: nodes.Node) -> int:
--- a/fuchsiamoor/daemon/knowledge.py
+++ b/fuchsiamoor/daemon/knowledge.py
@@ -9,7 +9,8 @@
 from dataclasses import dataclass, field
 
 from fuchsiamoor.core import configuration as configurations
-from fuchsiamoor.core import errors, members, messages, tables
+from fuchsiamoor.core import errors, members, messages
+from fuchsiamoor.core import tables as shard_tables
 from fuchsiamoor.documents import stored
 from fuchsiamoor.membership import directory as directories
 from fuchsiamoor.ownership import tables_codec
@@ -35,7 +36,7 @@
 
     configuration: configurations.Configuration
     configuration_value: bytes = b""
-    tables: dict[str, tables.ShardTable] = field(default_factory=dict)
+    tables: dict[str, shard_tables.ShardTable] = field(default_factory=dict)
     table_values: dict[str, bytes] = field(default_factory=dict)
     directory: directories.Directory = field(default_factory=directories.make_directory)
     on_configuration: Callable[[], None] = lambda: None
@@ -75,7 +76,7 @@
     """
     candidate = tables_codec.decode_table(value)
     known = knowledge.tables.get(candidate.domain)
-    if known is not None and not tables.is_newer(candidate, known):
+    if known is not None and not shard_tables.is_newer(candidate, known):
         return False
     knowledge.tables[candidate.domain] = candidate
     knowledge.table_values[candidate.domain] = value
--- a/fuchsiamoor/daemon/node.py
+++ b/fuchsiamoor/daemon/node.py
@@ -15,7 +15,7 @@
 from fuchsiamoor.core import members, messages, settings, tables
 from fuchsiamoor.daemon import knowledge as knowledges
 from fuchsiamoor.daemon import metrics as metrics_module
-from fuchsiamoor.ownership import holder as holders
+from fuchsiamoor.ownership.holder import Holder
 from fuchsiamoor.store import port
 
 
@@ -90,7 +90,7 @@
         Set when the registration may have to change.
     last_exchange_ms : int
         Monotonic time of the last exchange of state with a peer.
-    random : random.Random
+    rng : random.Random
     now_ms : callable
     """
 
@@ -100,7 +100,7 @@
     store: port.Store
     metrics: metrics_module.Metrics
     links: Any = None
-    holders: dict[str, holders.Holder] = field(default_factory=dict)
+    holders: dict[str, Holder] = field(default_factory=dict)
     coordinating: dict[str, Any] = field(default_factory=dict)
     coordinator_hints: dict[str, str] = field(default_factory=dict)
     upstream: UpstreamState = field(default_factory=UpstreamState)
@@ -119,7 +119,7 @@
     upstream_suspect: asyncio.Event = field(default_factory=asyncio.Event)
     register_now: asyncio.Event = field(default_factory=asyncio.Event)
     last_exchange_ms: int = 0
-    random: random.Random = field(default_factory=random.Random)
+    rng: random.Random = field(default_factory=random.Random)
     now_ms: Callable[[], int] = lambda: time.monotonic_ns() // 1_000_000
     tasks: set[asyncio.Task] = field(default_factory=set)
 
--- a/fuchsiamoor/daemon/operating.py
+++ b/fuchsiamoor/daemon/operating.py
@@ -8,7 +8,8 @@
 from fuchsiamoor.daemon import node as nodes
 from fuchsiamoor.documents import apply
 from fuchsiamoor.ownership import holder as holders
-from fuchsiamoor.reports import counts, status
+from fuchsiamoor.reports import counts
+from fuchsiamoor.reports import status as statuses
 
 
 def is_ready(node: nodes.Node) -> bool:
@@ -25,7 +26,7 @@
 
     node: nodes.Node
 
-    def status(self) -> status.Status:
+    def status(self) -> statuses.Status:
         """Return the daemon's state."""
         return describe_node(self.node)
 
@@ -33,7 +34,9 @@
         """Return the configuration in force."""
         return self.node.knowledge.configuration
 
-    def explain(self, service: str, tenant: str, key: str) -> status.Explanation | None:
+    def explain(
+        self, service: str, tenant: str, key: str
+    ) -> statuses.Explanation | None:
         """Return where a key is served; None if service or tenant is unknown."""
         return explain_key(self.node, keys.KeyId(service, tenant, key))
 
@@ -57,11 +60,11 @@
     return apply_document
 
 
-def describe_node(node: nodes.Node) -> status.Status:
+def describe_node(node: nodes.Node) -> statuses.Status:
     """Return the status of a node."""
     configuration = node.knowledge.configuration
     directory = node.knowledge.directory
-    return status.Status(
+    return statuses.Status(
         instance=node.settings.instance,
         member_id=node.member.member_id,
         service=node.settings.service,
@@ -85,15 +88,15 @@
     )
 
 
-def _describe_upstream(node: nodes.Node) -> status.UpstreamStatus:
+def _describe_upstream(node: nodes.Node) -> statuses.UpstreamStatus:
     load = nodes.make_load(node)
-    return status.UpstreamStatus(
+    return statuses.UpstreamStatus(
         node.upstream.incarnation, load.upstream_ready, load.limit, load.in_flight
     )
 
 
-def _describe_member(member: members.Member) -> status.MemberStatus:
-    return status.MemberStatus(
+def _describe_member(member: members.Member) -> statuses.MemberStatus:
+    return statuses.MemberStatus(
         member.member_id,
         member.instance,
         member.service,
@@ -102,14 +105,14 @@
     )
 
 
-def _describe_domain(node: nodes.Node, domain: str) -> status.DomainStatus:
+def _describe_domain(node: nodes.Node, domain: str) -> statuses.DomainStatus:
     table = node.knowledge.tables[domain]
     by_instance: dict[str, int] = {}
     for owner in table.owners:
         if owner != tables.NO_OWNER:
             instance = members.instance_of(owner)
             by_instance[instance] = by_instance.get(instance, 0) + 1
-    return status.DomainStatus(
+    return statuses.DomainStatus(
         domain=domain,
         term=table.term,
         coordinator=table.coordinator,
@@ -122,16 +125,16 @@
     )
 
 
-def _describe_lease(node: nodes.Node, domain: str) -> status.LeaseState:
+def _describe_lease(node: nodes.Node, domain: str) -> statuses.LeaseState:
     holder = node.holders.get(domain)
     if holder is None or holders.lease_until_ms(holder) == holders.NO_LEASE_MS:
-        return status.LeaseState.NONE
+        return statuses.LeaseState.NONE
     now_ms = node.now_ms()
     if now_ms >= holders.lease_until_ms(holder):
-        return status.LeaseState.LAPSED
+        return statuses.LeaseState.LAPSED
     if now_ms < _coordinator_lease_until_ms(holder, node.settings.timing):
-        return status.LeaseState.RENEWED
-    return status.LeaseState.VOUCHED
+        return statuses.LeaseState.RENEWED
+    return statuses.LeaseState.VOUCHED
 
 
 def _coordinator_lease_until_ms(holder: holders.Holder, timing: settings.Timing) -> int:
@@ -140,7 +143,7 @@
     return holder.renewed_sent_ms + timing.lease_ms
 
 
-def explain_key(node: nodes.Node, key_id: keys.KeyId) -> status.Explanation | None:
+def explain_key(node: nodes.Node, key_id: keys.KeyId) -> statuses.Explanation | None:
     """Return where a key is served and why; None if service or tenant is unknown."""
     configuration = node.knowledge.configuration
     domain = configurations.find_domain(configuration, key_id.service, key_id.tenant)
@@ -155,7 +158,7 @@
     owner_id = table.owners[shard]
     owner = nodes.find_member(node, owner_id)
     is_own = owner_id == node.member.member_id
-    return status.Explanation(
+    return statuses.Explanation(
         service=key_id.service,
         tenant=key_id.tenant,
         key=key_id.key,
--- a/fuchsiamoor/daemon/registration.py
+++ b/fuchsiamoor/daemon/registration.py
@@ -29,7 +29,7 @@
             await register(node)
         except errors.StoreError:
             node.metrics.count("registration.failed")
-            await asyncio.sleep(node.random.uniform(0.5, 1.0) * delay_ms / 1000)
+            await asyncio.sleep(node.rng.uniform(0.5, 1.0) * delay_ms / 1000)
             delay_ms = min(delay_ms * 2, LARGEST_DELAY_MS)
             continue
         delay_ms = FIRST_DELAY_MS
--- a/fuchsiamoor/daemon/starting.py
+++ b/fuchsiamoor/daemon/starting.py
@@ -94,7 +94,7 @@
         serve_local=lambda forward: servings.serve(node.serving, forward),
         metrics=node.metrics,
         now_ms=node.now_ms,
-        rng=node.random,
+        rng=node.rng,
     )
 
 
@@ -150,6 +150,7 @@
         handle,
         lambda: operating.is_ready(node),
         node.metrics,
+        lambda: node.draining_callers,
     )
     return http_servers.make_server(app, node.settings.caller_address)
 
--- a/fuchsiamoor/daemon/upstream_client.py
+++ b/fuchsiamoor/daemon/upstream_client.py
@@ -10,6 +10,7 @@
 import time
 from collections.abc import Iterable
 from dataclasses import dataclass
+from enum import StrEnum
 
 from fuchsiamoor.core.addresses import Address
 from fuchsiamoor.core.requests import Answer, Request
@@ -19,6 +20,7 @@
 from fuchsiamoor.routing import refusals
 
 CONTROL_TIMEOUT_MS = 1000
+PROBE_TIMEOUT_MS = 500
 CONTROL_CONNECTIONS = 2
 NOT_RUN_STATUS = 503
 
@@ -33,6 +35,14 @@
 _PATH = re.compile(r"/[!-~]*")
 
 
+class Probe(StrEnum):
+    """What came of a probe of the upstream."""
+
+    ANSWERED = "answered"
+    REFUSED = "refused"
+    SILENT = "silent"
+
+
 class MalformedRequestError(ValueError):
     """A request that cannot be written as HTTP."""
 
@@ -121,6 +131,16 @@
         found = await _ask(self, "health")
         return found.get("ready") is True
 
+    async def probe(self) -> Probe:
+        """Return whether the upstream's process is there and answers."""
+        match await _call_control(self, "GET", "health", b"", PROBE_TIMEOUT_MS):
+            case WholeAnswer():
+                return Probe.ANSWERED
+            case NotRun(Reason.CONNECT_FAILED):
+                return Probe.REFUSED
+            case _:
+                return Probe.SILENT
+
     async def load(self) -> int | None:
         """Return the requests in flight that the upstream reports, None if unknown."""
         in_flight = (await _ask(self, "load")).get("in_flight")
@@ -279,7 +299,11 @@
 
 
 async def _call_control(
-    client: UpstreamClient, method: str, name: str, body: bytes
+    client: UpstreamClient,
+    method: str,
+    name: str,
+    body: bytes,
+    timeout_ms: int = CONTROL_TIMEOUT_MS,
 ) -> Received | NotRun:
     host, port = client.pool.address
     head = (
@@ -287,4 +311,4 @@
         f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n"
     )
     payload = head.encode() + body
-    return await _exchange(client.control_pool, payload, False, CONTROL_TIMEOUT_MS)
+    return await _exchange(client.control_pool, payload, False, timeout_ms)
--- a/fuchsiamoor/membership/directory.py
+++ b/fuchsiamoor/membership/directory.py
@@ -105,4 +105,4 @@
         f"{member.member_id} {member.registered_version}"
         for member in directory.by_instance.values()
     )
-    return xxhash.xxh3_64_intdigest("\n".join(lines))
+    return xxhash.xxh3_64_intdigest("\n".join(lines).encode())
