peers: read records with one type check for all their fields

Cause: of 23 us for decoding a forwarded request 4 us were the CBOR library's; the rest went into a call for each field and each half of a header. Change: one comparison of all fields' types; a reader is called only for a field that is not plain. The range of integers is not checked again, since without tags CBOR has none above 64 bits (the test of that stays).

--- a/fuchsiamoor/peers/codec.py
+++ b/fuchsiamoor/peers/codec.py
@@ -52,6 +52,7 @@
 
 
 _ROLES = {role.value: role for role in Role}
+_FIRST_BARE_ROLE = Role.REFUSED.value
 _NUMBERS = {record_type: number for number, record_type in messages.KINDS.items()}
 _READERS = {n: records.make_reader(kind) for n, kind in messages.KINDS.items()}
 _WRITERS = {kind: records.make_writer(kind) for kind in _NUMBERS}
@@ -78,7 +79,7 @@
         its fields name.
     """
     message = envelope.message
-    head = (envelope.correlation_id, int(envelope.role))
+    head = (envelope.correlation_id, envelope.role.value)
     if message is None:
         return cbor2.dumps(head)
     try:
@@ -189,13 +190,13 @@
 def _read_envelope(item: object) -> Envelope:
     if type(item) is not list or len(item) < 2:
         raise FrameError("expected a message of at least two items")
-    correlation_id, number = item[:2]
+    correlation_id, number = item[0], item[1]
     if type(correlation_id) is not int or type(number) is not int:
         raise FrameError("expected a correlation id and a role")
     role = _ROLES.get(number)
     if role is None or not 0 <= correlation_id <= MAX_CORRELATION_ID:
         raise FrameError(f"found {item[:2]!r:.60}, expected a correlation id and role")
-    if role >= Role.REFUSED:
+    if number >= _FIRST_BARE_ROLE:
         if len(item) != 2:
             raise FrameError("expected nothing after a refusal")
         return Envelope(correlation_id, role, None)
@@ -203,7 +204,8 @@
     read = _READERS.get(kind) if type(kind) is int else None
     if read is None:
         raise FrameError(f"found kind {kind!r:.40}, expected a known number")
+    del item[:3]
     try:
-        return Envelope(correlation_id, role, read(item[3:]))
+        return Envelope(correlation_id, role, read(item))
     except records.UnreadableRecordError as error:
         raise FrameError(str(error)) from None
--- a/fuchsiamoor/peers/records.py
+++ b/fuchsiamoor/peers/records.py
@@ -9,16 +9,15 @@
 import functools
 import types
 import typing
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from enum import Enum
 
 MAX_ITEMS = 65_536
-MAX_INT = 2**64 - 1
-MIN_INT = -(2**63)
 
 Reader = Callable[[object], object]
 
-_PLAIN_TYPES = (str, bytes, bool)
+_PLAIN_TYPES = (str, bytes, bool, int)
+_new_tuple = tuple.__new__
 
 
 class UnreadableRecordError(ValueError):
@@ -29,6 +28,8 @@
 def make_reader(hint: object) -> Reader:
     """Return a function that checks a decoded value and gives it the hinted type.
 
+    Integers need no check of their range: without tags CBOR has none above 64 bits.
+
     Parameters
     ----------
     hint : type
@@ -40,22 +41,20 @@
         Raises `UnreadableRecordError` for any value of another shape.
     """
     if hint in _PLAIN_TYPES:
-        return functools.partial(_read_plain, hint)
-    if hint is int:
-        return _read_int
+        return _make_plain_reader(hint)
     origin = typing.get_origin(hint)
     arguments = typing.get_args(hint)
     if origin in (types.UnionType, typing.Union):
-        return functools.partial(_read_union, tuple(map(make_reader, arguments)))
+        return _make_union_reader(arguments)
     if origin is tuple and arguments[-1] is Ellipsis:
-        return functools.partial(_read_sequence, make_reader(arguments[0]))
+        return _make_sequence_reader(arguments[0])
     if origin is tuple:
-        return functools.partial(_read_fixed, tuple(map(make_reader, arguments)))
+        return _make_fields_reader(tuple, arguments)
     if origin is dict:
-        return functools.partial(_read_dict, *map(make_reader, arguments))
+        return _make_dict_reader(*arguments)
     if isinstance(hint, type) and issubclass(hint, Enum):
-        return functools.partial(_read_enum, hint)
-    return functools.partial(_read_record, hint, _make_field_readers(hint))
+        return _make_enum_reader(hint)
+    return _make_fields_reader(hint, _field_hints(hint))
 
 
 @functools.cache
@@ -67,7 +66,7 @@
     hint : type
         A record or the type of one of its fields.
     """
-    if hint in (*_PLAIN_TYPES, int):
+    if hint in _PLAIN_TYPES:
         return None
     origin = typing.get_origin(hint)
     arguments = typing.get_args(hint)
@@ -90,19 +89,9 @@
     return [hints[name] for name in record_type._fields]
 
 
-def _make_field_readers(record_type: type) -> tuple[tuple, tuple]:
-    """Return the decoded types of a record's fields and the readers still needed."""
-    decoded_types = []
-    readers = []
-    for i, hint in enumerate(_field_hints(record_type)):
-        decoded_types.append(_decoded_type(hint))
-        if hint not in _PLAIN_TYPES:
-            readers.append((i, make_reader(hint)))
-    return tuple(decoded_types), tuple(readers)
-
-
 def _decoded_type(hint: object) -> type:
-    if hint in (*_PLAIN_TYPES, int):
+    """Return the type that the CBOR library gives a field's value."""
+    if hint in _PLAIN_TYPES:
         return hint
     if typing.get_origin(hint) is dict:
         return dict
@@ -111,69 +100,92 @@
     return list
 
 
-def _read_plain(expected: type, value: object) -> object:
-    if type(value) is not expected:
-        raise UnreadableRecordError(
-            f"found {type(value).__name__}, expected {expected.__name__}"
-        )
-    return value
+def _make_plain_reader(expected: type) -> Reader:
+    def read(value: object) -> object:
+        if type(value) is not expected:
+            raise UnreadableRecordError(
+                f"found {type(value).__name__}, expected {expected.__name__}"
+            )
+        return value
+
+    return read
+
+
+def _make_enum_reader(enum_type: type[Enum]) -> Reader:
+    members = {member.value: member for member in enum_type}
+
+    def read(value: object) -> Enum:
+        if type(value) is not str or value not in members:
+            raise UnreadableRecordError(
+                f"found {value!r:.40}, expected one of {enum_type.__name__}"
+            )
+        return members[value]
+
+    return read
+
+
+def _make_fields_reader(record_type: type, hints: Sequence[object]) -> Reader:
+    """Return a reader of a fixed number of fields, a record's or a plain tuple's."""
+    expected = tuple(map(_decoded_type, hints))
+    readers = tuple(
+        (i, make_reader(hint))
+        for i, hint in enumerate(hints)
+        if hint not in _PLAIN_TYPES
+    )
 
+    def read(value: object) -> tuple:
+        if type(value) is not list or tuple(map(type, value)) != expected:
+            raise UnreadableRecordError(_describe_fields(record_type, expected, value))
+        for i, read_field in readers:
+            value[i] = read_field(value[i])
+        return _new_tuple(record_type, value)
 
-def _read_int(value: object) -> int:
-    if type(value) is not int or not MIN_INT <= value <= MAX_INT:
-        raise UnreadableRecordError(f"found {value!r:.40}, expected a 64-bit integer")
-    return value
+    return read
 
 
-def _read_enum(enum_type: type[Enum], value: object) -> Enum:
-    try:
-        return enum_type(value)
-    except ValueError:
-        raise UnreadableRecordError(
-            f"found {value!r:.40}, expected one of {enum_type.__name__}"
-        ) from None
+def _describe_fields(record_type: type, expected: tuple, value: object) -> str:
+    names = [item.__name__ for item in expected]
+    if type(value) is not list:
+        return f"{record_type.__name__}: found no list, expected {names}"
+    found = [type(item).__name__ for item in value[:20]]
+    return f"fields of {record_type.__name__}: found {found}, expected {names}"
 
 
-def _read_list(value: object) -> list:
-    if type(value) is not list or len(value) > MAX_ITEMS:
-        raise UnreadableRecordError(f"expected a list of at most {MAX_ITEMS} items")
-    return value
+def _make_sequence_reader(item_hint: object) -> Reader:
+    read_item = make_reader(item_hint)
 
+    def read(value: object) -> tuple:
+        if type(value) is not list or len(value) > MAX_ITEMS:
+            raise UnreadableRecordError(f"expected a list of at most {MAX_ITEMS} items")
+        return tuple([read_item(item) for item in value])
 
-def _read_sequence(read_item: Reader, value: object) -> tuple:
-    return tuple([read_item(item) for item in _read_list(value)])
+    return read
 
 
-def _read_fixed(readers: tuple[Reader, ...], value: object) -> tuple:
-    if len(_read_list(value)) != len(readers):
-        raise UnreadableRecordError(f"expected a list of {len(readers)} items")
-    return tuple([read(item) for read, item in zip(readers, value, strict=True)])
+def _make_dict_reader(key_hint: object, value_hint: object) -> Reader:
+    read_key = make_reader(key_hint)
+    read_value = make_reader(value_hint)
 
+    def read(value: object) -> dict:
+        if type(value) is not dict or len(value) > MAX_ITEMS:
+            raise UnreadableRecordError(f"expected a map of at most {MAX_ITEMS} items")
+        return {read_key(key): read_value(item) for key, item in value.items()}
 
-def _read_dict(read_key: Reader, read_value: Reader, value: object) -> dict:
-    if type(value) is not dict or len(value) > MAX_ITEMS:
-        raise UnreadableRecordError(f"expected a map of at most {MAX_ITEMS} items")
-    return {read_key(key): read_value(item) for key, item in value.items()}
+    return read
 
 
-def _read_union(readers: tuple[Reader, ...], value: object) -> object:
-    number, *fields = _read_list(value) or [None]
-    if type(number) is not int or not 0 <= number < len(readers):
-        raise UnreadableRecordError(f"found {number!r:.40}, expected a record's number")
-    return readers[number](fields)
+def _make_union_reader(hints: Sequence[object]) -> Reader:
+    readers = tuple(map(make_reader, hints))
 
+    def read(value: object) -> object:
+        number = value[0] if type(value) is list and value else None
+        if type(number) is not int or not 0 <= number < len(readers):
+            raise UnreadableRecordError(
+                f"found {number!r:.40}, expected a record's number"
+            )
+        return readers[number](value[1:])
 
-def _read_record(record_type: type, fields: tuple[tuple, tuple], value: object):
-    decoded_types, readers = fields
-    if tuple(map(type, _read_list(value))) != decoded_types:
-        raise UnreadableRecordError(
-            f"fields of {record_type.__name__}: found "
-            f"{[type(item).__name__ for item in value[:20]]}, "
-            f"expected {[item.__name__ for item in decoded_types]}"
-        )
-    for i, read in readers:
-        value[i] = read(value[i])
-    return record_type._make(value)
+    return read
 
 
 def _write_enum(value: Enum) -> str:
