--- a/fuchsiamoor/daemon/hand_over.py
+++ b/fuchsiamoor/daemon/hand_over.py
@@ -45,15 +45,20 @@
     shard_id : ShardId
     held : Capacity
         Whose slot it takes.
+    run_number : int
     handed_ms : int
-    start_by_ms : int
-        Time after which the upstream may not start it.
+    slot_until_ms : int
+        Time after which it has ended if the upstream started it at once.
+    ends_by_ms : int
+        Time after which it can neither run nor commit in any case.
     """
 
     shard_id: ShardId
     held: Capacity
+    run_number: int
     handed_ms: int
-    start_by_ms: int
+    slot_until_ms: int
+    ends_by_ms: int
 
 
 async def run(serving: Serving, run: Run) -> Answered:
@@ -131,7 +136,7 @@
     """Return whether a slot taken earlier may still be used."""
     if serving.capacity is not held:
         return False
-    return held.in_flight <= capacity.compute_requests(held, serving.now_ms())
+    return capacity.may_use_slot(held, serving.now_ms())
 
 
 async def _take_slot(serving: Serving, run: Run) -> Capacity | NotRun:
@@ -184,12 +189,9 @@
 ) -> Answer:
     """Give a request to the upstream, in the step of the loop that made the grant."""
     request = run.request
-    handed_ms = serving.now_ms()
-    start_by_ms = min(request.deadline_ms, grant.lease_until_ms)
-    to_unix_ms = serving.unix_ms() - handed_ms
+    handed = _note_hand_over(serving, run, grant, held)
+    to_unix_ms = serving.unix_ms() - handed.handed_ms
     lease_until_unix_ms = grant.lease_until_ms + to_unix_ms if run.domain else 0
-    runs.start(serving.runs, grant.shard_id)
-    run.handed_over = True
     verdict = MayHaveRun(Reason.CANCELLED, "cancelled while it ran")
     try:
         answer = await serving.upstream.run(
@@ -197,7 +199,7 @@
             grant.shard_id.shard,
             grant.epoch,
             lease_until_unix_ms,
-            start_by_ms + to_unix_ms,
+            request.deadline_ms + to_unix_ms,
         )
         if answer.request_id != request.request_id:
             verdict = MayHaveRun(Reason.TRUNCATED, "answer to another request")
@@ -205,37 +207,48 @@
         verdict = answer.verdict
         return answer
     finally:
-        handed = Handed(grant.shard_id, held, handed_ms, start_by_ms)
-        _settle(serving, request.service, handed, verdict)
+        _settle(serving, handed, verdict)
+
+
+def _note_hand_over(serving: Serving, run: Run, grant: Grant, held: Capacity) -> Handed:
+    now_ms = serving.now_ms()
+    service = serving.get_configuration().services[run.request.service]
+    ends_by_ms = run.request.deadline_ms + service.longest_run_ms
+    if run.domain and serving.own_member().checks_grants:
+        ends_by_ms = min(ends_by_ms, grant.lease_until_ms)
+    runs.start(serving.runs, grant.shard_id)
+    run.handed_over = True
+    number = capacity.note_start(held, now_ms)
+    slot_until_ms = now_ms + service.longest_run_ms
+    return Handed(grant.shard_id, held, number, now_ms, slot_until_ms, ends_by_ms)
 
 
 def _settle(
-    serving: Serving,
-    service: str,
-    handed: Handed,
-    verdict: NotRun | MayHaveRun | Ran,
+    serving: Serving, handed: Handed, verdict: NotRun | MayHaveRun | Ran
 ) -> None:
     """Count a run as ended and learn from it."""
     now_ms = serving.now_ms()
+    held = handed.held
     match verdict:
-        case MayHaveRun(reason):
-            services = serving.get_configuration().services
-            longest_ms = services[service].longest_run_ms if service in services else 0
-            until_ms = handed.start_by_ms + longest_ms
-            last = runs.end_uncertain(serving.runs, handed.shard_id, until_ms)
-            if reason is Reason.UPSTREAM_LOST:
-                _restart_ramp(serving, handed)
-            hold_ms = CANCELLED_HOLD_MS if reason is Reason.CANCELLED else longest_ms
-            _release_later(serving, handed.held, hold_ms)
+        case Ran():
+            last = runs.end(serving.runs, handed.shard_id)
+            capacity.note_answer(held, handed.run_number, now_ms - handed.handed_ms)
+            release_slot(serving, held)
         case NotRun(reason):
             last = runs.end(serving.runs, handed.shard_id)
+            capacity.note_other_ending(held, handed.run_number)
             if reason in (Reason.SHED, Reason.CONNECT_FAILED):
                 _restart_ramp(serving, handed)
-            release_slot(serving, handed.held)
-        case Ran():
-            last = runs.end(serving.runs, handed.shard_id)
-            capacity.note_run(handed.held, now_ms - handed.handed_ms)
-            release_slot(serving, handed.held)
+            release_slot(serving, held)
+        case MayHaveRun(reason):
+            last = runs.end_uncertain(serving.runs, handed.shard_id, handed.ends_by_ms)
+            capacity.note_other_ending(held, handed.run_number)
+            if reason is Reason.UPSTREAM_LOST:
+                _restart_ramp(serving, handed)
+            hold_ms = max(handed.slot_until_ms - now_ms, 0)
+            if reason is Reason.CANCELLED:
+                hold_ms = min(hold_ms, CANCELLED_HOLD_MS)
+            _release_later(serving, held, hold_ms)
     if last:
         _wake_drains(serving)
 
--- a/fuchsiamoor/routing/capacity.py
+++ b/fuchsiamoor/routing/capacity.py
@@ -5,7 +5,8 @@
 from dataclasses import dataclass, field
 
 from fuchsiamoor.core.requests import Request
-from fuchsiamoor.routing import admission, limits, ramp
+from fuchsiamoor.routing import admission, coldness, limits, ramp
+from fuchsiamoor.routing.coldness import Coldness
 from fuchsiamoor.routing.limits import AdaptiveLimit
 from fuchsiamoor.routing.ramp import Ramp
 
@@ -18,6 +19,7 @@
     ----------
     ramp : Ramp
     limit : AdaptiveLimit
+    coldness : Coldness
     in_flight : int
         Slots taken, those of runs with an unknown ending included.
     waiting : OrderedDict
@@ -26,13 +28,15 @@
 
     ramp: Ramp
     limit: AdaptiveLimit
+    coldness: Coldness
     in_flight: int = 0
     waiting: OrderedDict[Hashable, int] = field(default_factory=OrderedDict)
 
 
 def make_capacity(started: Ramp, connections: int) -> Capacity:
     """Return the capacity of an upstream at the start of its ramp."""
-    return Capacity(started, limits.make_limit(started.slots, connections))
+    limit = limits.make_limit(started.slots, connections)
+    return Capacity(started, limit, coldness.make_coldness())
 
 
 def compute_requests(capacity: Capacity, now_ms: int) -> int:
@@ -49,6 +53,7 @@
     now_ms: int,
 ) -> admission.Admission:
     """Ask for a slot; `Admitted` takes it, `Queued` puts the ticket into the queue."""
+    _check_coldness(capacity, now_ms)
     limit = admission.Limit(
         compute_requests(capacity, now_ms), queued_requests, capacity.limit.latency_ms
     )
@@ -65,6 +70,12 @@
     return decided
 
 
+def may_use_slot(capacity: Capacity, now_ms: int) -> bool:
+    """Return whether a slot taken a moment ago may still be used."""
+    _check_coldness(capacity, now_ms)
+    return capacity.in_flight <= compute_requests(capacity, now_ms)
+
+
 def release(capacity: Capacity) -> None:
     """Give one slot back."""
     capacity.in_flight -= 1
@@ -77,6 +88,9 @@
 
 def grant(capacity: Capacity, now_ms: int) -> list[Hashable]:
     """Give free slots to the first in the queue and return their tickets."""
+    if not capacity.waiting:
+        return []
+    _check_coldness(capacity, now_ms)
     granted = []
     requests = compute_requests(capacity, now_ms)
     while capacity.waiting and capacity.in_flight < requests:
@@ -86,14 +100,35 @@
     return granted
 
 
-def note_run(capacity: Capacity, latency_ms: float) -> None:
+def note_start(capacity: Capacity, now_ms: int) -> int:
+    """Take in that a request is handed over, and return the number of its run."""
+    return coldness.note_start(capacity.coldness, now_ms)
+
+
+def note_answer(capacity: Capacity, run: int, latency_ms: float) -> None:
     """Take in the time of one whole answer."""
+    coldness.note_answer(capacity.coldness, run, latency_ms)
     limits.note_latency(capacity.limit, latency_ms)
 
 
+def note_other_ending(capacity: Capacity, run: int) -> None:
+    """Take in that a run ended without an answer."""
+    coldness.note_other_ending(capacity.coldness, run)
+
+
 def note_cold(capacity: Capacity, handed_ms: int, now_ms: int) -> bool:
     """Start the ramp again, unless the run was handed over before its last start."""
     if handed_ms < capacity.ramp.started_ms:
         return False
-    capacity.ramp = ramp.restart(capacity.ramp, now_ms)
+    _restart(capacity, now_ms)
     return True
+
+
+def _check_coldness(capacity: Capacity, now_ms: int) -> None:
+    if coldness.is_cold(capacity.coldness, now_ms):
+        _restart(capacity, now_ms)
+
+
+def _restart(capacity: Capacity, now_ms: int) -> None:
+    capacity.ramp = ramp.restart(capacity.ramp, now_ms)
+    coldness.forget_runs(capacity.coldness)
