--- a/fuchsiamoor/daemon/serving.py
+++ b/fuchsiamoor/daemon/serving.py
@@ -6,22 +6,17 @@
 """
 
 import asyncio
-from asyncio import Future, Task
 from collections.abc import Callable, Iterable
 
-import xxhash
-
 from fuchsiamoor.core.configuration import Configuration
 from fuchsiamoor.core.members import Member
-from fuchsiamoor.core.messages import Answered, Forward
+from fuchsiamoor.core.messages import Answered, Forward, MemberLoad
 from fuchsiamoor.core.requests import Request
 from fuchsiamoor.core.tables import ShardTable
-from fuchsiamoor.core.verdicts import MayHaveRun, NotRun, Ran, Reason
-from fuchsiamoor.daemon import hand_over
+from fuchsiamoor.core.verdicts import NotRun, Reason
+from fuchsiamoor.daemon import serving_runs
 from fuchsiamoor.daemon.serving_state import (
-    IdempotencyName,
     Metrics,
-    Run,
     Serving,
     Upstream,
 )
@@ -30,10 +25,8 @@
     capacity,
     parking,
     ramp,
-    recent,
-    refusals,
+    rates,
     residency,
-    routes,
     runs,
 )
 from fuchsiamoor.routing.runs import ShardId
@@ -137,19 +130,23 @@
     request = forward.request._replace(deadline_ms=deadline_ms)
     refused = _check_forward(serving, forward, request)
     if refused is not None:
-        return _refuse_for_good(serving, forward, refused)
-    name = _make_name(request)
-    fingerprint = _compute_fingerprint(request)
-    known = _find_ending(serving, forward, request, name, fingerprint, now_ms)
+        return serving_runs.refuse_for_good(serving, forward, refused)
+    name = serving_runs.make_name(request)
+    fingerprint = serving_runs.compute_fingerprint(request)
+    known = serving_runs.find_ending(
+        serving, forward, request, name, fingerprint, now_ms
+    )
     if known is not None:
         serving.metrics.count("serving.repeated")
         return known
-    run = _find_run(serving, request, name)
+    run = serving_runs.find_run(serving, request, name)
     if run is None:
-        run = _start_run(serving, request, forward.attempt, name, fingerprint)
+        run = serving_runs.start_run(
+            serving, request, forward.attempt, name, fingerprint
+        )
     elif run.fingerprint != fingerprint:
-        return _refuse(request, _OTHER_REQUEST)
-    return await _wait_for_ending(serving, run, request.request_id)
+        return serving_runs.refuse(request, serving_runs.OTHER_REQUEST)
+    return await serving_runs.wait_for_ending(serving, run, request.request_id)
 
 
 def cancel(serving: Serving, request_id: str) -> None:
@@ -162,7 +159,7 @@
         return
     for waiter, waiting_id in run.waiters.items():
         if waiting_id == request_id and not waiter.done():
-            waiter.set_result(_refuse_cancelled(run, request_id))
+            waiter.set_result(serving_runs.refuse_cancelled(run, request_id))
 
 
 async def drain_shards(serving: Serving, domain: str, shards: Iterable[int]) -> None:
@@ -194,9 +191,20 @@
         await asyncio.sleep(wait_ms / 1000)
 
 
-_OTHER_REQUEST = NotRun(
-    Reason.BAD_REQUEST, "the idempotency key was used for another request"
-)
+def take_load(serving: Serving, domain: str, leaving: bool) -> MemberLoad:
+    """Return what the coordinator of a domain is told, and count rates anew."""
+    now_ms = serving.now_ms()
+    rates_of = serving.rates.get(domain)
+    held = serving.capacity
+    return MemberLoad(
+        upstream_ready=held is not None and not serving.leaving,
+        leaving=leaving,
+        in_flight=held.in_flight if held else 0,
+        limit=capacity.compute_requests(held, now_ms) if held else 0,
+        latency_us=int(held.limit.latency_ms * 1_000) if held else 0,
+        shard_rates=rates.take_busiest(rates_of.shards, now_ms) if rates_of else {},
+        hot_keys=rates.take_busiest(rates_of.keys, now_ms) if rates_of else {},
+    )
 
 
 def _check_forward(
@@ -228,151 +236,3 @@
     if refused.reason not in (Reason.UNKNOWN_SERVICE, Reason.UNKNOWN_TENANT):
         return refused
     return NotRun(Reason.STARTING, "configuration not received yet")
-
-
-def _make_name(request: Request) -> IdempotencyName | None:
-    if not request.idempotency_key or not request.key:
-        return None
-    return IdempotencyName(
-        request.service, request.tenant, request.key, request.idempotency_key
-    )
-
-
-def _compute_fingerprint(request: Request) -> int:
-    """Return a hash of what is asked, 0 where no repeat can be told from it."""
-    if not request.idempotency_key:
-        return 0
-    asked = b"\0".join((request.method.encode(), request.path.encode(), request.body))
-    return xxhash.xxh3_64_intdigest(asked)
-
-
-def _find_ending(
-    serving: Serving,
-    forward: Forward,
-    request: Request,
-    name: IdempotencyName | None,
-    fingerprint: int,
-    now_ms: int,
-) -> Answered | None:
-    """Return the ending of an earlier sending that settles this one."""
-    ended = recent.recall(serving.ended, request.request_id, now_ms)
-    if ended is not None and (
-        forward.attempt <= ended.attempt or _settles(ended.answer.verdict, request)
-    ):
-        return Answered(ended.answer, "", 0)
-    if name is None:
-        return None
-    stored = recent.recall(serving.ended_by_key, name, now_ms)
-    if stored is None or not _settles(stored.answer.verdict, request):
-        return None
-    if stored.fingerprint != fingerprint:
-        return _refuse(request, _OTHER_REQUEST)
-    return Answered(stored.answer._replace(request_id=request.request_id), "", 0)
-
-
-def _settles(verdict: NotRun | MayHaveRun | Ran, request: Request) -> bool:
-    match verdict:
-        case Ran():
-            return True
-        case MayHaveRun():
-            return not request.idempotent
-        case NotRun():
-            return False
-
-
-def _find_run(
-    serving: Serving, request: Request, name: IdempotencyName | None
-) -> Run | None:
-    run = serving.running.get(request.request_id)
-    if run is None and name is not None:
-        run = serving.running_by_key.get(name)
-    return run
-
-
-def _start_run(
-    serving: Serving,
-    request: Request,
-    attempt: int,
-    name: IdempotencyName | None,
-    fingerprint: int,
-) -> Run:
-    domain = routes.find_domain(serving.get_configuration(), request)
-    run = Run(request, domain, attempt, fingerprint)
-    serving.running[request.request_id] = run
-    if name is not None:
-        serving.running_by_key[name] = run
-    run.task = asyncio.create_task(hand_over.run(serving, run))
-    run.task.add_done_callback(lambda task: _end_run(serving, run, name, task))
-    return run
-
-
-def _end_run(
-    serving: Serving, run: Run, name: IdempotencyName | None, task: Task[Answered]
-) -> None:
-    answered = _take_ending(run, task)
-    del serving.running[run.request.request_id]
-    if name is not None:
-        del serving.running_by_key[name]
-    _remember(serving, run, name, answered)
-    for waiter, request_id in run.waiters.items():
-        if not waiter.done():
-            answer = answered.answer._replace(request_id=request_id)
-            waiter.set_result(answered._replace(answer=answer))
-
-
-def _take_ending(run: Run, task: Task[Answered]) -> Answered:
-    if task.cancelled() or task.exception() is not None:
-        return _refuse_cancelled(run, run.request.request_id)
-    return task.result()
-
-
-def _remember(
-    serving: Serving, run: Run, name: IdempotencyName | None, answered: Answered
-) -> None:
-    verdict = answered.answer.verdict
-    if run.request.idempotent and name is None and not isinstance(verdict, NotRun):
-        return
-    ending = recent.Remembered(
-        answered.answer, run.attempt, run.fingerprint, serving.now_ms()
-    )
-    recent.remember(serving.ended, run.request.request_id, ending)
-    if name is not None and not isinstance(verdict, NotRun):
-        recent.remember(serving.ended_by_key, name, ending)
-
-
-async def _wait_for_ending(serving: Serving, run: Run, request_id: str) -> Answered:
-    waiter = asyncio.get_running_loop().create_future()
-    run.waiters[waiter] = request_id
-    serving.running[request_id] = run
-    try:
-        return await waiter
-    finally:
-        _leave_run(serving, run, waiter)
-
-
-def _leave_run(serving: Serving, run: Run, waiter: Future[Answered]) -> None:
-    """Stop waiting for a run, and cancel it if nobody else waits."""
-    request_id = run.waiters.pop(waiter)
-    if request_id != run.request.request_id and request_id not in run.waiters.values():
-        serving.running.pop(request_id, None)
-    if not run.waiters and not run.task.done():
-        run.task.cancel()
-
-
-def _refuse_for_good(serving: Serving, forward: Forward, verdict: NotRun) -> Answered:
-    """Refuse a sending, so that a late copy of it is refused as well."""
-    answered = _refuse(forward.request, verdict)
-    ending = recent.Remembered(answered.answer, forward.attempt, 0, serving.now_ms())
-    recent.remember(serving.ended, forward.request.request_id, ending)
-    return answered
-
-
-def _refuse(request: Request, verdict: NotRun) -> Answered:
-    return Answered(refusals.make_refusal(request.request_id, verdict), "", 0)
-
-
-def _refuse_cancelled(run: Run, request_id: str) -> Answered:
-    verdict = NotRun(Reason.CANCELLED, "cancelled before it ran")
-    if run.handed_over:
-        verdict = MayHaveRun(Reason.CANCELLED, "cancelled while it ran")
-    return Answered(refusals.make_refusal(request_id, verdict), "", 0)
--- /dev/null
+++ b/fuchsiamoor/daemon/serving_runs.py
@@ -0,0 +1,180 @@
+"""Runs of the serving side: started once, joined and remembered by name.
+
+A run is known by the request's id, and by its idempotency key where it has one. Copies
+and repeats join it while it runs, and get its ending for a while after.
+"""
+
+import asyncio
+from asyncio import Future, Task
+
+import xxhash
+
+from fuchsiamoor.core import keys
+from fuchsiamoor.core.messages import Answered, Forward
+from fuchsiamoor.core.requests import Request
+from fuchsiamoor.core.verdicts import MayHaveRun, NotRun, Ran, Reason
+from fuchsiamoor.daemon import hand_over
+from fuchsiamoor.daemon.serving_state import IdempotencyName, Run, Serving
+from fuchsiamoor.routing import recent, refusals, routes
+
+OTHER_REQUEST = NotRun(
+    Reason.BAD_REQUEST, "the idempotency key was used for another request"
+)
+
+
+def make_name(request: Request) -> IdempotencyName | None:
+    """Return the name under which repeats of a request are known, None if none are."""
+    if not request.idempotency_key or not request.key:
+        return None
+    return IdempotencyName(
+        request.service, request.tenant, request.key, request.idempotency_key
+    )
+
+
+def compute_fingerprint(request: Request) -> int:
+    """Return a hash of what is asked, 0 where no repeat can be told from it."""
+    if not request.idempotency_key:
+        return 0
+    asked = b"\0".join((request.method.encode(), request.path.encode(), request.body))
+    return xxhash.xxh3_64_intdigest(asked)
+
+
+def find_ending(
+    serving: Serving,
+    forward: Forward,
+    request: Request,
+    name: IdempotencyName | None,
+    fingerprint: int,
+    now_ms: int,
+) -> Answered | None:
+    """Return the ending of an earlier sending that settles this one."""
+    ended = recent.recall(serving.ended, request.request_id, now_ms)
+    if ended is not None and (
+        forward.attempt <= ended.attempt or _settles(ended.answer.verdict, request)
+    ):
+        return Answered(ended.answer, "", 0)
+    if name is None:
+        return None
+    stored = recent.recall(serving.ended_by_key, name, now_ms)
+    if stored is None or not _settles(stored.answer.verdict, request):
+        return None
+    if stored.fingerprint != fingerprint:
+        return refuse(request, OTHER_REQUEST)
+    return Answered(stored.answer._replace(request_id=request.request_id), "", 0)
+
+
+def _settles(verdict: NotRun | MayHaveRun | Ran, request: Request) -> bool:
+    match verdict:
+        case Ran():
+            return True
+        case MayHaveRun():
+            return not request.idempotent
+        case NotRun():
+            return False
+
+
+def find_run(
+    serving: Serving, request: Request, name: IdempotencyName | None
+) -> Run | None:
+    """Return the run that a request is a copy or a repeat of."""
+    run = serving.running.get(request.request_id)
+    if run is None and name is not None:
+        run = serving.running_by_key.get(name)
+    return run
+
+
+def start_run(
+    serving: Serving,
+    request: Request,
+    attempt: int,
+    name: IdempotencyName | None,
+    fingerprint: int,
+) -> Run:
+    """Start the run of a request that is known under no name."""
+    domain = routes.find_domain(serving.get_configuration(), request)
+    key_hash = 0
+    if domain:
+        key_id = keys.KeyId(request.service, request.tenant, request.key)
+        key_hash = keys.hash_key(key_id)
+    run = Run(request, domain, key_hash, attempt, fingerprint)
+    serving.running[request.request_id] = run
+    if name is not None:
+        serving.running_by_key[name] = run
+    run.task = asyncio.create_task(hand_over.run(serving, run))
+    run.task.add_done_callback(lambda task: _end_run(serving, run, name, task))
+    return run
+
+
+def _end_run(
+    serving: Serving, run: Run, name: IdempotencyName | None, task: Task[Answered]
+) -> None:
+    answered = _take_ending(run, task)
+    del serving.running[run.request.request_id]
+    if name is not None:
+        del serving.running_by_key[name]
+    _remember(serving, run, name, answered)
+    for waiter, request_id in run.waiters.items():
+        if not waiter.done():
+            answer = answered.answer._replace(request_id=request_id)
+            waiter.set_result(answered._replace(answer=answer))
+
+
+def _take_ending(run: Run, task: Task[Answered]) -> Answered:
+    if task.cancelled() or task.exception() is not None:
+        return refuse_cancelled(run, run.request.request_id)
+    return task.result()
+
+
+def _remember(
+    serving: Serving, run: Run, name: IdempotencyName | None, answered: Answered
+) -> None:
+    verdict = answered.answer.verdict
+    if run.request.idempotent and name is None and not isinstance(verdict, NotRun):
+        return
+    ending = recent.Remembered(
+        answered.answer, run.attempt, run.fingerprint, serving.now_ms()
+    )
+    recent.remember(serving.ended, run.request.request_id, ending)
+    if name is not None and not isinstance(verdict, NotRun):
+        recent.remember(serving.ended_by_key, name, ending)
+
+
+async def wait_for_ending(serving: Serving, run: Run, request_id: str) -> Answered:
+    """Wait for a run to end, and cancel it if all who waited are gone."""
+    waiter = asyncio.get_running_loop().create_future()
+    run.waiters[waiter] = request_id
+    serving.running[request_id] = run
+    try:
+        return await waiter
+    finally:
+        _leave_run(serving, run, waiter)
+
+
+def _leave_run(serving: Serving, run: Run, waiter: Future[Answered]) -> None:
+    """Stop waiting for a run, and cancel it if nobody else waits."""
+    request_id = run.waiters.pop(waiter)
+    if request_id != run.request.request_id and request_id not in run.waiters.values():
+        serving.running.pop(request_id, None)
+    if not run.waiters and not run.task.done():
+        run.task.cancel()
+
+
+def refuse_for_good(serving: Serving, forward: Forward, verdict: NotRun) -> Answered:
+    """Refuse a sending, so that a late copy of it is refused as well."""
+    answered = refuse(forward.request, verdict)
+    ending = recent.Remembered(answered.answer, forward.attempt, 0, serving.now_ms())
+    recent.remember(serving.ended, forward.request.request_id, ending)
+    return answered
+
+
+def refuse(request: Request, verdict: NotRun) -> Answered:
+    """Return a refusal of a request."""
+    return Answered(refusals.make_refusal(request.request_id, verdict), "", 0)
+
+
+def refuse_cancelled(run: Run, request_id: str) -> Answered:
+    """Return what a cancelled request is told, by how far it had come."""
+    verdict = NotRun(Reason.CANCELLED, "cancelled before it ran")
+    if run.handed_over:
+        verdict = MayHaveRun(Reason.CANCELLED, "cancelled while it ran")
+    return Answered(refusals.make_refusal(request_id, verdict), "", 0)
--- a/fuchsiamoor/daemon/serving_state.py
+++ b/fuchsiamoor/daemon/serving_state.py
@@ -13,6 +13,7 @@
 from fuchsiamoor.ownership.holder import MayServe, NotOwner, Wait
 from fuchsiamoor.routing.capacity import Capacity
 from fuchsiamoor.routing.parking import Parking, make_parking
+from fuchsiamoor.routing.rates import Rates
 from fuchsiamoor.routing.recent import Memory, make_memory
 from fuchsiamoor.routing.runs import Runs, make_runs
 
@@ -75,6 +76,7 @@
     request : Request
     domain : str
         Empty for a request without a key.
+    key_hash : int
     attempt : int
     fingerprint : int
         Hash of what was asked.
@@ -87,6 +89,7 @@
 
     request: Request
     domain: str
+    key_hash: int
     attempt: int
     fingerprint: int
     waiters: dict[Future[Answered], str] = field(default_factory=dict)
@@ -94,6 +97,13 @@
     handed_over: bool = False
 
 
+class DomainRates(NamedTuple):
+    """Requests handed over for one domain, by shard and by key hash."""
+
+    shards: Rates
+    keys: Rates
+
+
 @dataclass(slots=True)
 class Serving:
     """The serving side of one daemon; made by `serving.make_serving`.
@@ -113,6 +123,7 @@
     parking : Parking
         Requests that wait for the right to serve their shard.
     runs : Runs
+    rates : dict of str to DomainRates
     drain_waiters : list of Future
         Set when the last run of any shard has ended.
     """
@@ -142,4 +153,5 @@
     )
     parking: Parking = field(default_factory=make_parking)
     runs: Runs = field(default_factory=make_runs)
+    rates: dict[str, DomainRates] = field(default_factory=dict)
     drain_waiters: list[Future[None]] = field(default_factory=list)
