--- /dev/null
+++ b/bench/routing_policy.py
@@ -0,0 +1,272 @@
+"""Compares routing policies on a model of the two deployments.
+
+Run with ``python -m bench.routing_policy [TABLE ...]``. Prints one table for each
+scenario, with baselines beside the policy in use.
+"""
+
+import os
+import platform
+import sys
+
+from bench import routing_model
+from bench.routing_model import Model, Policy, Scenario
+from fuchsiamoor.core.members import Member
+from fuchsiamoor.routing import choice
+
+DALA = tuple(
+    f"{region}-{number}" for region in ("almaty", "astana", "aktobe") for number in "12"
+)
+ANDINA = tuple(
+    f"{region}-{number}" for region in ("bogota", "medellin", "cali") for number in "12"
+)
+
+
+def make_scenarios(**changes) -> dict[str, Scenario]:
+    """Return the two deployments' booking and certificate services."""
+    return {
+        "Dala": Scenario((*DALA, DALA[0]), slots=20)._replace(**changes),
+        "Andina": Scenario((*ANDINA, ANDINA[0]), slots=12)._replace(**changes),
+    }
+
+
+def _left(model: Model, entry, tried) -> list[Member]:
+    found = routing_model.find_candidates(model, entry)
+    return [
+        member for member in (*found.near, *found.far) if member.member_id not in tried
+    ]
+
+
+def choose_random(model: Model, entry, tried) -> Member | None:
+    """Choose any."""
+    left = _left(model, entry, tried)
+    return model.rng.choice(left) if left else None
+
+
+def _least(model: Model, members: list[Member], load) -> Member | None:
+    if not members:
+        return None
+    shuffled = model.rng.sample(members, len(members))
+    return min(shuffled, key=load)
+
+
+def choose_least_reported(model: Model, entry, tried) -> Member | None:
+    """Choose the least loaded by the upstreams' reports."""
+    return _least(
+        model,
+        _left(model, entry, tried),
+        lambda member: model.upstreams[member.member_id].reported,
+    )
+
+
+def choose_two_reported(model: Model, entry, tried) -> Member | None:
+    """Choose the better of two random ones by the upstreams' reports."""
+    left = _left(model, entry, tried)
+    return _least(
+        model,
+        model.rng.sample(left, min(2, len(left))),
+        lambda member: model.upstreams[member.member_id].reported,
+    )
+
+
+def choose_least_own(model: Model, entry, tried) -> Member | None:
+    """Choose the least loaded by own requests in flight."""
+    return _least(
+        model,
+        _left(model, entry, tried),
+        lambda member: _own_in_flight(entry, member),
+    )
+
+
+def choose_two_own(model: Model, entry, tried) -> Member | None:
+    """Choose the better of two random ones by own requests in flight."""
+    left = _left(model, entry, tried)
+    return _least(
+        model,
+        model.rng.sample(left, min(2, len(left))),
+        lambda member: _own_in_flight(entry, member),
+    )
+
+
+def _own_in_flight(entry, member: Member) -> int:
+    return choice.measured_of(entry.measurements, member.member_id).in_flight
+
+
+def choose_by_latency(model: Model, entry, tried) -> Member | None:
+    """Choose the fastest of all by own measurements."""
+    return _least(
+        model,
+        _left(model, entry, tried),
+        lambda member: choice.compute_expected_ms(
+            entry.measurements, entry.member, member, int(model.now_ms)
+        ),
+    )
+
+
+def choose_in_use(model: Model, entry, tried) -> Member | None:
+    """Choose as the entry daemon does."""
+    return choice.choose_member(
+        entry.measurements,
+        entry.member,
+        routing_model.find_candidates(model, entry),
+        tried,
+        int(model.now_ms),
+        model.rng,
+    )
+
+
+IN_USE = Policy("in use", choose_in_use)
+CHOICES = (
+    Policy("random", choose_random),
+    Policy("least by reports", choose_least_reported),
+    Policy("two by reports", choose_two_reported),
+    Policy("least by own count", choose_least_own),
+    Policy("two by own count", choose_two_own),
+    Policy("fastest measured", choose_by_latency),
+    IN_USE,
+)
+
+
+def _percentile(ordered: list[float], share: float) -> float:
+    return ordered[min(int(len(ordered) * share), len(ordered) - 1)]
+
+
+def print_heading(title: str) -> None:
+    """Print a table's title and column names."""
+    print(f"\n{title}")
+    print(
+        f"{'deployment':<9}{'policy':<22}{'p50':>6}{'p99':>7}{'p99.9':>7}"
+        f"{'refused%':>9}{'late%':>7}{'good/s':>8}{'imbal':>7}{'cross%':>8}"
+        f"{'extra%':>8}{'overfill':>9}"
+    )
+
+
+def print_row(deployment: str, name: str, model: Model, window=None) -> None:
+    """Print what one run of the model measured; times in milliseconds.
+
+    Parameters
+    ----------
+    deployment, name : str
+    model : Model
+    window : tuple of int or None
+        Take latencies of requests that arrived in it only.
+    """
+    low, high = window or (1_000, model.scenario.length_ms)
+    ordered = sorted(
+        latency for started, latency in model.latencies_ms if low <= started < high
+    )
+    counts, arrived = model.counts, model.counts["arrived"]
+    busy = [upstream.busy_ms for upstream in model.upstreams.values()]
+    imbalance = max(busy) / (sum(busy) / len(busy))
+    whole_bytes = arrived * (routing_model.REQUEST_BYTES + routing_model.ANSWER_BYTES)
+    extra = counts["hedged"] + counts["retried"]
+    refused, late = (100 * counts[name] / arrived for name in ("refused", "late"))
+    print(
+        f"{deployment:<9}{name:<22}{_percentile(ordered, 0.5):>6.0f}"
+        f"{_percentile(ordered, 0.99):>7.0f}{_percentile(ordered, 0.999):>7.0f}"
+        f"{refused:>9.2f}{late:>7.2f}"
+        f"{counts['answered in time'] / model.scenario.length_ms * 1000:>8.0f}"
+        f"{imbalance:>7.2f}{100 * model.cross_region_bytes / whole_bytes:>8.1f}"
+        f"{100 * extra / arrived:>8.2f}{counts['overfilled']:>9}",
+        flush=True,
+    )
+
+
+def print_choices() -> None:
+    """Choice of upstream against the age and truth of load reports."""
+    for title, changes in (
+        ("reports every 0.1 s", {"report_every_ms": 100}),
+        ("reports every 1 s", {"report_every_ms": 1_000}),
+        ("reports every 10 s", {"report_every_ms": 10_000}),
+        ("reports every 1 s, two always report 0", {"misleading": 2}),
+    ):
+        print_heading(f"Choice of upstream at 0.7 of capacity, {title}")
+        for deployment, scenario in make_scenarios(**changes).items():
+            for policy in CHOICES:
+                model = routing_model.run_model(scenario, policy._replace(hedges=False))
+                print_row(deployment, policy.name, model)
+
+
+def print_stragglers() -> None:
+    """One upstream ten times slower for 4 s."""
+    print_heading("Straggler: one upstream 10 times slower from 3 s to 7 s, load 0.5")
+    window = (3_000, 7_000)
+    for deployment, healthy in make_scenarios(load=0.5).items():
+        slow = healthy._replace(slow=(1, 3_000, 7_000, 10.0))
+        cases = (
+            ("healthy, in use", healthy, IN_USE),
+            ("in use", slow, IN_USE),
+            ("in use, no hedge", slow, IN_USE._replace(hedges=False)),
+            ("random, hedge", slow, CHOICES[0]),
+            ("random, no hedge", slow, CHOICES[0]._replace(hedges=False)),
+            ("two by own, no hedge", slow, CHOICES[4]._replace(hedges=False)),
+        )
+        for name, scenario, policy in cases:
+            model = routing_model.run_model(scenario, policy)
+            print_row(deployment, name, model, window)
+
+
+def print_overload() -> None:
+    """Twice the arrivals that the upstreams can run."""
+    print_heading("Overload: 2 times capacity, beside a load of 1")
+    for deployment, double in make_scenarios(load=2.0, length_ms=5_000).items():
+        unbounded = IN_USE._replace(bounded=False)
+        at_capacity = double._replace(load=1.0)
+        for name, scenario, policy in (
+            ("load 1, in use", at_capacity, IN_USE),
+            ("load 2, in use", double, IN_USE),
+            ("load 2, random", double, CHOICES[0]),
+            ("load 2, no bounds", double, unbounded),
+        ):
+            print_row(deployment, name, routing_model.run_model(scenario, policy))
+
+
+def print_moves() -> None:
+    """A data centre leaves and comes back cold; an upstream turns cold unannounced."""
+    print_heading("Data centre out from 3 s to 5 s, back cold (ramp 3 s), load 0.5")
+    for deployment, healthy in make_scenarios(load=0.5).items():
+        left = healthy._replace(out=(healthy.data_centres[0], 3_000, 5_000))
+        for name, policy in (
+            ("in use", IN_USE),
+            ("no ramp", IN_USE._replace(ramps=False, notices_cold=False)),
+            ("no ramp, random", CHOICES[0]._replace(ramps=False, notices_cold=False)),
+        ):
+            print_row(deployment, name, routing_model.run_model(left, policy))
+    print_heading("One upstream turns cold unannounced at 3 s (ramp 3 s), load 0.5")
+    for deployment, healthy in make_scenarios(load=0.5).items():
+        cold = healthy._replace(cold_at_ms=3_000)
+        for name, policy in (
+            ("in use", IN_USE),
+            ("cold not noticed", IN_USE._replace(notices_cold=False)),
+            ("random, not noticed", CHOICES[0]._replace(notices_cold=False)),
+        ):
+            print_row(deployment, name, routing_model.run_model(cold, policy))
+
+
+def print_loads() -> None:
+    """Near upstreams first, against load."""
+    print_heading("Cross-region traffic against load (reports unused)")
+    for load in (0.3, 0.5, 0.7, 0.85, 0.95):
+        for deployment, scenario in make_scenarios(load=load, length_ms=5_000).items():
+            for policy in (CHOICES[0], CHOICES[4], IN_USE):
+                model = routing_model.run_model(scenario, policy)
+                print_row(deployment, f"{policy.name} at {load}", model)
+
+
+TABLES = {
+    "choices": print_choices,
+    "stragglers": print_stragglers,
+    "overload": print_overload,
+    "moves": print_moves,
+    "loads": print_loads,
+}
+
+
+def main() -> None:
+    """Print the tables named on the command line, or all."""
+    print(f"{os.cpu_count()} cores, Python {platform.python_version()}")
+    for name in sys.argv[1:] or TABLES:
+        TABLES[name]()
+
+
+if __name__ == "__main__":
+    main()
--- a/fuchsiamoor/daemon/entry_any.py
+++ b/fuchsiamoor/daemon/entry_any.py
@@ -9,7 +9,7 @@
 from fuchsiamoor.core.requests import Answer, Request
 from fuchsiamoor.core.verdicts import MayHaveRun, NotRun, Ran, Reason
 from fuchsiamoor.daemon import sending
-from fuchsiamoor.daemon.sending import Entry
+from fuchsiamoor.daemon.sending import CandidatesName, Entry
 from fuchsiamoor.routing import (
     budget,
     candidates,
@@ -20,6 +20,7 @@
     stragglers,
 )
 
+CANDIDATES_KEEP_MS = 100
 NO_ROUTE = routes.Unsettled("", Reason.NO_OWNER, 0)
 
 
@@ -69,19 +70,33 @@
 
 
 def _choose(entry: Entry, request: Request, attempts: Attempts) -> Member | None:
-    allowed = candidates.list_candidates(
-        entry.get_configuration(), entry.list_members(request.service), request
-    )
     return choice.choose_member(
         entry.measurements,
         entry.own_member(),
-        allowed,
+        _find_candidates(entry, request),
         attempts.tried,
         entry.now_ms(),
         entry.rng,
     )
 
 
+def _find_candidates(entry: Entry, request: Request) -> choice.Candidates:
+    """Return the candidates of a tenant, found anew every `CANDIDATES_KEEP_MS`."""
+    now_ms = entry.now_ms()
+    configuration = entry.get_configuration()
+    name = CandidatesName(configuration.revision, request.service, request.tenant)
+    if now_ms >= entry.candidates_until_ms:
+        entry.candidates.clear()
+        entry.candidates_until_ms = now_ms + CANDIDATES_KEEP_MS
+    found = entry.candidates.get(name)
+    if found is None:
+        members = entry.list_members(request.service)
+        allowed = candidates.list_candidates(configuration, members, request)
+        found = choice.split_candidates(entry.own_member(), allowed)
+        entry.candidates[name] = found
+    return found
+
+
 def _refuse(request: Request, attempts: Attempts, reason: Reason) -> Answer:
     if isinstance(attempts.ending, MayHaveRun) or attempts.tried:
         return refusals.make_refusal(request.request_id, attempts.ending)
@@ -111,7 +126,9 @@
 ) -> None:
     match answered.answer.verdict if answered else MayHaveRun(Reason.CANCELLED):
         case Ran():
-            choice.note_latency(entry.measurements, target.member_id, latency_ms)
+            choice.note_latency(
+                entry.measurements, target.member_id, latency_ms, entry.now_ms()
+            )
             latencies = entry.latencies.setdefault(
                 request.service, stragglers.make_latencies()
             )
@@ -119,7 +136,11 @@
         case MayHaveRun():
             measured = choice.measured_of(entry.measurements, target.member_id)
             if latency_ms > measured.latency_ms:
-                choice.note_latency(entry.measurements, target.member_id, latency_ms)
+                choice.note_latency(
+                    entry.measurements, target.member_id, latency_ms, entry.now_ms()
+                )
+        case NotRun(reason) if reason in retry.UNSETTLED_OWNER_REASONS:
+            choice.note_out(entry.measurements, target.member_id, entry.now_ms())
         case NotRun():
             choice.note_full(entry.measurements, target.member_id, entry.now_ms())
 
--- a/fuchsiamoor/daemon/sending.py
+++ b/fuchsiamoor/daemon/sending.py
@@ -4,7 +4,7 @@
 import random
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from fuchsiamoor.core import errors, messages
 from fuchsiamoor.core.configuration import Configuration
@@ -15,7 +15,7 @@
 from fuchsiamoor.core.verdicts import MayHaveRun, NotRun, Reason
 from fuchsiamoor.routing import refusals, retry, routes
 from fuchsiamoor.routing.budget import Budget
-from fuchsiamoor.routing.choice import Measurements, make_measurements
+from fuchsiamoor.routing.choice import Candidates, Measurements, make_measurements
 from fuchsiamoor.routing.parking import Parking, make_parking
 from fuchsiamoor.routing.stragglers import Latencies
 
@@ -37,6 +37,14 @@
         """Add to a counter."""
 
 
+class CandidatesName(NamedTuple):
+    """What the candidates for a request depend on."""
+
+    configuration_revision: int
+    service: str
+    tenant: str
+
+
 @dataclass(slots=True)
 class Entry:
     """The entry side of one daemon; made by `make_entry`."""
@@ -55,6 +63,8 @@
     measurements: Measurements = field(default_factory=make_measurements)
     budgets: dict[str, Budget] = field(default_factory=dict)
     latencies: dict[str, Latencies] = field(default_factory=dict)
+    candidates: dict[CandidatesName, Candidates] = field(default_factory=dict)
+    candidates_until_ms: int = 0
 
 
 async def send(
