Tell a cold upstream by the mean age of what it runs

Cause: with run times spread widely (half fixed, half exponential, mean 20 ms) an upstream that turned cold (5 times slower) or slow (10 times) was never noticed: runs over 3 times the slowest of late are too rare. Ruled out: a lower factor on the slowest, which fires on a healthy mix of short and long runs. Change: the mean age of what runs, against its moving average, allowed to stray by 8 deviations of a mean of that many.

--- a/bench/routing_model.py
+++ b/bench/routing_model.py
@@ -44,7 +44,7 @@
     ----------
     name : str
     choose : callable
-        ``(model, entry, tried) -> Member | None``.
+        ``(model, pending) -> Member | None``.
     hedges : bool
     ramps : bool
         Whether the owner's daemon ramps an upstream up after a start.
@@ -276,7 +276,7 @@
 
 def _send(model: Model, pending: Pending) -> None:
     entry = pending.entry
-    target = model.policy.choose(model, entry, pending.tried)
+    target = model.policy.choose(model, pending)
     if target is None:
         return
     pending.tried.add(target.member_id)
@@ -313,8 +313,6 @@
     if sending.ended:
         return
     held = sending.upstream.capacity
-    if not model.policy.notices_cold:
-        coldness.forget_runs(held.coldness)
     queued = 2 * model.scenario.slots if model.policy.bounded else 1_000_000
     request = sending.pending.request
     if not model.policy.bounded:
@@ -331,6 +329,8 @@
     sending.holds_slot = True
     sending.run_started_ms = model.now_ms
     sending.run = capacity.note_start(upstream.capacity, int(model.now_ms))
+    if not model.policy.notices_cold:
+        coldness.forget_runs(upstream.capacity.coldness)
     _count_busy(model, upstream, 1)
     after(model, _draw_run_ms(model, upstream), _finish, sending)
 
@@ -361,7 +361,9 @@
     if not sending.holds_slot:
         return
     latency_ms = model.now_ms - sending.run_started_ms
-    capacity.note_answer(sending.upstream.capacity, sending.run, latency_ms)
+    capacity.note_answer(
+        sending.upstream.capacity, sending.run, latency_ms, int(model.now_ms)
+    )
     _free(model, sending)
     if sending.upstream.member.region != sending.pending.entry.member.region:
         model.cross_region_bytes += ANSWER_BYTES
--- a/bench/routing_policy.py
+++ b/bench/routing_policy.py
@@ -9,7 +9,7 @@
 import sys
 
 from bench import routing_model
-from bench.routing_model import Model, Policy, Scenario
+from bench.routing_model import Model, Pending, Policy, Scenario
 from fuchsiamoor.core.members import Member
 from fuchsiamoor.routing import choice
 
@@ -29,16 +29,15 @@
     }
 
 
-def _left(model: Model, entry, tried) -> list[Member]:
-    found = routing_model.find_candidates(model, entry)
-    return [
-        member for member in (*found.near, *found.far) if member.member_id not in tried
-    ]
+def _left(model: Model, pending: Pending) -> list[Member]:
+    found = routing_model.find_candidates(model, pending.entry)
+    members = (*found.near, *found.far)
+    return [member for member in members if member.member_id not in pending.tried]
 
 
-def choose_random(model: Model, entry, tried) -> Member | None:
+def choose_random(model: Model, pending: Pending) -> Member | None:
     """Choose any."""
-    left = _left(model, entry, tried)
+    left = _left(model, pending)
     return model.rng.choice(left) if left else None
 
 
@@ -49,18 +48,18 @@
     return min(shuffled, key=load)
 
 
-def choose_least_reported(model: Model, entry, tried) -> Member | None:
+def choose_least_reported(model: Model, pending: Pending) -> Member | None:
     """Choose the least loaded by the upstreams' reports."""
     return _least(
         model,
-        _left(model, entry, tried),
+        _left(model, pending),
         lambda member: model.upstreams[member.member_id].reported,
     )
 
 
-def choose_two_reported(model: Model, entry, tried) -> Member | None:
+def choose_two_reported(model: Model, pending: Pending) -> Member | None:
     """Choose the better of two random ones by the upstreams' reports."""
-    left = _left(model, entry, tried)
+    left = _left(model, pending)
     return _least(
         model,
         model.rng.sample(left, min(2, len(left))),
@@ -68,22 +67,22 @@
     )
 
 
-def choose_least_own(model: Model, entry, tried) -> Member | None:
+def choose_least_own(model: Model, pending: Pending) -> Member | None:
     """Choose the least loaded by own requests in flight."""
     return _least(
         model,
-        _left(model, entry, tried),
-        lambda member: _own_in_flight(entry, member),
+        _left(model, pending),
+        lambda member: _own_in_flight(pending.entry, member),
     )
 
 
-def choose_two_own(model: Model, entry, tried) -> Member | None:
+def choose_two_own(model: Model, pending: Pending) -> Member | None:
     """Choose the better of two random ones by own requests in flight."""
-    left = _left(model, entry, tried)
+    left = _left(model, pending)
     return _least(
         model,
         model.rng.sample(left, min(2, len(left))),
-        lambda member: _own_in_flight(entry, member),
+        lambda member: _own_in_flight(pending.entry, member),
     )
 
 
@@ -91,30 +90,42 @@
     return choice.measured_of(entry.measurements, member.member_id).in_flight
 
 
-def choose_by_latency(model: Model, entry, tried) -> Member | None:
+def choose_by_latency(model: Model, pending: Pending) -> Member | None:
     """Choose the fastest of all by own measurements."""
     return _least(
         model,
-        _left(model, entry, tried),
+        _left(model, pending),
         lambda member: choice.compute_expected_ms(
-            entry.measurements, entry.member, member, int(model.now_ms)
+            pending.entry.measurements,
+            pending.entry.member,
+            member,
+            int(model.now_ms),
         ),
     )
 
 
-def choose_in_use(model: Model, entry, tried) -> Member | None:
+def choose_in_use(model: Model, pending: Pending) -> Member | None:
     """Choose as the entry daemon does."""
     return choice.choose_member(
-        entry.measurements,
-        entry.member,
-        routing_model.find_candidates(model, entry),
-        tried,
+        pending.entry.measurements,
+        pending.entry.member,
+        routing_model.find_candidates(model, pending.entry),
+        pending.tried,
         int(model.now_ms),
         model.rng,
     )
 
 
+def choose_owner(model: Model, pending: Pending) -> Member | None:
+    """Choose the owner of the request's key, and nobody else."""
+    if pending.tried:
+        return None
+    upstreams = list(model.upstreams.values())
+    return upstreams[int(pending.request.request_id) % len(upstreams)].member
+
+
 IN_USE = Policy("in use", choose_in_use)
+KEYED = Policy("by key", choose_owner, hedges=False)
 CHOICES = (
     Policy("random", choose_random),
     Policy("least by reports", choose_least_reported),
@@ -242,6 +253,23 @@
             print_row(deployment, name, routing_model.run_model(cold, policy))
 
 
+def print_keyed() -> None:
+    """Requests with a key: only the owner's own limit and ramp can help."""
+    print_heading("By key, load 0.5: a straggler or a cold upstream, ramp 3 s")
+    unnoticed = KEYED._replace(notices_cold=False)
+    for deployment, healthy in make_scenarios(load=0.5).items():
+        slow = healthy._replace(slow=(0, 3_000, 7_000, 10.0))
+        cold = healthy._replace(cold_at_ms=3_000)
+        for name, scenario, policy in (
+            ("healthy", healthy, KEYED),
+            ("slow, noticed", slow, KEYED),
+            ("slow, not noticed", slow, unnoticed),
+            ("cold, noticed", cold, KEYED),
+            ("cold, not noticed", cold, unnoticed),
+        ):
+            print_row(deployment, name, routing_model.run_model(scenario, policy))
+
+
 def print_loads() -> None:
     """Near upstreams first, against load."""
     print_heading("Cross-region traffic against load (reports unused)")
@@ -257,6 +285,7 @@
     "stragglers": print_stragglers,
     "overload": print_overload,
     "moves": print_moves,
+    "keyed": print_keyed,
     "loads": print_loads,
 }
 
--- a/fuchsiamoor/daemon/hand_over.py
+++ b/fuchsiamoor/daemon/hand_over.py
@@ -246,7 +246,8 @@
     match verdict:
         case Ran():
             last = runs.end(serving.runs, handed.shard_id)
-            capacity.note_answer(held, handed.run_number, now_ms - handed.handed_ms)
+            latency_ms = now_ms - handed.handed_ms
+            capacity.note_answer(held, handed.run_number, latency_ms, now_ms)
             release_slot(serving, held)
         case NotRun(reason):
             last = runs.end(serving.runs, handed.shard_id)
--- a/fuchsiamoor/routing/capacity.py
+++ b/fuchsiamoor/routing/capacity.py
@@ -105,9 +105,9 @@
     return coldness.note_start(capacity.coldness, now_ms)
 
 
-def note_answer(capacity: Capacity, run: int, latency_ms: float) -> None:
+def note_answer(capacity: Capacity, run: int, latency_ms: float, now_ms: int) -> None:
     """Take in the time of one whole answer."""
-    coldness.note_answer(capacity.coldness, run, latency_ms)
+    coldness.note_answer(capacity.coldness, run, now_ms)
     limits.note_latency(capacity.limit, latency_ms)
 
 
--- a/fuchsiamoor/routing/coldness.py
+++ b/fuchsiamoor/routing/coldness.py
@@ -1,34 +1,41 @@
 """Coldness: tells from a daemon's own measurements that its upstream turned cold.
 
-An upstream may lose its warm state without a word. What then shows first is that runs
-take far longer than the slowest of late; they are noticed while they still run.
+An upstream may lose its warm state without a word. What then shows first is that the
+requests it runs grow old. Their mean age is compared with what it usually is; the fewer
+run, the further it may stray by chance.
 """
 
-from collections import OrderedDict
+import math
 from dataclasses import dataclass, field
 
-OVERDUE_FACTOR = 3.0
-OVERDUE_RUNS_MIN = 2
-OVERDUE_MS_MIN = 20
-PEAK_DECAY = 0.99
+RUNS_MIN = 4
+ANSWERS_MIN = 50
+AGE_WEIGHT = 0.01
+DEVIATIONS_MAX = 8.0
+AGE_MS_MIN = 5.0
 
 
 @dataclass(slots=True)
 class Coldness:
-    """Runs at the upstream, and the slowest of late.
+    """Runs at the upstream, and their usual age.
 
     Parameters
     ----------
-    started_ms : OrderedDict of int to int
-        Start of each run by its number, oldest first.
+    started_ms : dict of int to int
+        Start of each run by its number.
+    started_sum_ms : int
+        Sum of the starts.
     next_run : int
-    peak_ms : float
-        Slowest answer, decaying with each answer; 0 before the first.
+    usual_age_ms : float
+        Moving average of the mean age of runs.
+    answer_count : int
     """
 
-    started_ms: OrderedDict[int, int] = field(default_factory=OrderedDict)
+    started_ms: dict[int, int] = field(default_factory=dict)
+    started_sum_ms: int = 0
     next_run: int = 0
-    peak_ms: float = 0.0
+    usual_age_ms: float = 0.0
+    answer_count: int = 0
 
 
 def make_coldness() -> Coldness:
@@ -40,42 +47,51 @@
     """Take in that a run starts, and return its number."""
     coldness.next_run += 1
     coldness.started_ms[coldness.next_run] = now_ms
+    coldness.started_sum_ms += now_ms
     return coldness.next_run
 
 
-def note_answer(coldness: Coldness, run: int, latency_ms: float) -> None:
+def note_answer(coldness: Coldness, run: int, now_ms: int) -> None:
     """Take in a whole answer."""
-    coldness.started_ms.pop(run, None)
-    coldness.peak_ms = max(latency_ms, coldness.peak_ms * PEAK_DECAY)
+    if run not in coldness.started_ms:
+        return
+    coldness.answer_count += 1
+    weight = max(AGE_WEIGHT, 1 / coldness.answer_count)
+    age_ms = _compute_age_ms(coldness, now_ms)
+    coldness.usual_age_ms += weight * (age_ms - coldness.usual_age_ms)
+    note_other_ending(coldness, run)
 
 
 def note_other_ending(coldness: Coldness, run: int) -> None:
     """Take in that a run ended without an answer."""
-    coldness.started_ms.pop(run, None)
+    coldness.started_sum_ms -= coldness.started_ms.pop(run, 0)
 
 
 def forget_runs(coldness: Coldness) -> None:
     """Count none of the present runs against the upstream any more."""
     coldness.started_ms.clear()
+    coldness.started_sum_ms = 0
 
 
 def is_cold(coldness: Coldness, now_ms: int) -> bool:
-    """Return whether at least half of what runs is overdue.
+    """Return whether what runs is far older than usual.
 
     Examples
     --------
     >>> coldness = make_coldness()
-    >>> note_answer(coldness, note_start(coldness, 0), latency_ms=10)
-    >>> runs = [note_start(coldness, now_ms) for now_ms in (10, 10, 60)]
-    >>> is_cold(coldness, now_ms=40), is_cold(coldness, now_ms=61)
+    >>> for start_ms in range(0, 1_000, 10):
+    ...     note_answer(coldness, note_start(coldness, start_ms), start_ms + 10)
+    >>> runs = [note_start(coldness, 1_000) for _ in range(4)]
+    >>> is_cold(coldness, now_ms=1_040), is_cold(coldness, now_ms=1_060)
     (False, True)
     """
-    if coldness.peak_ms == 0.0:
+    count = len(coldness.started_ms)
+    if count < RUNS_MIN or coldness.answer_count < ANSWERS_MIN:
         return False
-    allowed_ms = max(OVERDUE_MS_MIN, OVERDUE_FACTOR * coldness.peak_ms)
-    overdue = 0
-    for started_ms in coldness.started_ms.values():
-        if now_ms - started_ms <= allowed_ms:
-            break
-        overdue += 1
-    return overdue >= OVERDUE_RUNS_MIN and 2 * overdue >= len(coldness.started_ms)
+    usual_ms = max(coldness.usual_age_ms, AGE_MS_MIN)
+    allowed_ms = usual_ms * (1 + DEVIATIONS_MAX / math.sqrt(count))
+    return _compute_age_ms(coldness, now_ms) > allowed_ms
+
+
+def _compute_age_ms(coldness: Coldness, now_ms: int) -> float:
+    return now_ms - coldness.started_sum_ms / len(coldness.started_ms)
