--- a/standins/caller.py
+++ b/standins/caller.py
@@ -193,6 +193,15 @@
     caller.sending = asyncio.create_task(_send_steadily(caller))
 
 
+def find_served(caller: Caller, since_ms: float) -> dict[tuple[str, str], check.Call]:
+    """Return the first success of each key among the requests sent since a moment."""
+    served: dict[tuple[str, str], check.Call] = {}
+    for call in caller.calls:
+        if call.verdict == "ran" and call.status == 200 and call.sent_ms > since_ms:
+            served.setdefault((call.tenant, call.key), call)
+    return served
+
+
 async def stop(caller: Caller) -> Summary:
     """Send no more, wait for the answers that are due and close."""
     if caller.sending is not None:
