--- /dev/null
+++ b/fuchsiamoor/daemon/ports.py
@@ -0,0 +1,33 @@
+"""Ports: the upstream's client in the shape that the serving side takes."""
+
+from typing import NamedTuple
+
+from fuchsiamoor.core import requests, verdicts
+from fuchsiamoor.daemon import node as nodes
+
+
+class UpstreamPort(NamedTuple):
+    """The upstream beside the daemon, as the serving side takes it."""
+
+    node: nodes.Node
+
+    async def run(
+        self,
+        request: requests.Request,
+        shard: int,
+        epoch: int,
+        lease_until_unix_ms: int,
+        deadline_at_unix_ms: int,
+    ) -> requests.Answer:
+        """Run a request; a refused connection shows that the upstream is gone."""
+        answer = await self.node.client.run(
+            request,
+            shard,
+            epoch,
+            lease_until_unix_ms,
+            deadline_at_unix_ms,
+        )
+        match answer.verdict:
+            case verdicts.NotRun(verdicts.Reason.CONNECT_FAILED):
+                self.node.upstream_suspect.set()
+        return answer
