--- a/fuchsiamoor/ownership/holder.py
+++ b/fuchsiamoor/ownership/holder.py
@@ -151,10 +151,10 @@
     return True
 
 
-def retire(holder: Holder) -> None:
+def retire(holder: Holder, now_ms: int) -> None:
     """Give up everything for good: a newer run holds this member's instance."""
     holder.retired = True
-    _refresh_lease(holder)
+    holder.lease_until_ms = min(holder.lease_until_ms, now_ms)
 
 
 def record_renewed(
@@ -221,6 +221,18 @@
     return asks
 
 
+def next_ask_ms(holder: Holder) -> int | None:
+    """Return when `list_renewals` will next have something, None without a table.
+
+    Monotonic time, in milliseconds; a new table may bring it forward.
+    """
+    if holder.table is None or holder.retired:
+        return None
+    if not holder.owns_any:
+        return holder.renew_due_ms
+    return min(holder.renew_due_ms, max(holder.vouch_due_ms, _patience_end_ms(holder)))
+
+
 def lease_until_ms(holder: Holder) -> int:
     """Return the end of the lease on the member's own clock, in milliseconds.
 
@@ -339,9 +351,9 @@
 
 
 def _refresh_lease(holder: Holder) -> None:
-    holder.lease_until_ms = NO_LEASE_MS
     if holder.table is None or holder.retired:
         return
+    holder.lease_until_ms = NO_LEASE_MS
     found = (
         holder.renewed_sent_ms,
         votes.find_evidence_ms(holder.table, holder.vouched_sent_ms),
@@ -367,10 +379,14 @@
 def _needs_vouches(holder: Holder, now_ms: int) -> bool:
     if not holder.owns_any or now_ms < holder.vouch_due_ms:
         return False
+    return now_ms >= _patience_end_ms(holder)
+
+
+def _patience_end_ms(holder: Holder) -> int:
     if holder.renewed_sent_ms is None:
-        return True
+        return NO_LEASE_MS
     patience_ms = _VOUCH_AFTER_RENEWALS * holder.timing.renew_every_ms
-    return now_ms - holder.renewed_sent_ms >= patience_ms
+    return holder.renewed_sent_ms + patience_ms
 
 
 def _list_vouches(holder: Holder, table: tables.ShardTable, now_ms: int) -> list[Ask]:
--- a/fuchsiamoor/testing/ownership_schedules.py
+++ b/fuchsiamoor/testing/ownership_schedules.py
@@ -155,7 +155,6 @@
 
     source: random.Random
     now_ms: int = 0
-    checked_ms: int = 0
     queue: list = field(default_factory=list)
     sequence: int = 0
     nodes: list[Node] = field(default_factory=list)
@@ -171,7 +170,7 @@
     faults: list[tuple[int, Fault]] = field(default_factory=list)
     runs: dict[int, dict[str, int]] = field(default_factory=dict)
     stamps_from_receipt: bool = False
-    log: list[str] = field(default_factory=list)
+    observe: Callable[[int, str, object], None] | None = None
 
 
 def make_world(seed: int, size: int = 5, checks_grants: bool = True) -> World:
@@ -200,6 +199,8 @@
         action()
         if checks:
             _check_runs(world)
+        if world.observe is not None:
+            world.observe(world.now_ms, "", list_served(world))
     return world
 
 
@@ -317,7 +318,7 @@
         _tell(world, node, events.MembersChanged(listed))
     current = world.registered[node.member.instance]
     if current.member_id != node.member.member_id:
-        holder.retire(node.holder)
+        holder.retire(node.holder, _clock(world, node))
 
 
 def _tick(world: World, node: Node) -> None:
@@ -565,7 +566,11 @@
     acting = node.coordinator
     if acting is None:
         return
-    for action in coordinators.handle(acting, event, _clock(world, node)):
+    actions = coordinators.handle(acting, event, _clock(world, node))
+    if world.observe is not None:
+        for seen in (event, *actions):
+            world.observe(world.now_ms, node.member.member_id, seen)
+    for action in actions:
         _carry_out(world, node, acting, action)
 
 
@@ -681,6 +686,8 @@
 
 def _strike(world: World, fault: Fault) -> None:
     world.faults.append((world.now_ms, fault))
+    if world.observe is not None:
+        world.observe(world.now_ms, "", fault)
     match fault:
         case Kill(slots, restart_after_ms):
             for slot in slots:
--- /dev/null
+++ b/fuchsiamoor/testing/ownership_sessions.py
@@ -0,0 +1,130 @@
+"""Writes sessions of a domain down as text, for golden files.
+
+A line is a fault, an event that a coordinator was told, an action that it took, or a
+change in who serves what. Signs of life, ticks and acknowledgements are left out.
+"""
+
+from fuchsiamoor.core import tables
+from fuchsiamoor.ownership import events
+from fuchsiamoor.testing import ownership_schedules as schedules
+
+_UNWRITTEN = (
+    events.Tick,
+    events.RenewReceived,
+    events.StoreLeaseRenewed,
+    events.TableAckReceived,
+)
+
+
+def write_session(
+    schedule: schedules.Schedule,
+    until_ms: int,
+    size: int = 4,
+    checks_grants: bool = True,
+) -> str:
+    """Run a schedule without chance faults and return its session.
+
+    Parameters
+    ----------
+    schedule : list of tuple of int and Fault
+        Each fault with its time, in milliseconds.
+    until_ms : int
+    size : int
+        Number of daemons, each in a data centre of its own up to four.
+    checks_grants : bool
+        Whether the upstreams refuse work without a grant.
+
+    Returns
+    -------
+    str
+    """
+    lines: list[str] = []
+    served: dict[int, list[str]] = {}
+    written = tables.make_empty_table("", 0)
+
+    def observe(now_ms: int, member_id: str, seen: object) -> None:
+        nonlocal served, written
+        match seen:
+            case dict():
+                if seen != served:
+                    lines.append(f"{now_ms:6} = {_describe_served(served, seen)}")
+                    served = seen
+            case events.WriteTable(table):
+                change = _describe_change(written, table)
+                lines.append(f"{now_ms:6} {member_id} > WriteTable {change}")
+                written = table
+            case _ if not isinstance(seen, _UNWRITTEN):
+                is_action = isinstance(seen, events.Action)
+                mark = ">" if is_action else "<" if member_id else "!"
+                lines.append(
+                    f"{now_ms:6} {member_id or 'fault'} {mark} {_describe(seen)}"
+                )
+
+    world = schedules.make_world(1, size, checks_grants)
+    world.observe = observe
+    schedules.run_schedule(world, schedule, until_ms)
+    return "\n".join(lines) + "\n"
+
+
+def _describe(seen: object) -> str:
+    match seen:
+        case events.MembersChanged(members):
+            names = " ".join(sorted(member.member_id for member in members))
+            return f"MembersChanged {names}"
+        case events.ConfigurationChanged(configuration):
+            out = " ".join(sorted(configuration.data_centres_out)) or "none"
+            return f"ConfigurationChanged {configuration.revision}, out: {out}"
+        case events.TableConflict(version, table):
+            revision = table.revision if table else 0
+            return f"TableConflict version {version}, revision {revision}"
+        case events.PushTable(table, member_ids):
+            return f"PushTable revision {table.revision} to {' '.join(member_ids)}"
+        case events.AskRelease(member_id, prepare, _):
+            shards = _join(prepare.shards)
+            return f"AskRelease {member_id}, move {prepare.move_id}: {shards}"
+        case events.ReleasedReceived(member_id, released):
+            shards = _join(released.shards)
+            return f"ReleasedReceived {member_id}, move {released.move_id}: {shards}"
+        case schedules.Cut(slots, store, duration_ms):
+            reach = " and the store" if store else ""
+            return f"Cut i{_join(sorted(slots))}{reach} for {duration_ms} ms"
+        case schedules.Kill(slots, restart_after_ms):
+            return f"Kill i{_join(sorted(slots))}, restart after {restart_after_ms} ms"
+        case schedules.Pause(slots, duration_ms):
+            return f"Pause i{_join(sorted(slots))} for {duration_ms} ms"
+    return str(seen)
+
+
+def _describe_change(before: tables.ShardTable, table: tables.ShardTable) -> str:
+    parts = [f"revision {table.revision} term {table.term}"]
+    moved: dict[str, list[int]] = {}
+    for shard, owner in enumerate(table.owners):
+        known = shard < len(before.owners)
+        if owner and not (known and before.owners[shard] == owner):
+            moved.setdefault(owner, []).append(shard)
+    parts += [f"{_join(shards)} to {owner}" for owner, shards in sorted(moved.items())]
+    if table.pending != before.pending:
+        pending = _join(sorted(table.pending)) or "none"
+        parts.append(f"pending {pending}")
+    if (table.voters, table.previous_voters) != (before.voters, before.previous_voters):
+        voters = " ".join(f"{name}*{votes}" for name, votes in table.voters)
+        changing = ", joint" if table.previous_voters else ""
+        parts.append(f"voters {voters}{changing}")
+    if table.isolated != before.isolated:
+        parts.append(f"isolated {_join(sorted(table.isolated.values())) or 'none'}")
+    return "; ".join(parts)
+
+
+def _describe_served(before: dict[int, list[str]], served: dict[int, list[str]]) -> str:
+    changed: dict[str, list[int]] = {}
+    for shard, owners in served.items():
+        if before.get(shard, []) != owners:
+            changed.setdefault(" ".join(owners) or "nobody", []).append(shard)
+    return "; ".join(
+        f"{_join(shards)} served by {owner}"
+        for owner, shards in sorted(changed.items())
+    )
+
+
+def _join(shards) -> str:
+    return ",".join(str(shard) for shard in shards)
