--- /dev/null
+++ b/fuchsiamoor/cli/commands.py
@@ -0,0 +1,235 @@
+"""What each command of the tool does, apart from parsing and printing."""
+
+import pathlib
+from collections.abc import Callable
+from typing import NamedTuple
+
+import httpx
+
+from fuchsiamoor.cli import applying, render, tables
+from fuchsiamoor.cli import client as tool_client
+from fuchsiamoor.cli.client import Client, Gathered
+from fuchsiamoor.cli.exits import ExitStatus, ToolError
+from fuchsiamoor.core import errors, faults, members
+from fuchsiamoor.core.configuration import Configuration
+from fuchsiamoor.documents import changes, reader
+from fuchsiamoor.reports import burn, measures, wire
+from fuchsiamoor.reports.counts import CountsSnapshot
+from fuchsiamoor.reports.status import Explanation, Status
+
+
+class Ending(NamedTuple):
+    """What a command says at its end.
+
+    Parameters
+    ----------
+    status : ExitStatus
+    lines : list of str
+        For a person.
+    data : object
+        The same for a program, as typed data or JSON.
+    """
+
+    status: ExitStatus
+    lines: list[str]
+    data: object
+
+
+class Wait(NamedTuple):
+    """How a command waits for a revision to be in force.
+
+    Parameters
+    ----------
+    wait_s : float
+    clock : Clock
+    show : callable
+        Told of each change.
+    """
+
+    wait_s: float
+    clock: applying.Clock
+    show: Callable[[applying.Progress], None]
+
+
+class FullStatus(NamedTuple):
+    """What ``status`` shows, for a program."""
+
+    daemons: tuple[Status, ...]
+    unreachable: tuple[str, ...]
+
+
+class Comparison(NamedTuple):
+    """What ``diff`` shows, for a program."""
+
+    based_on: int
+    differences: tuple[str, ...]
+    faults: tuple[faults.Fault, ...]
+
+
+def read_file(path: pathlib.Path) -> Configuration:
+    """Read and check a configuration file."""
+    try:
+        text = path.read_bytes()
+    except OSError as error:
+        raise ToolError(ExitStatus.WRONG_INPUT, f"{path}: {error.strerror}") from None
+    return reader.read_document(text)
+
+
+def check_file(path: pathlib.Path) -> Ending:
+    """Check a file without any daemon."""
+    found = read_file(path)
+    counted = (
+        f"{path}: no faults; {len(found.services)} services, "
+        f"{len(found.regions)} regions, {len(found.tenants)} tenants, "
+        f"{len(found.overrides)} overrides"
+    )
+    return Ending(ExitStatus.OK, [counted], {"faults": []})
+
+
+async def diff_file(client: Client, path: pathlib.Path) -> Ending:
+    """Compare a file with the configuration in force."""
+    new = read_file(path)
+    old = await _get_in_force(client)
+    lines = [changes.format_difference(found) for found in changes.diff(old, new)]
+    found = changes.check_change(old, new)
+    data = Comparison(old.revision, tuple(lines), tuple(found))
+    if found:
+        lines += ["refused:", *(faults.format_fault(fault) for fault in found)]
+        return Ending(ExitStatus.WRONG_INPUT, tables.wrap_all(lines), data)
+    if not lines:
+        lines = [f"no difference from revision {old.revision}"]
+        return Ending(ExitStatus.OK, lines, data)
+    lines.append(f"to apply: fuchsiamoor apply {path} --based-on {old.revision}")
+    return Ending(ExitStatus.OK, tables.wrap_all(lines), data)
+
+
+async def apply_file(
+    client: Client,
+    path: pathlib.Path,
+    based_on: int | None,
+    operator: str,
+    wait: Wait,
+) -> Ending:
+    """Put a file in force."""
+    new = read_file(path)
+    if based_on is None:
+        message = (
+            "--based-on is needed: the revision that the file was written from;\n"
+            f"`fuchsiamoor diff {path}` shows the revision in force and what changes"
+        )
+        raise ToolError(ExitStatus.WRONG_INPUT, message)
+    return await _apply(client, new, based_on, operator, wait)
+
+
+async def set_data_centre(
+    client: Client, name: str, out: bool, operator: str, wait: Wait
+) -> Ending:
+    """Take a data centre out of service or bring it back, by the same apply."""
+    old = await _get_in_force(client)
+    known = sorted(place for places in old.regions.values() for place in places)
+    if name not in known:
+        message = f"data centre {name!r}: expected one of {', '.join(known) or 'none'}"
+        raise ToolError(ExitStatus.WRONG_INPUT, message)
+    if out:
+        data_centres_out = old.data_centres_out | {name}
+    else:
+        data_centres_out = old.data_centres_out - {name}
+    if data_centres_out == old.data_centres_out:
+        return await _wait(client, old.revision, wait)
+    new = old._replace(data_centres_out=data_centres_out)
+    return await _apply(client, new, old.revision, operator, wait)
+
+
+async def show_configuration(client: Client) -> Ending:
+    """Print the configuration in force, as a file to edit."""
+    found = await tool_client.get_first(client, wire.InForce, "/v1/configuration")
+    text = reader.format_document(reader.read_value(found.document))
+    return Ending(ExitStatus.OK, text.splitlines(), found)
+
+
+async def show_status(client: Client) -> Ending:
+    """Ask every daemon for its state."""
+    found = await _gather_status(client)
+    statuses: list[Status] = list(found.by_instance.values())
+    data = FullStatus(tuple(statuses), found.unreachable)
+    same = len({status.configuration_revision for status in statuses}) == 1
+    settled = same and not found.unreachable
+    ending = ExitStatus.OK if settled else ExitStatus.NOT_YET
+    return Ending(ending, render.render_status(found), data)
+
+
+async def explain_key(client: Client, service: str, tenant: str, key: str) -> Ending:
+    """Ask where a key is served, and its owner about the lease."""
+    asked = {"service": service, "tenant": tenant, "key": key}
+    path = "/v1/explain"
+    found = await tool_client.get_first(client, Explanation, path, **asked)
+    if found.lease is None and found.owner:
+        found = await _ask_owner(client, found, asked)
+    return Ending(ExitStatus.OK, render.render_explanation(found), found)
+
+
+async def show_report(client: Client) -> Ending:
+    """Collect the counts of every daemon and compute the report."""
+    in_force = await _get_in_force(client)
+    found = await tool_client.gather(
+        client, CountsSnapshot, "/v1/report", lambda answer: answer.instance
+    )
+    snapshots = list(found.by_instance.values())
+    report = measures.make_report(snapshots, found.unreachable, in_force)
+    missed = any(burn.is_missed(part) for each in report.burns for part in each[-2:])
+    ending = ExitStatus.NOT_YET if missed else ExitStatus.OK
+    return Ending(ending, render.render_report(report), report)
+
+
+async def _apply(
+    client: Client, new: Configuration, based_on: int, operator: str, wait: Wait
+) -> Ending:
+    apply_id = applying.make_apply_id(operator, based_on, new)
+    revision = await applying.post_configuration(client, based_on, apply_id, new)
+    return await _wait(client, revision, wait)
+
+
+async def _wait(client: Client, revision: int, wait: Wait) -> Ending:
+    progress = await applying.wait_in_force(client, revision, *wait)
+    lines = [render.render_progress(progress)]
+    if progress.newest > revision:
+        lines.append(f"replaced since by revision {progress.newest}")
+    if progress.behind or progress.unreachable:
+        lines += render.render_not_yet(progress)
+        return Ending(ExitStatus.NOT_YET, lines, progress)
+    return Ending(ExitStatus.OK, lines, progress)
+
+
+async def _ask_owner(
+    client: Client, found: Explanation, asked: dict[str, str]
+) -> Explanation:
+    owner = members.instance_of(found.owner)
+    for url, instance in (await tool_client.find_members(client)).items():
+        if instance != owner:
+            continue
+        try:
+            return await tool_client.get(
+                client, Explanation, url, "/v1/explain", **asked
+            )
+        except httpx.HTTPError:
+            return found
+    return found
+
+
+async def _gather_status(client: Client) -> Gathered:
+    return await tool_client.gather(
+        client,
+        Status,
+        "/v1/status?members=false",
+        lambda answer: answer.instance,
+    )
+
+
+async def _get_in_force(client: Client) -> Configuration:
+    found = await tool_client.get_first(client, wire.InForce, "/v1/configuration")
+    try:
+        read = reader.read_value(found.document)
+    except errors.InvalidDocumentError as error:
+        message = f"the configuration in force is of another version\n{error}"
+        raise ToolError(ExitStatus.WRONG_INPUT, message) from None
+    return read._replace(revision=found.revision, apply_id=found.apply_id)
--- /dev/null
+++ b/fuchsiamoor/cli/main.py
@@ -0,0 +1,400 @@
+"""The operators' tool: parses, runs a command, prints and exits."""
+
+import asyncio
+import getpass
+import pathlib
+import re
+from collections.abc import Awaitable, Callable
+from typing import Annotated, NamedTuple, NoReturn
+
+import httpx
+import typer
+
+from fuchsiamoor.cli import applying, commands, render, tables
+from fuchsiamoor.cli import client as tool_client
+from fuchsiamoor.cli.client import Client
+from fuchsiamoor.cli.commands import Ending
+from fuchsiamoor.cli.exits import ExitStatus, ToolError
+from fuchsiamoor.core import errors
+from fuchsiamoor.reports import codec
+
+DEFAULT_WAIT_S = 18.0
+MAX_OPERATOR_CHARACTERS = 64
+DEFAULT_URL = "http://127.0.0.1:7003"
+
+HELP = """Drive and watch a fuchsiamoor deployment.
+
+\b
+Examples:
+  fuchsiamoor check fleet.json
+  fuchsiamoor diff fleet.json
+  fuchsiamoor apply fleet.json --based-on 7
+  fuchsiamoor status
+  fuchsiamoor explain chair-7 --service stock
+  fuchsiamoor data-centre out almaty-2
+
+\b
+The daemons to ask come from --daemon (repeat it for more) or from
+FUCHSIAMOOR_DAEMONS; one is enough, it names the others. The operator key
+comes from FUCHSIAMOOR_OPERATOR_KEY or from the file that --key-file names.
+
+\b
+Exit statuses:
+  0  done
+  1  not in force everywhere yet, or an objective is missed
+  2  wrong input: a fault in the file, the command line or the key
+  3  conflict: another apply came first
+  4  no daemon answers, or the outcome is unknown
+"""
+
+app = typer.Typer(
+    help=HELP,
+    add_completion=False,
+    no_args_is_help=True,
+    pretty_exceptions_enable=False,
+    rich_markup_mode=None,
+)
+data_centre_app = typer.Typer(
+    help="Take a data centre out of service or bring it back.",
+    no_args_is_help=True,
+    rich_markup_mode=None,
+)
+app.add_typer(data_centre_app, name="data-centre")
+
+
+class Environment(NamedTuple):
+    """What a test replaces.
+
+    Parameters
+    ----------
+    transport : AsyncBaseTransport or None
+        None for the network.
+    clock : Clock
+    """
+
+    transport: httpx.AsyncBaseTransport | None = None
+    clock: applying.Clock = applying.Clock()
+
+
+class Session(NamedTuple):
+    """What the options before the command say.
+
+    Parameters
+    ----------
+    environment : Environment
+    urls : tuple of str
+    key : str
+        Empty if none is given.
+    key_file : Path or None
+    """
+
+    environment: Environment
+    urls: tuple[str, ...]
+    key: str
+    key_file: pathlib.Path | None
+
+
+File = Annotated[
+    pathlib.Path, typer.Argument(metavar="FILE", help="Configuration file.")
+]
+Json = Annotated[bool, typer.Option("--json", help="Print JSON.")]
+Operator = Annotated[
+    str,
+    typer.Option(
+        "--operator",
+        metavar="NAME",
+        envvar="FUCHSIAMOOR_OPERATOR",
+        help="Who applies, as others see it; the login name if left out.",
+    ),
+]
+WaitS = Annotated[
+    float,
+    typer.Option(
+        "--wait-s", metavar="SECONDS", min=0, help="Longest wait until in force."
+    ),
+]
+
+
+@app.callback()
+def connect(
+    context: typer.Context,
+    daemons: Annotated[
+        list[str] | None,
+        typer.Option(
+            "--daemon",
+            metavar="URL",
+            envvar="FUCHSIAMOOR_DAEMONS",
+            help="A daemon's operator address.",
+        ),
+    ] = None,
+    key: Annotated[
+        str, typer.Option("--key", envvar="FUCHSIAMOOR_OPERATOR_KEY", hidden=True)
+    ] = "",
+    key_file: Annotated[
+        pathlib.Path | None,
+        typer.Option(
+            "--key-file",
+            metavar="FILE",
+            envvar="FUCHSIAMOOR_OPERATOR_KEY_FILE",
+            help="File that holds the operator key.",
+        ),
+    ] = None,
+) -> None:
+    """Keep what the options before the command say."""
+    environment = context.obj or Environment()
+    context.obj = Session(environment, tuple(daemons or [DEFAULT_URL]), key, key_file)
+
+
+@app.command()
+def check(context: typer.Context, file: File, as_json: Json = False) -> None:
+    """Check a configuration file and tell every fault.
+
+    \b
+    Example:
+      fuchsiamoor check fleet.json
+    """
+
+    async def run_check(_: Client) -> Ending:
+        return commands.check_file(file)
+
+    _finish(context, as_json, run_check)
+
+
+@app.command()
+def diff(context: typer.Context, file: File, as_json: Json = False) -> None:
+    """Show what a file would change, and the revision in force.
+
+    \b
+    Example:
+      fuchsiamoor diff fleet.json
+    """
+    _finish(context, as_json, lambda client: commands.diff_file(client, file))
+
+
+@app.command()
+def apply(
+    context: typer.Context,
+    file: File,
+    based_on: Annotated[
+        int | None,
+        typer.Option(
+            metavar="REVISION", min=0, help="Revision that the file was written from."
+        ),
+    ] = None,
+    operator: Operator = "",
+    wait_s: WaitS = DEFAULT_WAIT_S,
+    as_json: Json = False,
+) -> None:
+    """Put a file in force, whole or not at all.
+
+    Waits until every daemon has it, or says where not yet. Refused if another
+    revision than --based-on is in force. Safe to repeat after a lost answer.
+
+    \b
+    Example:
+      fuchsiamoor apply fleet.json --based-on 7
+    """
+    wait = _make_wait(context, wait_s)
+    name = _name_operator(operator)
+    _finish(
+        context,
+        as_json,
+        lambda client: commands.apply_file(client, file, based_on, name, wait),
+    )
+
+
+@app.command()
+def configuration(context: typer.Context, as_json: Json = False) -> None:
+    """Print the configuration in force, to edit and apply.
+
+    \b
+    Example:
+      fuchsiamoor configuration > fleet.json
+    """
+    _finish(context, as_json, commands.show_configuration)
+
+
+@app.command()
+def status(context: typer.Context, as_json: Json = False) -> None:
+    """Show every daemon's state, owners and overrides.
+
+    \b
+    Example:
+      fuchsiamoor --daemon http://10.1.0.4:7003 status
+    """
+    _finish(context, as_json, commands.show_status)
+
+
+@app.command()
+def explain(
+    context: typer.Context,
+    key: Annotated[str, typer.Argument(metavar="KEY", help="Key of a request.")],
+    service: Annotated[str, typer.Option(metavar="NAME", help="Its service.")],
+    tenant: Annotated[
+        str, typer.Option(metavar="NAME", help="Its tenant.")
+    ] = "default",
+    as_json: Json = False,
+) -> None:
+    """Show who owns a key and why, and what a loss would do.
+
+    \b
+    Example:
+      fuchsiamoor explain chair-7 --service stock --tenant default
+    """
+    _finish(
+        context,
+        as_json,
+        lambda client: commands.explain_key(client, service, tenant, key),
+    )
+
+
+@app.command()
+def report(context: typer.Context, as_json: Json = False) -> None:
+    """Show the measures and the service-level burn.
+
+    Latency, imbalance, moved shards, time without an owner, service while data
+    centres are out or moving, and the burn of each objective's error budget.
+
+    \b
+    Example:
+      fuchsiamoor report --json
+    """
+    _finish(context, as_json, commands.show_report)
+
+
+@data_centre_app.command("out")
+def data_centre_out(
+    context: typer.Context,
+    name: Annotated[str, typer.Argument(metavar="NAME", help="Data centre.")],
+    operator: Operator = "",
+    wait_s: WaitS = DEFAULT_WAIT_S,
+    as_json: Json = False,
+) -> None:
+    """Take a data centre out of service.
+
+    \b
+    Example:
+      fuchsiamoor data-centre out almaty-2
+    """
+    _set_data_centre(context, name, True, operator, wait_s, as_json)
+
+
+@data_centre_app.command("in")
+def data_centre_in(
+    context: typer.Context,
+    name: Annotated[str, typer.Argument(metavar="NAME", help="Data centre.")],
+    operator: Operator = "",
+    wait_s: WaitS = DEFAULT_WAIT_S,
+    as_json: Json = False,
+) -> None:
+    """Bring a data centre back into service.
+
+    \b
+    Example:
+      fuchsiamoor data-centre in almaty-2
+    """
+    _set_data_centre(context, name, False, operator, wait_s, as_json)
+
+
+def run() -> None:
+    """Run the tool."""
+    app(prog_name="fuchsiamoor")
+
+
+def _set_data_centre(
+    context: typer.Context,
+    name: str,
+    out: bool,
+    operator: str,
+    wait_s: float,
+    as_json: bool,
+) -> None:
+    wait = _make_wait(context, wait_s)
+    applier = _name_operator(operator)
+    _finish(
+        context,
+        as_json,
+        lambda client: commands.set_data_centre(client, name, out, applier, wait),
+    )
+
+
+def _finish(
+    context: typer.Context,
+    as_json: bool,
+    command: Callable[[Client], Awaitable[Ending]],
+) -> NoReturn:
+    """Run a command, print its ending and exit."""
+    try:
+        ending = asyncio.run(_run_connected(context.obj, command))
+    except errors.InvalidDocumentError as error:
+        ending = Ending(
+            ExitStatus.WRONG_INPUT,
+            tables.wrap_all(str(error).splitlines()),
+            {"faults": [fault._asdict() for fault in error.faults]},
+        )
+        _print(ending, as_json, as_error=True)
+    except ToolError as error:
+        message = str(error)
+        lines = tables.wrap_all(message.splitlines())
+        ending = Ending(error.status, lines, {"problem": message})
+        _print(ending, as_json, as_error=True)
+    else:
+        _print(ending, as_json)
+    raise typer.Exit(ending.status)
+
+
+async def _run_connected(
+    session: Session, command: Callable[[Client], Awaitable[Ending]]
+) -> Ending:
+    for url in session.urls:
+        _check_url(url)
+    transport = session.environment.transport
+    client = tool_client.make_client(session.urls, _read_key(session), transport)
+    async with client.http:
+        return await command(client)
+
+
+def _check_url(url: str) -> None:
+    try:
+        parsed = httpx.URL(url)
+    except httpx.InvalidURL:
+        parsed = httpx.URL("")
+    if parsed.scheme in ("http", "https") and parsed.host:
+        return
+    message = f"--daemon {url}: expected a URL such as {DEFAULT_URL}"
+    raise ToolError(ExitStatus.WRONG_INPUT, message)
+
+
+def _read_key(session: Session) -> str:
+    if session.key_file is None:
+        return session.key
+    try:
+        return session.key_file.read_text().strip()
+    except OSError as error:
+        message = f"--key-file {session.key_file}: {error.strerror}"
+        raise ToolError(ExitStatus.WRONG_INPUT, message) from None
+
+
+def _name_operator(operator: str) -> str:
+    if not operator:
+        try:
+            operator = getpass.getuser()
+        except (KeyError, OSError):
+            operator = "operator"
+    cleaned = re.sub(r"[^A-Za-z0-9@._-]", "-", operator).lstrip("@._-")
+    return cleaned[:MAX_OPERATOR_CHARACTERS] or "operator"
+
+
+def _make_wait(context: typer.Context, wait_s: float) -> commands.Wait:
+    def show(progress: applying.Progress) -> None:
+        typer.echo(render.render_progress(progress), err=True)
+
+    return commands.Wait(wait_s, context.obj.environment.clock, show)
+
+
+def _print(ending: Ending, as_json: bool, as_error: bool = False) -> None:
+    if as_json:
+        typer.echo(codec.encode(ending.data).decode())
+        return
+    for line in ending.lines:
+        typer.echo(line, err=as_error)
--- /dev/null
+++ b/fuchsiamoor/cli/main_test.py
@@ -0,0 +1,238 @@
+import json
+import os
+import pathlib
+import shlex
+
+import httpx
+import pytest
+from typer.testing import CliRunner
+
+from fuchsiamoor.cli import applying, main
+from fuchsiamoor.cli.exits import ExitStatus
+from fuchsiamoor.reports import counts, status
+from fuchsiamoor.testing import documents_data, operator_fleet, reports_data
+
+GOLDEN = pathlib.Path(__file__).parent / "main_golden"
+URLS = "http://10.0.0.1:7003 http://10.0.0.2:7003"
+
+
+class VirtualClock:
+    def __init__(self):
+        self.now_s = 0.0
+
+    async def sleep(self, time_s):
+        self.now_s += time_s
+
+
+class Shell:
+    """Runs the tool in a directory against a fleet in memory."""
+
+    def __init__(self, directory, monkeypatch):
+        monkeypatch.chdir(directory)
+        self.fleet = operator_fleet.Fleet(
+            ("almaty-1-a", "almaty-1"),
+            ("almaty-2-a", "almaty-2"),
+            ("astana-1-a", "astana-1"),
+        )
+        self.transcript = []
+        self.environment = {
+            "FUCHSIAMOOR_DAEMONS": URLS,
+            "FUCHSIAMOOR_OPERATOR_KEY": operator_fleet.KEY,
+            "FUCHSIAMOOR_OPERATOR": "dana",
+            "COLUMNS": "80",
+        }
+
+    def write(self, name, **changes):
+        document = documents_data.make_configuration_document(**changes)
+        pathlib.Path(name).write_bytes(documents_data.encode(document))
+
+    def run(self, line, **environment):
+        clock = VirtualClock()
+        context = main.Environment(
+            self.fleet, applying.Clock(lambda: clock.now_s, clock.sleep)
+        )
+        found = CliRunner().invoke(
+            main.app,
+            shlex.split(line)[1:],
+            obj=context,
+            env=self.environment | environment,
+            prog_name="fuchsiamoor",
+        )
+        assert found.exception is None or isinstance(found.exception, SystemExit)
+        self.transcript += [f"$ {line}", found.output.rstrip(), f"[{found.exit_code}]"]
+        return found
+
+    def check_golden(self, name):
+        text = "\n".join([*self.transcript, ""])
+        assert all(len(line) <= 80 or line[0] == "{" for line in text.splitlines())
+        path = GOLDEN / name
+        if os.environ.get("WRITE_GOLDEN"):
+            path.write_text(text)
+        assert text == path.read_text()
+
+
+@pytest.fixture(name="shell")
+def _shell(tmp_path, monkeypatch):
+    return Shell(tmp_path, monkeypatch)
+
+
+def test_help(shell):
+    shell.run("fuchsiamoor --help")
+    for command in main.app.registered_commands:
+        shell.run(f"fuchsiamoor {command.name or command.callback.__name__} --help")
+    shell.run("fuchsiamoor data-centre out --help")
+    shell.run("fuchsiamoor data-centre in --help")
+    shell.check_golden("help.txt")
+
+
+def test_a_first_configuration_and_changes(shell):
+    shell.write("fleet.json")
+    shell.run("fuchsiamoor check fleet.json")
+    shell.run("fuchsiamoor diff fleet.json")
+    shell.run("fuchsiamoor apply fleet.json")
+    shell.run("fuchsiamoor apply fleet.json --based-on 0")
+    shell.run("fuchsiamoor diff fleet.json")
+    override = documents_data.make_override("data_centre", "almaty-1", tenant="default")
+    shell.write("fleet.json", overrides=[override], moves_per_minute=5)
+    shell.run("fuchsiamoor diff fleet.json")
+    shell.run("fuchsiamoor apply fleet.json --based-on 1")
+    shell.run("fuchsiamoor apply fleet.json --based-on 1")
+    shell.run("fuchsiamoor data-centre out almaty-2")
+    shell.run("fuchsiamoor data-centre out almaty-2")
+    shell.run("fuchsiamoor data-centre in moon-1")
+    shell.run("fuchsiamoor data-centre in almaty-2")
+    shell.run("fuchsiamoor apply fleet.json --based-on 1")
+    shell.check_golden("changes.txt")
+
+
+def test_faults_and_refusals(shell):
+    shell.write("fleet.json")
+    shell.run("fuchsiamoor apply fleet.json --based-on 0")
+    shell.write("wrong.json", moves_per_minute=-1, tenant={})
+    shell.run("fuchsiamoor check wrong.json")
+    shell.run("fuchsiamoor check wrong.json --json")
+    shell.run("fuchsiamoor check missing.json")
+    shell.write("moved.json", tenants={"clinics": {"home_regions": ["almaty"]}})
+    shell.run("fuchsiamoor diff moved.json")
+    shell.run("fuchsiamoor apply moved.json --based-on 1")
+    shell.run("fuchsiamoor --daemon nowhere status")
+    shell.run("fuchsiamoor explain k --service none")
+    shell.run("fuchsiamoor status", FUCHSIAMOOR_OPERATOR_KEY="wrong")
+    shell.run("fuchsiamoor --key-file missing.key status")
+    shell.check_golden("refusals.txt")
+
+
+def test_racing_operators(shell):
+    shell.write("fleet.json")
+    shell.run("fuchsiamoor apply fleet.json --based-on 0")
+    shell.write("dana.json", moves_per_minute=5)
+    shell.write("erik.json", moves_per_minute=6, data_centres_out=["astana-1"])
+    shell.run("fuchsiamoor apply dana.json --based-on 1")
+    shell.run("fuchsiamoor apply erik.json --based-on 1 --operator erik")
+    shell.run("fuchsiamoor apply erik.json --based-on 1 --operator erik --json")
+    shell.check_golden("race.txt")
+
+
+def test_lost_answers_and_daemons_that_lag(shell):
+    shell.write("fleet.json")
+    shell.fleet.failures = [httpx.ReadError("reset"), httpx.ReadTimeout("late")]
+    shell.run("fuchsiamoor apply fleet.json --based-on 0")
+    slow = shell.fleet.daemons["10.0.0.3:7003"]
+    slow.adopts_after = slow.asked + 3
+    shell.write("next.json", moves_per_minute=5)
+    shell.run("fuchsiamoor apply next.json --based-on 1")
+    slow.adopts_after = 10_000
+    shell.write("last.json", moves_per_minute=6)
+    shell.run("fuchsiamoor apply last.json --based-on 2 --wait-s 2")
+    del shell.fleet.daemons["10.0.0.2:7003"]
+    shell.run("fuchsiamoor apply last.json --based-on 2 --wait-s 1 --json")
+    shell.fleet.failures = [httpx.ReadError("reset")] * 20
+    shell.run("fuchsiamoor data-centre out almaty-2")
+    shell.fleet.daemons.clear()
+    shell.run("fuchsiamoor apply last.json --based-on 2")
+    shell.check_golden("lost.txt")
+
+
+def test_status_and_explain(shell):
+    shell.write("fleet.json", data_centres_out=["astana-2"])
+    shell.run("fuchsiamoor apply fleet.json --based-on 0")
+    first, second, third = shell.fleet.daemons.values()
+    first.base = first.base._replace(
+        overrides=(
+            status.OverrideStatus("stock key k-1 held to almaty-9-a", True, ""),
+            status.OverrideStatus("stock held to almaty-1", True, ""),
+        )
+    )
+    second.base = second.base._replace(
+        leaving=True,
+        overrides=(
+            status.OverrideStatus(
+                "stock key k-1 held to almaty-9-a", False, "almaty-9-a is unknown"
+            ),
+        ),
+        domains=(reports_data.make_domain_status(table_revision=10, owned_shards=0),),
+    )
+    third.base = third.base._replace(
+        ready=False,
+        upstream=status.UpstreamStatus("", False, 0, 0),
+        domains=(reports_data.make_domain_status(domain="booking@astana", term=7),),
+    )
+    shell.run("fuchsiamoor status")
+    del shell.fleet.daemons["10.0.0.3:7003"]
+    shell.run("fuchsiamoor status")
+    first.explanation = first.explanation._replace(owner="almaty-2-a#1", lease=None)
+    second.explanation = second.explanation._replace(
+        owner="almaty-2-a#1", lease=status.LeaseState.VOUCHED, isolated=True
+    )
+    shell.run("fuchsiamoor explain chair-7 --service stock")
+    first.explanation = first.explanation._replace(
+        owner="", data_centre="", state="unowned", candidates=(), coordinator=""
+    )
+    shell.run("fuchsiamoor explain chair-7 --service stock --tenant clinics")
+    shell.check_golden("status.txt")
+
+
+def test_report(shell):
+    shell.write("fleet.json")
+    shell.run("fuchsiamoor apply fleet.json --based-on 0")
+    shell.run("fuchsiamoor report")
+    for index, daemon in enumerate(shell.fleet.daemons.values(), start=1):
+        made = daemon.metrics
+        made.by_period = counts.make_counts(0)
+        made.slow_after_us = {"stock": 250_000}
+        for minute in range(90):
+            made.data_centres_out = frozenset({"almaty-2"} if minute > 85 else ())
+            made.flush(minute * counts.MINUTE_MS)
+            for number in range(20):
+                latency_us = 2_000 * number * index
+                made.request_ended("stock", counts.Outcome.SUCCEEDED, latency_us)
+                made.upstream_served("stock")
+            if minute > 80 and index == 1:
+                made.request_ended("stock", counts.Outcome.FAILED, 0)
+                made.request_ended("stock", counts.Outcome.SUCCEEDED, 400_000)
+                made.shards_moved("stock", planned=minute % 2 == 0, n=3)
+                made.shards_unavailable("stock", 1_500)
+    shell.run("fuchsiamoor report")
+    shell.check_golden("report.txt")
+
+
+@pytest.mark.parametrize(
+    "line",
+    ["status", "report", "configuration", "explain k --service stock", "diff f.json"],
+)
+def test_every_report_is_also_json(shell, line):
+    shell.write("f.json")
+    shell.run("fuchsiamoor apply f.json --based-on 0")
+    found = shell.run(f"fuchsiamoor {line} --json")
+    assert found.exit_code == ExitStatus.OK
+    assert isinstance(json.loads(found.stdout), dict)
+    assert found.stderr == ""
+
+
+def test_the_printed_configuration_applies_without_a_difference(shell):
+    shell.write("fleet.json")
+    shell.run("fuchsiamoor apply fleet.json --based-on 0")
+    text = shell.run("fuchsiamoor configuration").stdout
+    pathlib.Path("printed.json").write_text(text)
+    found = shell.run("fuchsiamoor diff printed.json")
+    assert found.stdout == "no difference from revision 1\n"
--- /dev/null
+++ b/fuchsiamoor/cli/tables.py
@@ -0,0 +1,79 @@
+"""Plain tables that fit a terminal."""
+
+from collections.abc import Sequence
+
+WIDTH_CHARACTERS = 80
+GAP = "  "
+MIN_COLUMN_CHARACTERS = 6
+ELLIPSIS = "..."
+
+
+def format_table(
+    headers: Sequence[str], rows: Sequence[Sequence[str]], width: int = WIDTH_CHARACTERS
+) -> list[str]:
+    """Return the lines of a table, no longer than ``width`` characters.
+
+    Columns of numbers are set to the right. The widest columns are shortened first.
+
+    Examples
+    --------
+    >>> for line in format_table(["name", "n"], [["a", "1"], ["long-name", "12"]], 12):
+    ...     print(line)
+    name       n
+    a          1
+    long-...  12
+    """
+    columns = list(zip(headers, *rows, strict=True))
+    widths = _fit([max(map(len, column)) for column in columns], width)
+    numeric = [
+        all(cell.replace(".", "").isdigit() or cell == "-" for cell in column[1:])
+        for column in columns
+    ]
+    lines = []
+    for row in [headers, *rows]:
+        cells = [
+            _pad(cell, cell_width, right)
+            for cell, cell_width, right in zip(row, widths, numeric, strict=True)
+        ]
+        lines.append(GAP.join(cells).rstrip())
+    return lines
+
+
+def wrap(text: str, indent: str = "", width: int = WIDTH_CHARACTERS) -> list[str]:
+    """Break a text into lines at spaces; later lines are indented.
+
+    Examples
+    --------
+    >>> wrap("one two three", "  ", 9)
+    ['one two', '  three']
+    """
+    if len(text) <= width:
+        return [text]
+    lines: list[str] = []
+    line = ""
+    for word in text.split(" "):
+        longer = f"{line} {word}" if line.strip() else line + word
+        if len(longer) > width and line.strip():
+            lines.append(line)
+            longer = indent + word
+        line = longer
+    return [*lines, line]
+
+
+def wrap_all(lines: Sequence[str]) -> list[str]:
+    """Break every line that is too long; its later lines are indented."""
+    return [part for line in lines for part in wrap(line, "    ")]
+
+
+def _fit(widths: list[int], width: int) -> list[int]:
+    widths = list(widths)
+    room = width - len(GAP) * (len(widths) - 1)
+    while sum(widths) > room and max(widths) > MIN_COLUMN_CHARACTERS:
+        widths[widths.index(max(widths))] -= 1
+    return widths
+
+
+def _pad(cell: str, width: int, right: bool) -> str:
+    if len(cell) > width:
+        cell = cell[: width - len(ELLIPSIS)] + ELLIPSIS
+    return cell.rjust(width) if right else cell.ljust(width)
--- a/fuchsiamoor/daemon/operator_app.py
+++ b/fuchsiamoor/daemon/operator_app.py
@@ -65,8 +65,9 @@
         raise NotAuthorizedException(detail="an operator key is needed")
 
     @litestar.get("/v1/status", sync_to_thread=False)
-    def get_status() -> litestar.Response[bytes]:
-        return _answer(view.status())
+    def get_status(members: bool = True) -> litestar.Response[bytes]:
+        found = view.status()
+        return _answer(found if members else found._replace(members=()))
 
     @litestar.get("/v1/configuration", sync_to_thread=False)
     def get_configuration() -> litestar.Response[bytes]:
--- a/fuchsiamoor/documents/validation.py
+++ b/fuchsiamoor/documents/validation.py
@@ -155,7 +155,7 @@
 
 
 def _expected_field(name: str | int, fields: frozenset[str]) -> str:
-    near = difflib.get_close_matches(str(name), sorted(fields), n=1)
+    near = difflib.get_close_matches(str(name), sorted(fields - {name}), n=1)
     if not near:
         return "no field of this name"
     return f"no field of this name (perhaps {near[0]})"
--- /dev/null
+++ b/fuchsiamoor/reports/merged.py
@@ -0,0 +1,96 @@
+"""Counts of many daemons added up by service and time."""
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from fuchsiamoor.reports import counts
+from fuchsiamoor.reports.counts import CountsSnapshot, Period, ServiceCounts
+
+
+@dataclass(slots=True)
+class ServiceHistory:
+    """Counts of one service in all daemons.
+
+    Parameters
+    ----------
+    minutes, hours : dict of int to ServiceCounts
+        By the Unix time at which the period begins, in milliseconds.
+    served_by_instance : dict of str to int
+        Requests that each upstream ran in the minutes kept.
+    """
+
+    minutes: dict[int, ServiceCounts] = field(default_factory=dict)
+    hours: dict[int, ServiceCounts] = field(default_factory=dict)
+    served_by_instance: dict[str, int] = field(default_factory=dict)
+
+
+class History(NamedTuple):
+    """Counts of a whole deployment.
+
+    Parameters
+    ----------
+    services : dict of str to ServiceHistory
+    out_by_minute : dict of int to frozenset of str
+        Data centres out of service, by the minute's beginning.
+    latest_ms : int
+        Beginning of the latest minute; 0 if there are no counts.
+    oldest_since_ms, youngest_since_ms : int
+        Starts of the daemons whose counts are here.
+    """
+
+    services: dict[str, ServiceHistory]
+    out_by_minute: dict[int, frozenset[str]]
+    latest_ms: int
+    oldest_since_ms: int
+    youngest_since_ms: int
+
+
+def merge(snapshots: Sequence[CountsSnapshot]) -> History:
+    """Add up the counts of daemons."""
+    services: dict[str, ServiceHistory] = {}
+    out_by_minute: dict[int, frozenset[str]] = {}
+    for snapshot in snapshots:
+        own = services.setdefault(snapshot.service, ServiceHistory())
+        own.served_by_instance.setdefault(snapshot.instance, 0)
+        for minute in snapshot.minutes:
+            out = out_by_minute.get(minute.start_ms, frozenset())
+            out_by_minute[minute.start_ms] = out | minute.data_centres_out
+            for service, found in minute.services.items():
+                history = services.setdefault(service, ServiceHistory())
+                if found.served:
+                    served = history.served_by_instance
+                    total = served.get(snapshot.instance, 0) + found.served
+                    served[snapshot.instance] = total
+        for minute, service, found in _list_counts(snapshot.minutes):
+            _add(services[service].minutes, minute.start_ms, found)
+        for hour, service, found in _list_counts(snapshot.hours):
+            history = services.setdefault(service, ServiceHistory())
+            _add(history.hours, hour.start_ms, found)
+    return History(
+        services=services,
+        out_by_minute=out_by_minute,
+        latest_ms=max(out_by_minute, default=0),
+        oldest_since_ms=min((found.since_ms for found in snapshots), default=0),
+        youngest_since_ms=max((found.since_ms for found in snapshots), default=0),
+    )
+
+
+def sum_counts(parts: Iterable[ServiceCounts]) -> ServiceCounts:
+    """Return the sum of counts."""
+    total = ServiceCounts()
+    for part in parts:
+        counts.add_service_counts(total, part)
+    return total
+
+
+def _list_counts(
+    periods: Iterable[Period],
+) -> Iterable[tuple[Period, str, ServiceCounts]]:
+    for period in periods:
+        for service, found in period.services.items():
+            yield period, service, found
+
+
+def _add(into: dict[int, ServiceCounts], start_ms: int, found: ServiceCounts) -> None:
+    counts.add_service_counts(into.setdefault(start_ms, ServiceCounts()), found)
