--- a/fuchsiamoor/daemon/settings_file.py
+++ b/fuchsiamoor/daemon/settings_file.py
@@ -101,6 +101,14 @@
     data_centre: Name
     caller_address: AddressText
     peer_address: AddressText
+    peer_bind_address: NotRequired[
+        Annotated[
+            AddressText | None,
+            pydantic.Field(
+                description="Where to listen if peers reach peer_address otherwise."
+            ),
+        ]
+    ]
     operator_address: AddressText
     announce_address: AddressText
     upstream_address: AddressText
@@ -156,8 +164,10 @@
 def _check_addresses(document: SettingsDocument) -> list[faults.Fault]:
     first_uses: dict[str, str] = {}
     found = []
-    for field in _LISTENING_FIELDS:
-        text = document[field]
+    for field in (*_LISTENING_FIELDS, "peer_bind_address"):
+        text = document.get(field)
+        if text is None:
+            continue
         first = first_uses.setdefault(text, field)
         if first != field:
             expected = f"an address other than that of {first}"
@@ -177,7 +187,6 @@
 
 
 def _make_settings(document: SettingsDocument) -> settings.Settings:
-    statsd_address = document.get("statsd_address")
     return settings.Settings(
         instance=document["instance"],
         service=document["service"],
@@ -188,10 +197,13 @@
             for field in _LISTENING_FIELDS
         },
         store_url=document["store_url"].rstrip("/"),
-        statsd_address=(
-            addresses.parse_address(statsd_address) if statsd_address else None
-        ),
+        statsd_address=_parse_optional(document.get("statsd_address")),
         peer_keys=tuple(document["peer_keys"]),
         operator_keys=tuple(document["operator_keys"]),
         timing=settings.Timing(**document.get("timing", {})),
+        peer_bind_address=_parse_optional(document.get("peer_bind_address")),
     )
+
+
+def _parse_optional(text: str | None) -> addresses.Address | None:
+    return None if text is None else addresses.parse_address(text)
--- a/fuchsiamoor/daemon/settings_file_test.py
+++ b/fuchsiamoor/daemon/settings_file_test.py
@@ -18,12 +18,15 @@
 def test_a_whole_file_is_read(tmp_path):
     path = tmp_path / "settings.json"
     document = documents_data.make_settings_document(
-        statsd_address="127.0.0.1:8125", timing={"lease_ms": 900}
+        statsd_address="127.0.0.1:8125",
+        peer_bind_address="127.0.0.1:7012",
+        timing={"lease_ms": 900},
     )
     path.write_bytes(documents_data.encode(document))
     found = settings_file.load_settings(path)
     assert found.peer_address == Address("127.0.0.1", 7002)
     assert found.statsd_address == Address("127.0.0.1", 8125)
+    assert found.peer_bind_address == Address("127.0.0.1", 7012)
     assert found.timing == settings.Timing(lease_ms=900)
 
 
@@ -60,6 +63,10 @@
     )
 
 
+def test_the_address_behind_a_relay_is_distinct_too():
+    assert list(_faults_of(peer_bind_address="127.0.0.1:7001")) == ["peer_bind_address"]
+
+
 def test_renewals_fit_into_a_lease():
     assert list(_faults_of(timing={"renew_every_ms": 700})) == ["timing.renew_every_ms"]
 
