--- a/fuchsiamoor/cli/main.py
+++ b/fuchsiamoor/cli/main.py
@@ -1,26 +1,15 @@
-"""The operators' tool: parses, runs a command, prints and exits."""
+"""The operators' tool: its commands and their options."""
 
-import asyncio
-import getpass
 import pathlib
-import re
-from collections.abc import Awaitable, Callable
-from typing import Annotated, NamedTuple, NoReturn
+from typing import Annotated
 
-import httpx
 import typer
 
-from fuchsiamoor.cli import applying, commands, render, tables
-from fuchsiamoor.cli import client as tool_client
+from fuchsiamoor.cli import commands, session
 from fuchsiamoor.cli.client import Client
 from fuchsiamoor.cli.commands import Ending
-from fuchsiamoor.cli.exits import ExitStatus, ToolError
-from fuchsiamoor.core import errors
-from fuchsiamoor.reports import codec
 
 DEFAULT_WAIT_S = 18.0
-MAX_OPERATOR_CHARACTERS = 64
-DEFAULT_URL = "http://127.0.0.1:7003"
 
 HELP = """Drive and watch a fuchsiamoor deployment.
 
@@ -62,38 +51,6 @@
 app.add_typer(data_centre_app, name="data-centre")
 
 
-class Environment(NamedTuple):
-    """What a test replaces.
-
-    Parameters
-    ----------
-    transport : AsyncBaseTransport or None
-        None for the network.
-    clock : Clock
-    """
-
-    transport: httpx.AsyncBaseTransport | None = None
-    clock: applying.Clock = applying.Clock()
-
-
-class Session(NamedTuple):
-    """What the options before the command say.
-
-    Parameters
-    ----------
-    environment : Environment
-    urls : tuple of str
-    key : str
-        Empty if none is given.
-    key_file : Path or None
-    """
-
-    environment: Environment
-    urls: tuple[str, ...]
-    key: str
-    key_file: pathlib.Path | None
-
-
 File = Annotated[
     pathlib.Path, typer.Argument(metavar="FILE", help="Configuration file.")
 ]
@@ -141,8 +98,9 @@
     ] = None,
 ) -> None:
     """Keep what the options before the command say."""
-    environment = context.obj or Environment()
-    context.obj = Session(environment, tuple(daemons or [DEFAULT_URL]), key, key_file)
+    environment = context.obj or session.Environment()
+    urls = tuple(daemons or [session.DEFAULT_URL])
+    context.obj = session.Session(environment, urls, key, key_file)
 
 
 @app.command()
@@ -157,7 +115,7 @@
     async def run_check(_: Client) -> Ending:
         return commands.check_file(file)
 
-    _finish(context, as_json, run_check)
+    session.finish(context, as_json, run_check)
 
 
 @app.command()
@@ -168,7 +126,7 @@
     Example:
       fuchsiamoor diff fleet.json
     """
-    _finish(context, as_json, lambda client: commands.diff_file(client, file))
+    session.finish(context, as_json, lambda client: commands.diff_file(client, file))
 
 
 @app.command()
@@ -194,9 +152,9 @@
     Example:
       fuchsiamoor apply fleet.json --based-on 7
     """
-    wait = _make_wait(context, wait_s)
-    name = _name_operator(operator)
-    _finish(
+    wait = session.make_wait(context, wait_s)
+    name = session.name_operator(operator)
+    session.finish(
         context,
         as_json,
         lambda client: commands.apply_file(client, file, based_on, name, wait),
@@ -211,7 +169,7 @@
     Example:
       fuchsiamoor configuration > fleet.json
     """
-    _finish(context, as_json, commands.show_configuration)
+    session.finish(context, as_json, commands.show_configuration)
 
 
 @app.command()
@@ -222,7 +180,7 @@
     Example:
       fuchsiamoor --daemon http://10.1.0.4:7003 status
     """
-    _finish(context, as_json, commands.show_status)
+    session.finish(context, as_json, commands.show_status)
 
 
 @app.command()
@@ -241,7 +199,7 @@
     Example:
       fuchsiamoor explain chair-7 --service stock --tenant default
     """
-    _finish(
+    session.finish(
         context,
         as_json,
         lambda client: commands.explain_key(client, service, tenant, key),
@@ -259,7 +217,7 @@
     Example:
       fuchsiamoor report --json
     """
-    _finish(context, as_json, commands.show_report)
+    session.finish(context, as_json, commands.show_report)
 
 
 @data_centre_app.command("out")
@@ -309,92 +267,10 @@
     wait_s: float,
     as_json: bool,
 ) -> None:
-    wait = _make_wait(context, wait_s)
-    applier = _name_operator(operator)
-    _finish(
+    wait = session.make_wait(context, wait_s)
+    applier = session.name_operator(operator)
+    session.finish(
         context,
         as_json,
         lambda client: commands.set_data_centre(client, name, out, applier, wait),
     )
-
-
-def _finish(
-    context: typer.Context,
-    as_json: bool,
-    command: Callable[[Client], Awaitable[Ending]],
-) -> NoReturn:
-    """Run a command, print its ending and exit."""
-    try:
-        ending = asyncio.run(_run_connected(context.obj, command))
-    except errors.InvalidDocumentError as error:
-        ending = Ending(
-            ExitStatus.WRONG_INPUT,
-            tables.wrap_all(str(error).splitlines()),
-            {"faults": [fault._asdict() for fault in error.faults]},
-        )
-        _print(ending, as_json, as_error=True)
-    except ToolError as error:
-        message = str(error)
-        lines = tables.wrap_all(message.splitlines())
-        ending = Ending(error.status, lines, {"problem": message})
-        _print(ending, as_json, as_error=True)
-    else:
-        _print(ending, as_json)
-    raise typer.Exit(ending.status)
-
-
-async def _run_connected(
-    session: Session, command: Callable[[Client], Awaitable[Ending]]
-) -> Ending:
-    for url in session.urls:
-        _check_url(url)
-    transport = session.environment.transport
-    client = tool_client.make_client(session.urls, _read_key(session), transport)
-    async with client.http:
-        return await command(client)
-
-
-def _check_url(url: str) -> None:
-    try:
-        parsed = httpx.URL(url)
-    except httpx.InvalidURL:
-        parsed = httpx.URL("")
-    if parsed.scheme in ("http", "https") and parsed.host:
-        return
-    message = f"--daemon {url}: expected a URL such as {DEFAULT_URL}"
-    raise ToolError(ExitStatus.WRONG_INPUT, message)
-
-
-def _read_key(session: Session) -> str:
-    if session.key_file is None:
-        return session.key
-    try:
-        return session.key_file.read_text().strip()
-    except OSError as error:
-        message = f"--key-file {session.key_file}: {error.strerror}"
-        raise ToolError(ExitStatus.WRONG_INPUT, message) from None
-
-
-def _name_operator(operator: str) -> str:
-    if not operator:
-        try:
-            operator = getpass.getuser()
-        except (KeyError, OSError):
-            operator = "operator"
-    cleaned = re.sub(r"[^A-Za-z0-9@._-]", "-", operator).lstrip("@._-")
-    return cleaned[:MAX_OPERATOR_CHARACTERS] or "operator"
-
-
-def _make_wait(context: typer.Context, wait_s: float) -> commands.Wait:
-    def show(progress: applying.Progress) -> None:
-        typer.echo(render.render_progress(progress), err=True)
-
-    return commands.Wait(wait_s, context.obj.environment.clock, show)
-
-
-def _print(ending: Ending, as_json: bool, as_error: bool = False) -> None:
-    if as_json:
-        typer.echo(codec.encode(ending.data).decode())
-        return
-    for line in ending.lines:
-        typer.echo(line, err=as_error)
--- a/fuchsiamoor/cli/main_test.py
+++ b/fuchsiamoor/cli/main_test.py
@@ -7,12 +7,15 @@
 import pytest
 from typer.testing import CliRunner
 
-from fuchsiamoor.cli import applying, main
+from fuchsiamoor.cli import applying, main, session
 from fuchsiamoor.cli.exits import ExitStatus
+from fuchsiamoor.core import requests, verdicts
 from fuchsiamoor.reports import counts, status
 from fuchsiamoor.testing import documents_data, operator_fleet, reports_data
 
 GOLDEN = pathlib.Path(__file__).parent / "main_golden"
+RAN = requests.Answer("r", verdicts.Ran(), 200)
+FAILED = requests.Answer("r", verdicts.NotRun(verdicts.Reason.NO_OWNER), 503)
 URLS = "http://10.0.0.1:7003 http://10.0.0.2:7003"
 
 
@@ -48,7 +51,7 @@
 
     def run(self, line, **environment):
         clock = VirtualClock()
-        context = main.Environment(
+        context = session.Environment(
             self.fleet, applying.Clock(lambda: clock.now_s, clock.sleep)
         )
         found = CliRunner().invoke(
@@ -205,13 +208,15 @@
             made.flush(minute * counts.MINUTE_MS)
             for number in range(20):
                 latency_us = 2_000 * number * index
-                made.request_ended("stock", counts.Outcome.SUCCEEDED, latency_us)
-                made.upstream_served("stock")
+                made.answered("stock", RAN, latency_us)
+                made.upstream_served("stock", latency_us)
             if minute > 80 and index == 1:
-                made.request_ended("stock", counts.Outcome.FAILED, 0)
-                made.request_ended("stock", counts.Outcome.SUCCEEDED, 400_000)
-                made.shards_moved("stock", planned=minute % 2 == 0, n=3)
-                made.shards_unavailable("stock", 1_500)
+                made.answered("stock", FAILED, 0)
+                made.answered("stock", RAN, 400_000)
+                found = counts.find_current(made.by_period, "stock")
+                found.moved_planned += 3 * (minute % 2)
+                found.moved_unplanned += 1
+                found.unavailable_shard_ms += 1_500
     shell.run("fuchsiamoor report")
     shell.check_golden("report.txt")
 
--- /dev/null
+++ b/fuchsiamoor/cli/session.py
@@ -0,0 +1,139 @@
+"""One run of the tool: connects, runs a command, prints its ending and exits."""
+
+import asyncio
+import getpass
+import pathlib
+import re
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple, NoReturn
+
+import httpx
+import typer
+
+from fuchsiamoor.cli import applying, commands, render, tables
+from fuchsiamoor.cli import client as tool_client
+from fuchsiamoor.cli.client import Client
+from fuchsiamoor.cli.commands import Ending
+from fuchsiamoor.cli.exits import ExitStatus, ToolError
+from fuchsiamoor.core import errors
+from fuchsiamoor.reports import codec
+
+MAX_OPERATOR_CHARACTERS = 64
+DEFAULT_URL = "http://127.0.0.1:7003"
+
+
+class Environment(NamedTuple):
+    """What a test replaces.
+
+    Parameters
+    ----------
+    transport : AsyncBaseTransport or None
+        None for the network.
+    clock : Clock
+    """
+
+    transport: httpx.AsyncBaseTransport | None = None
+    clock: applying.Clock = applying.Clock()
+
+
+class Session(NamedTuple):
+    """What the options before the command say.
+
+    Parameters
+    ----------
+    environment : Environment
+    urls : tuple of str
+    key : str
+        Empty if none is given.
+    key_file : Path or None
+    """
+
+    environment: Environment
+    urls: tuple[str, ...]
+    key: str
+    key_file: pathlib.Path | None
+
+
+def finish(
+    context: typer.Context,
+    as_json: bool,
+    command: Callable[[Client], Awaitable[Ending]],
+) -> NoReturn:
+    """Run a command, print its ending and exit."""
+    try:
+        ending = asyncio.run(_run_connected(context.obj, command))
+    except errors.InvalidDocumentError as error:
+        ending = Ending(
+            ExitStatus.WRONG_INPUT,
+            tables.wrap_all(str(error).splitlines()),
+            {"faults": [fault._asdict() for fault in error.faults]},
+        )
+        _print(ending, as_json, as_error=True)
+    except ToolError as error:
+        message = str(error)
+        lines = tables.wrap_all(message.splitlines())
+        ending = Ending(error.status, lines, {"problem": message})
+        _print(ending, as_json, as_error=True)
+    else:
+        _print(ending, as_json)
+    raise typer.Exit(ending.status)
+
+
+async def _run_connected(
+    session: Session, command: Callable[[Client], Awaitable[Ending]]
+) -> Ending:
+    for url in session.urls:
+        _check_url(url)
+    transport = session.environment.transport
+    client = tool_client.make_client(session.urls, _read_key(session), transport)
+    async with client.http:
+        return await command(client)
+
+
+def _check_url(url: str) -> None:
+    try:
+        parsed = httpx.URL(url)
+    except httpx.InvalidURL:
+        parsed = httpx.URL("")
+    if parsed.scheme in ("http", "https") and parsed.host:
+        return
+    message = f"--daemon {url}: expected a URL such as {DEFAULT_URL}"
+    raise ToolError(ExitStatus.WRONG_INPUT, message)
+
+
+def _read_key(session: Session) -> str:
+    if session.key_file is None:
+        return session.key
+    try:
+        return session.key_file.read_text().strip()
+    except OSError as error:
+        message = f"--key-file {session.key_file}: {error.strerror}"
+        raise ToolError(ExitStatus.WRONG_INPUT, message) from None
+
+
+def name_operator(operator: str) -> str:
+    """Return a name for applies: the one given, or the login name."""
+    if not operator:
+        try:
+            operator = getpass.getuser()
+        except (KeyError, OSError):
+            operator = "operator"
+    cleaned = re.sub(r"[^A-Za-z0-9@._-]", "-", operator).lstrip("@._-")
+    return cleaned[:MAX_OPERATOR_CHARACTERS] or "operator"
+
+
+def make_wait(context: typer.Context, wait_s: float) -> commands.Wait:
+    """Return how to wait, with a progress line on standard error."""
+
+    def show(progress: applying.Progress) -> None:
+        typer.echo(render.render_progress(progress), err=True)
+
+    return commands.Wait(wait_s, context.obj.environment.clock, show)
+
+
+def _print(ending: Ending, as_json: bool, as_error: bool = False) -> None:
+    if as_json:
+        typer.echo(codec.encode(ending.data).decode())
+        return
+    for line in ending.lines:
+        typer.echo(line, err=as_error)
--- a/fuchsiamoor/daemon/logs.py
+++ b/fuchsiamoor/daemon/logs.py
@@ -11,7 +11,9 @@
 
 
 def make_logger(instance: str, stream: TextIO = sys.stderr) -> "loguru.Logger":
-    """Send all log lines to a stream as JSON, and return the daemon's logger.
+    """Send all log lines to a stream as JSON, and return the logger.
+
+    Every line of the process names the instance from then on.
 
     Parameters
     ----------
@@ -32,7 +34,8 @@
         backtrace=False,
         diagnose=False,
     )
-    return loguru.logger.bind(instance=instance)
+    loguru.logger.configure(extra={"instance": instance})
+    return loguru.logger
 
 
 def format_line(record: "loguru.Record") -> str:
--- a/fuchsiamoor/daemon/metrics.py
+++ b/fuchsiamoor/daemon/metrics.py
@@ -8,11 +8,16 @@
 
 import statsd
 
+from fuchsiamoor.core import keys, verdicts
 from fuchsiamoor.core.addresses import Address
-from fuchsiamoor.reports import counts, metric_names
+from fuchsiamoor.core.configuration import Configuration
+from fuchsiamoor.core.requests import Answer
+from fuchsiamoor.core.tables import ShardTable
+from fuchsiamoor.reports import counts, metric_names, moves
 from fuchsiamoor.reports.counts import CountsSnapshot, Outcome
 from fuchsiamoor.reports.histogram import find_bucket
 from fuchsiamoor.reports.metric_names import Kind
+from fuchsiamoor.reports.status import Status
 
 TIMINGS_PER_FLUSH = 20
 PREFIX = "fuchsiamoor"
@@ -41,6 +46,8 @@
     slow_after_us : dict of str to int
         By service, from its objective.
     data_centres_out : frozenset of str
+    tables : dict of str to ShardTable
+        The latest revision of each domain.
     by_period : Counts
     """
 
@@ -53,6 +60,7 @@
     timing_counts: dict[str, int]
     slow_after_us: dict[str, int]
     data_centres_out: frozenset[str]
+    tables: dict[str, ShardTable]
     by_period: counts.Counts
 
     def count(self, name: str, n: int = 1) -> None:
@@ -83,53 +91,95 @@
         else:
             kept[seen % TIMINGS_PER_FLUSH] = time_ms
 
-    def request_ended(self, service: str, outcome: Outcome, latency_us: int) -> None:
-        """Count the ending of a caller's request.
+    def answered(self, service: str, answer: Answer, latency_us: int) -> None:
+        """Count the answer to a caller's request.
 
         Parameters
         ----------
         service : str
             Known to the configuration.
-        outcome : Outcome
-            By `counts.classify_answer`.
+        answer : Answer
         latency_us : int
             From the whole request to the whole answer.
         """
-        if outcome is Outcome.NOT_COUNTED:
-            return
-        found = counts.find_current(self.by_period, service)
-        if found is None:
-            return
-        if outcome is Outcome.FAILED:
-            found.failed += 1
-            return
-        found.succeeded += 1
-        if latency_us > self.slow_after_us.get(service, latency_us):
-            found.slow += 1
-        bucket = find_bucket(latency_us)
-        found.latency[bucket] = found.latency.get(bucket, 0) + 1
+        match answer.verdict:
+            case verdicts.Ran():
+                self.count(metric_names.REQUESTS_RAN)
+            case verdicts.NotRun():
+                self.count(metric_names.REQUESTS_NOT_RUN)
+            case verdicts.MayHaveRun():
+                self.count(metric_names.REQUESTS_MAY_HAVE_RUN)
+        self.timing(metric_names.REQUEST_TIME, latency_us / 1000)
+        outcome = counts.classify_answer(answer)
+        if outcome is not Outcome.NOT_COUNTED:
+            self._add_outcome(service, outcome, latency_us)
 
-    def upstream_served(self, service: str) -> None:
+    def upstream_served(self, service: str, latency_us: int) -> None:
         """Count a request that the upstream beside the daemon ran."""
+        self.count(metric_names.UPSTREAM_SERVED)
+        self.timing(metric_names.UPSTREAM_TIME, latency_us / 1000)
         found = counts.find_current(self.by_period, service)
         if found is not None:
             found.served += 1
 
-    def shards_moved(self, service: str, planned: bool, n: int = 1) -> None:
-        """Count shards that this daemon moved as a coordinator."""
-        found = counts.find_current(self.by_period, service)
-        if found is None:
-            return
-        if planned:
-            found.moved_planned += n
-        else:
-            found.moved_unplanned += n
+    def configuration_changed(self, configuration: Configuration) -> None:
+        """Take objectives and data centres out from a configuration in force."""
+        self.data_centres_out = configuration.data_centres_out
+        self.slow_after_us = {
+            name: service.objective.latency_ms * 1000
+            for name, service in configuration.services.items()
+        }
 
-    def shards_unavailable(self, service: str, shard_ms: int) -> None:
-        """Add time without an owner, shards times milliseconds, as a coordinator."""
+    def table_changed(self, table: ShardTable, own_member_id: str) -> None:
+        """Count the moves of a new table revision if this daemon has written it."""
+        known = self.tables.get(table.domain)
+        self.tables[table.domain] = table
+        if known is None or table.coordinator != own_member_id:
+            return
+        planned, unplanned = moves.count_moves(known, table)
+        if not planned and not unplanned:
+            return
+        self.count(metric_names.SHARDS_MOVED_PLANNED, planned)
+        self.count(metric_names.SHARDS_MOVED_UNPLANNED, unplanned)
+        service, _ = keys.split_domain_id(table.domain)
         found = counts.find_current(self.by_period, service)
         if found is not None:
-            found.unavailable_shard_ms += shard_ms
+            found.moved_planned += planned
+            found.moved_unplanned += unplanned
+
+    def observe(self, status: Status, elapsed_ms: int) -> None:
+        """Set the gauges from the daemon's state, and add time without an owner.
+
+        Parameters
+        ----------
+        status : Status
+        elapsed_ms : int
+            Time since the last call.
+        """
+        coordinated = [
+            domain
+            for domain in status.domains
+            if domain.coordinator == status.member_id
+        ]
+        for domain in coordinated:
+            unserved = domain.pending_shards + domain.unowned_shards
+            if unserved:
+                service, _ = keys.split_domain_id(domain.domain)
+                found = counts.find_current(self.by_period, service)
+                if found is not None:
+                    found.unavailable_shard_ms += unserved * elapsed_ms
+        pending = sum(domain.pending_shards for domain in coordinated)
+        owned = sum(domain.owned_shards for domain in status.domains)
+        unmet = sum(not override.met for override in status.overrides)
+        self.gauge(metric_names.SHARDS_PENDING, pending)
+        self.gauge(metric_names.SHARDS_OWNED, owned)
+        self.gauge(metric_names.COORDINATOR_DOMAINS, len(coordinated))
+        self.gauge(metric_names.UPSTREAM_IN_FLIGHT, status.upstream.in_flight)
+        self.gauge(metric_names.UPSTREAM_LIMIT, status.upstream.limit)
+        self.gauge(metric_names.MEMBERS_KNOWN, len(status.members))
+        self.gauge(metric_names.OVERRIDES_UNMET, unmet)
+        revision = status.configuration_revision
+        self.gauge(metric_names.CONFIGURATION_REVISION, revision)
 
     def flush(self, now_ms: int) -> None:
         """Send what changed to statsd and begin a new minute when it is time.
@@ -159,6 +209,19 @@
             hours=tuple(self.by_period.hours),
         )
 
+    def _add_outcome(self, service: str, outcome: Outcome, latency_us: int) -> None:
+        found = counts.find_current(self.by_period, service)
+        if found is None:
+            return
+        if outcome is Outcome.FAILED:
+            found.failed += 1
+            return
+        found.succeeded += 1
+        if latency_us > self.slow_after_us.get(service, latency_us):
+            found.slow += 1
+        bucket = find_bucket(latency_us)
+        found.latency[bucket] = found.latency.get(bucket, 0) + 1
+
     def _send(self, client: statsd.StatsClient) -> None:
         with client.pipeline() as pipe:
             for name, total in self.totals.items():
@@ -200,6 +263,7 @@
         timing_counts=dict.fromkeys(timings, 0),
         slow_after_us={},
         data_centres_out=frozenset(),
+        tables={},
         by_period=counts.make_counts(now_ms),
     )
 
--- /dev/null
+++ b/fuchsiamoor/daemon/store_metrics.py
@@ -0,0 +1,82 @@
+"""Counts and times every call to the store, around any store."""
+
+import time
+from collections.abc import Awaitable
+from dataclasses import dataclass
+from typing import TypeVar
+
+from fuchsiamoor.core import errors
+from fuchsiamoor.daemon.metrics import Metrics
+from fuchsiamoor.reports import metric_names
+from fuchsiamoor.store import port
+
+T = TypeVar("T")
+
+
+@dataclass(slots=True)
+class CountedStore:
+    """A store whose calls are counted; made by `make_counted_store`."""
+
+    inner: port.Store
+    metrics: Metrics
+
+    async def get(self, key: str) -> port.Entry | None:
+        """Read one key."""
+        return await self._measure(self.inner.get(key))
+
+    async def list_prefix(self, prefix: str) -> port.Listing:
+        """Read all keys under a prefix."""
+        return await self._measure(self.inner.list_prefix(prefix))
+
+    async def swap(
+        self, key: str, expected_version: int, value: bytes, lease_id: str = ""
+    ) -> port.SwapResult:
+        """Set a key that is at ``expected_version``."""
+        call = self.inner.swap(key, expected_version, value, lease_id)
+        return await self._measure(call)
+
+    async def delete(self, key: str, expected_version: int) -> port.SwapResult:
+        """Delete a key that is at ``expected_version``."""
+        return await self._measure(self.inner.delete(key, expected_version))
+
+    async def watch(
+        self, prefix: str, after_version: int, wait_ms: int
+    ) -> port.Changes:
+        """Wait for changes under a prefix; counted, but not timed."""
+        return await self._count(self.inner.watch(prefix, after_version, wait_ms))
+
+    async def grant_lease(self, ttl_ms: int) -> str:
+        """Return the id of a new lease."""
+        return await self._measure(self.inner.grant_lease(ttl_ms))
+
+    async def renew_lease(self, lease_id: str) -> bool:
+        """Extend a lease by its length; False if it has lapsed."""
+        return await self._measure(self.inner.renew_lease(lease_id))
+
+    async def revoke_lease(self, lease_id: str) -> None:
+        """End a lease and delete its keys."""
+        return await self._measure(self.inner.revoke_lease(lease_id))
+
+    async def _measure(self, call: Awaitable[T]) -> T:
+        began_ns = time.monotonic_ns()
+        try:
+            return await self._count(call)
+        finally:
+            elapsed_ms = (time.monotonic_ns() - began_ns) / 1e6
+            self.metrics.timing(metric_names.STORE_TIME, elapsed_ms)
+
+    async def _count(self, call: Awaitable[T]) -> T:
+        self.metrics.count(metric_names.STORE_CALLS)
+        try:
+            return await call
+        except errors.StoreUnavailableError:
+            self.metrics.count(metric_names.STORE_UNAVAILABLE)
+            raise
+        except errors.StoreOutcomeUnknownError:
+            self.metrics.count(metric_names.STORE_OUTCOME_UNKNOWN)
+            raise
+
+
+def make_counted_store(inner: port.Store, metrics: Metrics) -> CountedStore:
+    """Return a store that does as ``inner`` does and is counted."""
+    return CountedStore(inner, metrics)
--- a/fuchsiamoor/documents/model.py
+++ b/fuchsiamoor/documents/model.py
@@ -17,6 +17,7 @@
 MAX_BODY_BYTES = 64 * 1024 * 1024
 MAX_TIME_MS = 3_600_000
 MAX_COUNT = 1_000_000
+MAX_WINDOW_DAYS = 366
 MAX_KEY_CHARACTERS = 512
 
 SERVICE_DEFAULTS = {
@@ -47,6 +48,14 @@
     return pydantic.Field(description=text, json_schema_extra=extra, **bounds)
 
 
+def _optional(kind: object, text: str, default: object = None, **bounds) -> object:
+    return NotRequired[Annotated[kind, _described(text, default, **bounds)]]
+
+
+def _optional_count(text: str, default: int, least: int, most: int) -> object:
+    return _optional(int, text, default, ge=least, le=most)
+
+
 def _described_shape(title: str) -> pydantic.ConfigDict:
     return pydantic.ConfigDict(extra="forbid", title=title)
 
@@ -69,28 +78,18 @@
 
     __pydantic_config__ = _described_shape("ColdStart")
 
-    initial_requests: NotRequired[
-        Annotated[
-            int,
-            _described(
-                "Requests in flight at the very start.",
-                COLD_START_DEFAULTS["initial_requests"],
-                ge=1,
-                le=MAX_COUNT,
-            ),
-        ]
-    ]
-    ramp_ms: NotRequired[
-        Annotated[
-            int,
-            _described(
-                "Time until all slots may be used, in milliseconds.",
-                COLD_START_DEFAULTS["ramp_ms"],
-                ge=0,
-                le=MAX_TIME_MS,
-            ),
-        ]
-    ]
+    initial_requests: _optional_count(
+        "Requests in flight at the very start.",
+        COLD_START_DEFAULTS["initial_requests"],
+        1,
+        MAX_COUNT,
+    )
+    ramp_ms: _optional_count(
+        "Time until all slots may be used, in milliseconds.",
+        COLD_START_DEFAULTS["ramp_ms"],
+        0,
+        MAX_TIME_MS,
+    )
 
 
 class LimitsFields(TypedDict):
@@ -98,39 +97,24 @@
 
     __pydantic_config__ = _described_shape("Limits")
 
-    body_bytes: NotRequired[
-        Annotated[
-            int,
-            _described(
-                "Largest request or answer body, in bytes.",
-                LIMITS_DEFAULTS["body_bytes"],
-                ge=0,
-                le=MAX_BODY_BYTES,
-            ),
-        ]
-    ]
-    queued_requests: NotRequired[
-        Annotated[
-            int,
-            _described(
-                "Requests that wait for a slot of the upstream.",
-                LIMITS_DEFAULTS["queued_requests"],
-                ge=0,
-                le=MAX_COUNT,
-            ),
-        ]
-    ]
-    parked_requests: NotRequired[
-        Annotated[
-            int,
-            _described(
-                "Requests that wait for the move of a shard.",
-                LIMITS_DEFAULTS["parked_requests"],
-                ge=0,
-                le=MAX_COUNT,
-            ),
-        ]
-    ]
+    body_bytes: _optional_count(
+        "Largest request or answer body, in bytes.",
+        LIMITS_DEFAULTS["body_bytes"],
+        0,
+        MAX_BODY_BYTES,
+    )
+    queued_requests: _optional_count(
+        "Requests that wait for a slot of the upstream.",
+        LIMITS_DEFAULTS["queued_requests"],
+        0,
+        MAX_COUNT,
+    )
+    parked_requests: _optional_count(
+        "Requests that wait for the move of a shard.",
+        LIMITS_DEFAULTS["parked_requests"],
+        0,
+        MAX_COUNT,
+    )
 
 
 class ObjectiveFields(TypedDict):
@@ -138,50 +122,32 @@
 
     __pydantic_config__ = _described_shape("Objective")
 
-    success_ratio: NotRequired[
-        Annotated[
-            float,
-            _described(
-                "Share of requests that succeed.",
-                OBJECTIVE_DEFAULTS["success_ratio"],
-                gt=0,
-                lt=1,
-            ),
-        ]
-    ]
-    latency_ms: NotRequired[
-        Annotated[
-            int,
-            _described(
-                "Time within which an answer is fast, in milliseconds.",
-                OBJECTIVE_DEFAULTS["latency_ms"],
-                ge=1,
-                le=MAX_TIME_MS,
-            ),
-        ]
-    ]
-    latency_ratio: NotRequired[
-        Annotated[
-            float,
-            _described(
-                "Share of answers that are fast.",
-                OBJECTIVE_DEFAULTS["latency_ratio"],
-                gt=0,
-                lt=1,
-            ),
-        ]
-    ]
-    window_days: NotRequired[
-        Annotated[
-            int,
-            _described(
-                "Days over which the objective is kept.",
-                OBJECTIVE_DEFAULTS["window_days"],
-                ge=1,
-                le=366,
-            ),
-        ]
-    ]
+    success_ratio: _optional(
+        float,
+        "Share of requests that succeed.",
+        OBJECTIVE_DEFAULTS["success_ratio"],
+        gt=0,
+        lt=1,
+    )
+    latency_ms: _optional_count(
+        "Time within which an answer is fast, in milliseconds.",
+        OBJECTIVE_DEFAULTS["latency_ms"],
+        1,
+        MAX_TIME_MS,
+    )
+    latency_ratio: _optional(
+        float,
+        "Share of answers that are fast.",
+        OBJECTIVE_DEFAULTS["latency_ratio"],
+        gt=0,
+        lt=1,
+    )
+    window_days: _optional_count(
+        "Days over which the objective is kept.",
+        OBJECTIVE_DEFAULTS["window_days"],
+        1,
+        MAX_WINDOW_DAYS,
+    )
 
 
 class ServiceFields(TypedDict):
@@ -189,67 +155,41 @@
 
     __pydantic_config__ = _described_shape("Service")
 
-    key: NotRequired[
-        Annotated[
-            Literal["required", "optional"],
-            _described(
-                "Whether every request must carry a key.", SERVICE_DEFAULTS["key"]
-            ),
-        ]
-    ]
-    shards: NotRequired[
-        Annotated[
-            int,
-            _described(
-                "Shards that the keys hash to; fixed once applied.",
-                SERVICE_DEFAULTS["shards"],
-                ge=1,
-                le=MAX_SHARDS,
-            ),
-        ]
-    ]
-    idempotent_methods: NotRequired[
-        Annotated[
-            Methods,
-            _described(
-                "HTTP methods whose requests may run twice.",
-                SERVICE_DEFAULTS["idempotent_methods"],
-            ),
-        ]
-    ]
-    longest_run_ms: NotRequired[
-        Annotated[
-            int,
-            _described(
-                "Longest time of one run at an upstream, in milliseconds.",
-                SERVICE_DEFAULTS["longest_run_ms"],
-                ge=1,
-                le=MAX_TIME_MS,
-            ),
-        ]
-    ]
-    default_deadline_ms: NotRequired[
-        Annotated[
-            int,
-            _described(
-                "Deadline for callers that give none, in milliseconds.",
-                SERVICE_DEFAULTS["default_deadline_ms"],
-                ge=1,
-                le=MAX_TIME_MS,
-            ),
-        ]
-    ]
-    retry_ratio: NotRequired[
-        Annotated[
-            float,
-            _described(
-                "Retries and hedges allowed, as a share of requests.",
-                SERVICE_DEFAULTS["retry_ratio"],
-                ge=0,
-                le=1,
-            ),
-        ]
-    ]
+    key: _optional(
+        Literal["required", "optional"],
+        "Whether every request must carry a key.",
+        SERVICE_DEFAULTS["key"],
+    )
+    shards: _optional_count(
+        "Shards that the keys hash to; fixed once applied.",
+        SERVICE_DEFAULTS["shards"],
+        1,
+        MAX_SHARDS,
+    )
+    idempotent_methods: _optional(
+        Methods,
+        "HTTP methods whose requests may run twice.",
+        SERVICE_DEFAULTS["idempotent_methods"],
+    )
+    longest_run_ms: _optional_count(
+        "Longest time of one run at an upstream, in milliseconds.",
+        SERVICE_DEFAULTS["longest_run_ms"],
+        1,
+        MAX_TIME_MS,
+    )
+    default_deadline_ms: _optional_count(
+        "Deadline for callers that give none, in milliseconds.",
+        SERVICE_DEFAULTS["default_deadline_ms"],
+        1,
+        MAX_TIME_MS,
+    )
+    retry_ratio: _optional(
+        float,
+        "Retries and hedges allowed, as a share of requests.",
+        SERVICE_DEFAULTS["retry_ratio"],
+        ge=0,
+        le=1,
+    )
     cold_start: NotRequired[ColdStartFields]
     limits: NotRequired[LimitsFields]
     objective: NotRequired[ObjectiveFields]
@@ -300,15 +240,10 @@
     __pydantic_config__ = _described_shape("Override")
 
     service: Name
-    tenant: NotRequired[Annotated[Name, _described("All tenants if left out.")]]
-    key: NotRequired[
-        Annotated[
-            str,
-            _described(
-                "All keys if left out.", min_length=1, max_length=MAX_KEY_CHARACTERS
-            ),
-        ]
-    ]
+    tenant: _optional(Name, "All tenants if left out.")
+    key: _optional(
+        str, "All keys if left out.", min_length=1, max_length=MAX_KEY_CHARACTERS
+    )
     hold_to: Annotated[HoldFields, pydantic.AfterValidator(_check_one_hold)]
 
 
@@ -319,23 +254,16 @@
 
     services: dict[Name, ServiceFields]
     regions: dict[Name, RegionFields]
-    data_centres_out: NotRequired[
-        Annotated[Names, _described("Data centres taken out of service.", [])]
-    ]
+    data_centres_out: _optional(Names, "Data centres taken out of service.", [])
     tenants: dict[Name, TenantFields]
     overrides: NotRequired[list[OverrideFields]]
-    moves_per_minute: NotRequired[
-        Annotated[
-            int,
-            _described(
-                "Largest number of shards that rebalancing moves in a minute, "
-                "per service and set of home regions.",
-                DEFAULT_MOVES_PER_MINUTE,
-                ge=0,
-                le=MAX_COUNT,
-            ),
-        ]
-    ]
+    moves_per_minute: _optional_count(
+        "Largest number of shards that rebalancing moves in a minute, "
+        "per service and set of home regions.",
+        DEFAULT_MOVES_PER_MINUTE,
+        0,
+        MAX_COUNT,
+    )
 
 
 ADAPTER = pydantic.TypeAdapter(ConfigurationDocument)
--- a/fuchsiamoor/reports/metric_names.py
+++ b/fuchsiamoor/reports/metric_names.py
@@ -23,38 +23,20 @@
 REQUESTS_RAN = "requests.ran"
 REQUESTS_NOT_RUN = "requests.not_run"
 REQUESTS_MAY_HAVE_RUN = "requests.may_have_run"
-REQUESTS_RETRIED = "requests.retried"
-REQUESTS_HEDGED = "requests.hedged"
-REQUESTS_FORWARDED = "requests.forwarded"
-REQUESTS_PARKED = "requests.parked"
-REQUESTS_QUEUED = "requests.queued"
-REQUESTS_CANCELLED = "requests.cancelled"
 REQUEST_TIME = "requests.time"
 UPSTREAM_SERVED = "upstream.served"
-UPSTREAM_SHED = "upstream.shed"
-UPSTREAM_LOST = "upstream.lost"
 UPSTREAM_TIME = "upstream.time"
 UPSTREAM_IN_FLIGHT = "upstream.in_flight"
 UPSTREAM_LIMIT = "upstream.limit"
-UPSTREAM_STARTS = "upstream.starts"
-LEASES_RENEWED = "leases.renewed"
-LEASES_VOUCHED = "leases.vouched"
-LEASES_LAPSED = "leases.lapsed"
-VOUCHES_REFUSED = "leases.vouches_refused"
 SHARDS_OWNED = "shards.owned"
 SHARDS_PENDING = "shards.pending"
 SHARDS_MOVED_PLANNED = "shards.moved_planned"
 SHARDS_MOVED_UNPLANNED = "shards.moved_unplanned"
-COORDINATOR_TERMS = "coordinator.terms"
 COORDINATOR_DOMAINS = "coordinator.domains"
 STORE_CALLS = "store.calls"
 STORE_UNAVAILABLE = "store.unavailable"
 STORE_OUTCOME_UNKNOWN = "store.outcome_unknown"
 STORE_TIME = "store.time"
-PEERS_CONNECTED = "peers.connected"
-PEERS_LINKS_LOST = "peers.links_lost"
-PEERS_REFUSED = "peers.refused"
-PEERS_SENT_BYTES = "peers.sent_bytes"
 MEMBERS_KNOWN = "members.known"
 OPERATORS_REFUSED = "operators.refused"
 CONFIGURATION_REVISION = "configuration.revision"
@@ -62,40 +44,71 @@
 CONFIGURATION_CONFLICTS = "configuration.conflicts"
 CONFIGURATION_REFUSED = "configuration.refused"
 OVERRIDES_UNMET = "overrides.unmet"
-LOOP_LAG = "loop.lag"
 METRICS_DROPPED = "metrics.dropped"
 
 _COUNTERS = {
     REQUESTS_RAN: "Requests of callers that ran.",
     REQUESTS_NOT_RUN: "Requests of callers that certainly have not run.",
     REQUESTS_MAY_HAVE_RUN: "Requests of callers whose outcome is unknown.",
-    REQUESTS_RETRIED: "Requests sent again after a proof that they had not run.",
-    REQUESTS_HEDGED: "Idempotent requests sent to a second upstream.",
-    REQUESTS_FORWARDED: "Requests sent on to another daemon.",
-    REQUESTS_PARKED: "Requests that waited for the move of a shard.",
-    REQUESTS_QUEUED: "Requests that waited for a slot of the upstream.",
-    REQUESTS_CANCELLED: "Requests whose caller went away.",
+    "requests.cancelled": "Requests whose caller went away.",
+    "requests.crossed": "Answers withheld because they belong to another request.",
+    "entry.resent": "Requests with a key sent again after they had certainly not run.",
+    "entry.retried": "Requests without a key sent to another upstream.",
+    "entry.hedged": "Requests without a key sent to a second upstream at once.",
+    "entry.parked": "Requests that waited at their entry for an owner.",
+    "entry.parking_full": "Requests refused because too many waited at their entry.",
+    "serving.parked": "Requests that waited at their owner for the move of a shard.",
+    "serving.parking_full": "Requests refused because too many waited at their owner.",
+    "serving.queued": "Requests that waited for a slot of the upstream.",
+    "serving.refused": "Requests refused for the upstream's limits.",
+    "serving.repeated": "Copies of requests answered without a run.",
+    "serving.ramp_started": "Ramps begun for a new incarnation of the upstream.",
+    "serving.ramp_restarted": "Ramps begun again because the upstream turned cold.",
     UPSTREAM_SERVED: "Whole answers of the upstream beside the daemon.",
-    UPSTREAM_SHED: "Requests that the upstream refused for load.",
-    UPSTREAM_LOST: "Broken connections to the upstream.",
-    UPSTREAM_STARTS: "New incarnations of the upstream, and sudden colds.",
-    LEASES_RENEWED: "Serving leases renewed by a coordinator.",
-    LEASES_VOUCHED: "Serving leases renewed by vouches.",
-    LEASES_LAPSED: "Serving leases that lapsed.",
-    VOUCHES_REFUSED: "Vouches that this daemon refused.",
+    "lease.ask_failed": "Renewals and vouches asked for in vain.",
+    "lease.refused": "Renewals and vouches that were refused.",
     SHARDS_MOVED_PLANNED: "Shards moved after a release by their owner.",
     SHARDS_MOVED_UNPLANNED: "Shards moved after the loss of their owner.",
-    COORDINATOR_TERMS: "Terms that this daemon began as a coordinator.",
+    "coordinator.acquired": "Terms that this daemon began as a coordinator.",
+    "coordinator.acquire_failed": "Terms not begun because the store failed.",
+    "coordinator.ended": "Terms that this daemon ended.",
+    "coordinator.renew_failed": "Failed renewals of the coordinator's store lease.",
+    "coordinator.resign_failed": "Roles given up without the store's answer.",
+    "coordinator.write_refused": "Table writes that the store refused.",
+    "coordinator.write_unknown": "Table writes whose answer was lost.",
+    "coordinator.read_back_failed": "Failed reads to resolve a lost answer.",
+    "coordinator.push_failed": "Table revisions that a member did not acknowledge.",
+    "coordinator.abort_failed": "Given-up moves that the owner was not told of.",
+    "registration.failed": "Registrations that the store did not take.",
+    "registration.raced": "Registrations that met another run of the instance.",
     STORE_CALLS: "Calls to the store, a waiting watch as one.",
     STORE_UNAVAILABLE: "Calls that the store refused.",
     STORE_OUTCOME_UNKNOWN: "Calls to the store whose answer was lost.",
-    PEERS_LINKS_LOST: "Links to other daemons that broke.",
-    PEERS_REFUSED: "Links refused for want of a valid peer key.",
-    PEERS_SENT_BYTES: "Bytes sent to other daemons.",
+    "store.read_failed": "Failed reads of the whole state.",
+    "gossip.failed": "Exchanges with a peer that failed.",
+    "gossip.unreadable": "State from peers that could not be read.",
+    "peers.dialled": "Links opened to other daemons.",
+    "peers.dial_failures": "Links that could not be opened.",
+    "peers.refused": "Links refused for want of a valid peer key.",
+    "peers.links_refused": "Links refused while leaving or over the limit.",
+    "peers.links_lost": "Links that broke with calls on them.",
+    "peers.other_member_expected": "Links meant for another run at this address.",
+    "peers.bad_frames": "Frames that could not be read.",
+    "peers.calls_refused": "Calls refused while leaving or over the limit.",
+    "peers.calls_over_limit": "Calls not sent because too many waited.",
+    "peers.timeouts": "Calls without an answer in time.",
+    "peers.late_answers": "Answers that came after their call had ended.",
+    "peers.answers_without_link": "Answers whose link was gone.",
+    "peers.duplicate_messages": "Messages dropped because they came twice.",
+    "peers.messages_dropped": "Messages dropped because no link was up.",
+    "peers.handler_failures": "Calls that failed inside this daemon.",
     OPERATORS_REFUSED: "Operator calls refused for want of a valid key.",
     CONFIGURATION_APPLIED: "Configurations applied through this daemon.",
     CONFIGURATION_CONFLICTS: "Applies refused because another came first.",
-    CONFIGURATION_REFUSED: "Applies refused for faults in the document.",
+    CONFIGURATION_REFUSED: "Applies refused for faults.",
+    "supervisor.restarted": "Parts of the daemon that failed and began again.",
+    "task.failed": "Background tasks of the daemon that failed.",
+    "stop.drain_timed_out": "Stops that did not wait for the last requests.",
     METRICS_DROPPED: "Metrics dropped because their name is not on this page.",
 }
 _GAUGES = {
@@ -104,7 +117,6 @@
     SHARDS_OWNED: "Shards that this daemon owns.",
     SHARDS_PENDING: "Shards of domains coordinated here that nobody serves yet.",
     COORDINATOR_DOMAINS: "Domains that this daemon coordinates.",
-    PEERS_CONNECTED: "Open links to other daemons.",
     MEMBERS_KNOWN: "Members that this daemon knows.",
     CONFIGURATION_REVISION: "Revision in force at this daemon.",
     OVERRIDES_UNMET: "Overrides that cannot be met now.",
@@ -112,8 +124,7 @@
 _TIMINGS = {
     REQUEST_TIME: "Time from a caller's request to its answer.",
     UPSTREAM_TIME: "Time from a request to the upstream to its answer.",
-    STORE_TIME: "Time of a call to the store.",
-    LOOP_LAG: "Delay of the event loop.",
+    STORE_TIME: "Time of a call to the store, watches left out.",
 }
 
 METRICS = {
--- /dev/null
+++ b/fuchsiamoor/reports/metric_names_test.py
@@ -0,0 +1,44 @@
+import ast
+import pathlib
+
+from fuchsiamoor.reports import metric_names
+
+PACKAGE = pathlib.Path(__file__).parents[1]
+METRICS_PAGE = PACKAGE.parent / "docs" / "METRICS.md"
+CONSTANTS = {
+    name: value
+    for name, value in vars(metric_names).items()
+    if name.isupper() and isinstance(value, str)
+}
+
+
+def _list_sources():
+    for path in sorted(PACKAGE.rglob("*.py")):
+        if not path.name.endswith("_test.py") and path.parent.name != "testing":
+            yield path
+
+
+def _names_in(path):
+    """Yield names told to a metrics object, as literals or by their constants."""
+    for node in ast.walk(ast.parse(path.read_text())):
+        match node:
+            case ast.Call(
+                func=ast.Attribute(
+                    value=ast.Name(id="metrics") | ast.Attribute(attr="metrics"),
+                    attr="count" | "gauge" | "timing",
+                ),
+                args=[ast.Constant(value=str(name)), *_],
+            ):
+                yield name
+            case ast.Attribute(value=ast.Name(id="metric_names"), attr=constant):
+                if constant in CONSTANTS:
+                    yield CONSTANTS[constant]
+
+
+def test_the_names_in_use_are_those_listed():
+    used = {name for path in _list_sources() for name in _names_in(path)}
+    assert used == set(metric_names.METRICS)
+
+
+def test_the_page_lists_the_same():
+    assert metric_names.format_table() in METRICS_PAGE.read_text()
