--- a/fuchsiamoor/cli/main_test.py
+++ b/fuchsiamoor/cli/main_test.py
@@ -1,82 +1,23 @@
 import json
-import os
 import pathlib
-import shlex
 
 import httpx
 import pytest
-from typer.testing import CliRunner
 
-from fuchsiamoor.cli import applying, main, session
+from fuchsiamoor.cli import main
 from fuchsiamoor.cli.exits import ExitStatus
 from fuchsiamoor.core import requests, verdicts
 from fuchsiamoor.reports import counts, status
-from fuchsiamoor.testing import documents_data, operator_fleet, reports_data
+from fuchsiamoor.testing import documents_data, reports_data, tool_shell
 
 GOLDEN = pathlib.Path(__file__).parent / "main_golden"
 RAN = requests.Answer("r", verdicts.Ran(), 200)
 FAILED = requests.Answer("r", verdicts.NotRun(verdicts.Reason.NO_OWNER), 503)
-URLS = "http://10.0.0.1:7003 http://10.0.0.2:7003"
-
-
-class VirtualClock:
-    def __init__(self):
-        self.now_s = 0.0
-
-    async def sleep(self, time_s):
-        self.now_s += time_s
-
-
-class Shell:
-    """Runs the tool in a directory against a fleet in memory."""
-
-    def __init__(self, directory, monkeypatch):
-        monkeypatch.chdir(directory)
-        self.fleet = operator_fleet.Fleet(
-            ("almaty-1-a", "almaty-1"),
-            ("almaty-2-a", "almaty-2"),
-            ("astana-1-a", "astana-1"),
-        )
-        self.transcript = []
-        self.environment = {
-            "FUCHSIAMOOR_DAEMONS": URLS,
-            "FUCHSIAMOOR_OPERATOR_KEY": operator_fleet.KEY,
-            "FUCHSIAMOOR_OPERATOR": "dana",
-            "COLUMNS": "80",
-        }
-
-    def write(self, name, **changes):
-        document = documents_data.make_configuration_document(**changes)
-        pathlib.Path(name).write_bytes(documents_data.encode(document))
-
-    def run(self, line, **environment):
-        clock = VirtualClock()
-        context = session.Environment(
-            self.fleet, applying.Clock(lambda: clock.now_s, clock.sleep)
-        )
-        found = CliRunner().invoke(
-            main.app,
-            shlex.split(line)[1:],
-            obj=context,
-            env=self.environment | environment,
-            prog_name="fuchsiamoor",
-        )
-        assert found.exception is None or isinstance(found.exception, SystemExit)
-        self.transcript += [f"$ {line}", found.output.rstrip(), f"[{found.exit_code}]"]
-        return found
-
-    def check_golden(self, name):
-        text = "\n".join([*self.transcript, ""])
-        assert all(len(line) <= 80 or line[0] == "{" for line in text.splitlines())
-        path = GOLDEN / name
-        if os.environ.get("WRITE_GOLDEN"):
-            path.write_text(text)
-        assert text == path.read_text()
 
 
 @pytest.fixture(name="shell")
 def _shell(tmp_path, monkeypatch):
-    return Shell(tmp_path, monkeypatch)
+    return tool_shell.Shell(tmp_path, monkeypatch)
 
 
 def test_help(shell):
@@ -85,7 +26,7 @@
         shell.run(f"fuchsiamoor {command.name or command.callback.__name__} --help")
     shell.run("fuchsiamoor data-centre out --help")
     shell.run("fuchsiamoor data-centre in --help")
-    shell.check_golden("help.txt")
+    shell.check_golden(GOLDEN / "help.txt")
 
 
 def test_a_first_configuration_and_changes(shell):
@@ -105,7 +46,7 @@
     shell.run("fuchsiamoor data-centre in moon-1")
     shell.run("fuchsiamoor data-centre in almaty-2")
     shell.run("fuchsiamoor apply fleet.json --based-on 1")
-    shell.check_golden("changes.txt")
+    shell.check_golden(GOLDEN / "changes.txt")
 
 
 def test_faults_and_refusals(shell):
@@ -122,7 +63,7 @@
     shell.run("fuchsiamoor explain k --service none")
     shell.run("fuchsiamoor status", FUCHSIAMOOR_OPERATOR_KEY="wrong")
     shell.run("fuchsiamoor --key-file missing.key status")
-    shell.check_golden("refusals.txt")
+    shell.check_golden(GOLDEN / "refusals.txt")
 
 
 def test_racing_operators(shell):
@@ -133,7 +74,7 @@
     shell.run("fuchsiamoor apply dana.json --based-on 1")
     shell.run("fuchsiamoor apply erik.json --based-on 1 --operator erik")
     shell.run("fuchsiamoor apply erik.json --based-on 1 --operator erik --json")
-    shell.check_golden("race.txt")
+    shell.check_golden(GOLDEN / "race.txt")
 
 
 def test_lost_answers_and_daemons_that_lag(shell):
@@ -153,7 +94,7 @@
     shell.run("fuchsiamoor data-centre out almaty-2")
     shell.fleet.daemons.clear()
     shell.run("fuchsiamoor apply last.json --based-on 2")
-    shell.check_golden("lost.txt")
+    shell.check_golden(GOLDEN / "lost.txt")
 
 
 def test_status_and_explain(shell):
@@ -192,7 +133,7 @@
         owner="", data_centre="", state="unowned", candidates=(), coordinator=""
     )
     shell.run("fuchsiamoor explain chair-7 --service stock --tenant clinics")
-    shell.check_golden("status.txt")
+    shell.check_golden(GOLDEN / "status.txt")
 
 
 def test_report(shell):
@@ -218,7 +159,7 @@
                 found.moved_unplanned += 1
                 found.unavailable_shard_ms += 1_500
     shell.run("fuchsiamoor report")
-    shell.check_golden("report.txt")
+    shell.check_golden(GOLDEN / "report.txt")
 
 
 @pytest.mark.parametrize(
--- a/fuchsiamoor/daemon/settings_file.py
+++ b/fuchsiamoor/daemon/settings_file.py
@@ -3,14 +3,14 @@
 import ipaddress
 import json
 import pathlib
-from typing import Annotated, NotRequired
+from typing import Annotated
 from urllib.parse import urlsplit
 
 import pydantic
 from typing_extensions import TypedDict
 
 from fuchsiamoor.core import addresses, errors, faults, settings
-from fuchsiamoor.documents import validation
+from fuchsiamoor.documents import fields, validation
 
 MAX_SETTINGS_BYTES = 64 * 1024
 MIN_KEY_CHARACTERS = 16
@@ -57,69 +57,77 @@
     return text
 
 
-Name = Annotated[str, pydantic.Field(pattern=validation.NAME_PATTERN)]
-AddressText = Annotated[str, pydantic.AfterValidator(_check_address)]
-UrlText = Annotated[str, pydantic.AfterValidator(_check_url)]
+Address = Annotated[str, pydantic.AfterValidator(_check_address)]
+Url = Annotated[str, pydantic.AfterValidator(_check_url)]
 SharedKey = Annotated[
     str,
     pydantic.Field(min_length=MIN_KEY_CHARACTERS),
     pydantic.AfterValidator(_check_key),
 ]
-SharedKeys = Annotated[
-    list[SharedKey],
-    pydantic.Field(
-        min_length=1,
-        max_length=2,
-        description="Keys in force; the first is used for sending.",
-    ),
-]
-TimeMs = Annotated[int, pydantic.Field(gt=0, le=MAX_TIME_MS)]
-DriftRatio = Annotated[float, pydantic.Field(ge=0, le=MAX_DRIFT_RATIO)]
+SharedKeys = Annotated[list[SharedKey], pydantic.Field(min_length=1, max_length=2)]
+
+
+def _optional_time(name: str, text: str) -> object:
+    default = settings.Timing._field_defaults[name]
+    return fields.optional_count(text, default, 1, MAX_TIME_MS)
 
 
 class TimingFields(TypedDict):
     """Times of the ownership protocol; the same in every daemon of a deployment."""
 
-    __pydantic_config__ = pydantic.ConfigDict(extra="forbid", title="Timing")
+    __pydantic_config__ = fields.describe_shape("Timing")
 
-    renew_every_ms: NotRequired[TimeMs]
-    lease_ms: NotRequired[TimeMs]
-    silence_ms: NotRequired[TimeMs]
-    store_lease_ms: NotRequired[TimeMs]
-    drift_ratio: NotRequired[DriftRatio]
-    gossip_every_ms: NotRequired[TimeMs]
+    renew_every_ms: _optional_time(
+        "renew_every_ms", "Time between two renewals of a serving lease."
+    )
+    lease_ms: _optional_time("lease_ms", "Length of a serving lease.")
+    silence_ms: _optional_time(
+        "silence_ms", "Silence after which a member counts as lost."
+    )
+    store_lease_ms: _optional_time(
+        "store_lease_ms", "Length of the coordinator's lease in the store."
+    )
+    drift_ratio: fields.optional(
+        float,
+        "Largest difference in the rate of two clocks.",
+        settings.Timing._field_defaults["drift_ratio"],
+        ge=0,
+        le=MAX_DRIFT_RATIO,
+    )
+    gossip_every_ms: _optional_time(
+        "gossip_every_ms", "Time between two exchanges with a random peer."
+    )
 
 
 class SettingsDocument(TypedDict):
     """Everything that one daemon is told at its start."""
 
-    __pydantic_config__ = pydantic.ConfigDict(extra="forbid", title="Settings")
-
-    instance: Name
-    service: Name
-    region: Name
-    data_centre: Name
-    caller_address: AddressText
-    peer_address: AddressText
-    peer_bind_address: NotRequired[
-        Annotated[
-            AddressText | None,
-            pydantic.Field(
-                description="Where to listen if peers reach peer_address otherwise."
-            ),
-        ]
-    ]
-    operator_address: AddressText
-    announce_address: AddressText
-    upstream_address: AddressText
-    store_url: UrlText
-    statsd_address: NotRequired[AddressText | None]
-    peer_keys: SharedKeys
-    operator_keys: SharedKeys
-    timing: NotRequired[TimingFields]
-
-
-_ADAPTER = pydantic.TypeAdapter(SettingsDocument)
+    __pydantic_config__ = fields.describe_shape("Settings")
+
+    instance: fields.required(fields.Name, "This instance; unique in the deployment.")
+    service: fields.required(fields.Name, "Service of the upstream beside the daemon.")
+    region: fields.required(fields.Name, "Region of this instance.")
+    data_centre: fields.required(fields.Name, "Data centre of this instance.")
+    caller_address: fields.required(Address, "Listens to callers.")
+    peer_address: fields.required(Address, "Listens to other daemons.")
+    peer_bind_address: fields.optional(
+        Address | None, "Listens there if peers reach `peer_address` by a relay."
+    )
+    operator_address: fields.required(Address, "Listens to operators.")
+    announce_address: fields.required(Address, "Listens to the upstream.")
+    upstream_address: fields.required(Address, "Where the upstream listens.")
+    store_url: fields.required(Url, "The platform's store.")
+    statsd_address: fields.optional(
+        Address | None, "Where metrics are sent, if at all."
+    )
+    peer_keys: fields.required(
+        SharedKeys, "One or two in force for daemons; the first is used for sending."
+    )
+    operator_keys: fields.required(SharedKeys, "One or two in force for operators.")
+    timing: fields.optional(TimingFields, "The same in every daemon.")
+
+
+ADAPTER = pydantic.TypeAdapter(SettingsDocument)
 
 
 def load_settings(path: str | pathlib.Path) -> settings.Settings:
@@ -147,7 +155,7 @@
         With every fault.
     """
     document = validation.load_json(text, MAX_SETTINGS_BYTES)
-    found = validation.check_shape(_ADAPTER, document, secret=_SECRET_FIELDS)
+    found = validation.check_shape(ADAPTER, document, secret=_SECRET_FIELDS)
     if found:
         raise errors.InvalidDocumentError(found)
     found = _check_addresses(document) + _check_timing(document.get("timing", {}))
@@ -158,7 +166,7 @@
 
 def make_schema() -> str:
     """Return the JSON Schema of a settings file, as committed under docs/."""
-    return json.dumps(_ADAPTER.json_schema(), indent=2, sort_keys=True) + "\n"
+    return json.dumps(ADAPTER.json_schema(), indent=2, sort_keys=True) + "\n"
 
 
 def _check_addresses(document: SettingsDocument) -> list[faults.Fault]:
@@ -175,8 +183,8 @@
     return found
 
 
-def _check_timing(fields: TimingFields) -> list[faults.Fault]:
-    timing = settings.Timing(**fields)
+def _check_timing(given: TimingFields) -> list[faults.Fault]:
+    timing = settings.Timing(**given)
     if timing.renew_every_ms * RENEWALS_IN_A_LEASE <= timing.lease_ms:
         return []
     expected = (
--- a/fuchsiamoor/documents/model.py
+++ b/fuchsiamoor/documents/model.py
@@ -5,12 +5,12 @@
 """
 
 import json
-from typing import Annotated, Literal, NotRequired
+from typing import Annotated, Literal
 
 import pydantic
 from typing_extensions import TypedDict
 
-from fuchsiamoor.documents import validation
+from fuchsiamoor.documents import fields
 
 MAX_DOCUMENT_BYTES = 512 * 1024
 MAX_SHARDS = 16_384
@@ -43,48 +43,18 @@
 DEFAULT_MOVES_PER_MINUTE = 60
 
 
-def _described(text: str, default: object = None, **bounds) -> object:
-    extra = {} if default is None else {"default": default}
-    return pydantic.Field(description=text, json_schema_extra=extra, **bounds)
-
-
-def _optional(kind: object, text: str, default: object = None, **bounds) -> object:
-    return NotRequired[Annotated[kind, _described(text, default, **bounds)]]
-
-
-def _optional_count(text: str, default: int, least: int, most: int) -> object:
-    return _optional(int, text, default, ge=least, le=most)
-
-
-def _described_shape(title: str) -> pydantic.ConfigDict:
-    return pydantic.ConfigDict(extra="forbid", title=title)
-
-
-def _check_unique(names: list[str]) -> list[str]:
-    if len(set(names)) < len(names):
-        raise ValueError("each name once")
-    return names
-
-
-Name = Annotated[str, pydantic.Field(pattern=validation.NAME_PATTERN)]
-Names = Annotated[list[Name], pydantic.AfterValidator(_check_unique)]
-SomeNames = Annotated[Names, pydantic.Field(min_length=1)]
-Method = Annotated[str, pydantic.Field(pattern="^[A-Z]{1,32}$")]
-Methods = Annotated[list[Method], pydantic.AfterValidator(_check_unique)]
-
-
 class ColdStartFields(TypedDict):
     """What an upstream bears after a start."""
 
-    __pydantic_config__ = _described_shape("ColdStart")
+    __pydantic_config__ = fields.describe_shape("ColdStart")
 
-    initial_requests: _optional_count(
+    initial_requests: fields.optional_count(
         "Requests in flight at the very start.",
         COLD_START_DEFAULTS["initial_requests"],
         1,
         MAX_COUNT,
     )
-    ramp_ms: _optional_count(
+    ramp_ms: fields.optional_count(
         "Time until all slots may be used, in milliseconds.",
         COLD_START_DEFAULTS["ramp_ms"],
         0,
@@ -95,21 +65,21 @@
 class LimitsFields(TypedDict):
     """Bounds on what one daemon holds for the service."""
 
-    __pydantic_config__ = _described_shape("Limits")
+    __pydantic_config__ = fields.describe_shape("Limits")
 
-    body_bytes: _optional_count(
+    body_bytes: fields.optional_count(
         "Largest request or answer body, in bytes.",
         LIMITS_DEFAULTS["body_bytes"],
         0,
         MAX_BODY_BYTES,
     )
-    queued_requests: _optional_count(
+    queued_requests: fields.optional_count(
         "Requests that wait for a slot of the upstream.",
         LIMITS_DEFAULTS["queued_requests"],
         0,
         MAX_COUNT,
     )
-    parked_requests: _optional_count(
+    parked_requests: fields.optional_count(
         "Requests that wait for the move of a shard.",
         LIMITS_DEFAULTS["parked_requests"],
         0,
@@ -120,29 +90,29 @@
 class ObjectiveFields(TypedDict):
     """What the service promises, for the report on service-level burn."""
 
-    __pydantic_config__ = _described_shape("Objective")
+    __pydantic_config__ = fields.describe_shape("Objective")
 
-    success_ratio: _optional(
+    success_ratio: fields.optional(
         float,
         "Share of requests that succeed.",
         OBJECTIVE_DEFAULTS["success_ratio"],
         gt=0,
         lt=1,
     )
-    latency_ms: _optional_count(
+    latency_ms: fields.optional_count(
         "Time within which an answer is fast, in milliseconds.",
         OBJECTIVE_DEFAULTS["latency_ms"],
         1,
         MAX_TIME_MS,
     )
-    latency_ratio: _optional(
+    latency_ratio: fields.optional(
         float,
         "Share of answers that are fast.",
         OBJECTIVE_DEFAULTS["latency_ratio"],
         gt=0,
         lt=1,
     )
-    window_days: _optional_count(
+    window_days: fields.optional_count(
         "Days over which the objective is kept.",
         OBJECTIVE_DEFAULTS["window_days"],
         1,
@@ -153,79 +123,77 @@
 class ServiceFields(TypedDict):
     """A service."""
 
-    __pydantic_config__ = _described_shape("Service")
+    __pydantic_config__ = fields.describe_shape("Service")
 
-    key: _optional(
+    key: fields.optional(
         Literal["required", "optional"],
         "Whether every request must carry a key.",
         SERVICE_DEFAULTS["key"],
     )
-    shards: _optional_count(
+    shards: fields.optional_count(
         "Shards that the keys hash to; fixed once applied.",
         SERVICE_DEFAULTS["shards"],
         1,
         MAX_SHARDS,
     )
-    idempotent_methods: _optional(
-        Methods,
+    idempotent_methods: fields.optional(
+        fields.Methods,
         "HTTP methods whose requests may run twice.",
         SERVICE_DEFAULTS["idempotent_methods"],
     )
-    longest_run_ms: _optional_count(
+    longest_run_ms: fields.optional_count(
         "Longest time of one run at an upstream, in milliseconds.",
         SERVICE_DEFAULTS["longest_run_ms"],
         1,
         MAX_TIME_MS,
     )
-    default_deadline_ms: _optional_count(
+    default_deadline_ms: fields.optional_count(
         "Deadline for callers that give none, in milliseconds.",
         SERVICE_DEFAULTS["default_deadline_ms"],
         1,
         MAX_TIME_MS,
     )
-    retry_ratio: _optional(
+    retry_ratio: fields.optional(
         float,
         "Retries and hedges allowed, as a share of requests.",
         SERVICE_DEFAULTS["retry_ratio"],
         ge=0,
         le=1,
     )
-    cold_start: NotRequired[ColdStartFields]
-    limits: NotRequired[LimitsFields]
-    objective: NotRequired[ObjectiveFields]
+    cold_start: fields.optional(ColdStartFields, "What an upstream bears at first.")
+    limits: fields.optional(LimitsFields, "Bounds in each daemon.")
+    objective: fields.optional(ObjectiveFields, "Promises to callers.")
 
 
 class RegionFields(TypedDict):
     """A region."""
 
-    __pydantic_config__ = _described_shape("Region")
+    __pydantic_config__ = fields.describe_shape("Region")
 
-    data_centres: SomeNames
+    data_centres: fields.required(fields.SomeNames, "At least one; in no other region.")
 
 
 class TenantFields(TypedDict):
     """A tenant."""
 
-    __pydantic_config__ = _described_shape("Tenant")
+    __pydantic_config__ = fields.describe_shape("Tenant")
 
-    home_regions: Annotated[
-        SomeNames,
-        _described("The only regions that serve and keep it; fixed once applied."),
-    ]
+    home_regions: fields.required(
+        fields.SomeNames,
+        "The only regions that serve and keep it; fixed once applied.",
+    )
 
 
 class HoldFields(TypedDict):
     """Where an override keeps its keys: exactly one field."""
 
-    __pydantic_config__ = pydantic.ConfigDict(
-        extra="forbid",
-        title="Hold",
-        json_schema_extra={"minProperties": 1, "maxProperties": 1},
+    __pydantic_config__ = fields.describe_shape(
+        "Hold", minProperties=1, maxProperties=1
     )
 
-    instance: NotRequired[Name]
-    data_centre: NotRequired[Name]
-    region: NotRequired[Name]
+    instance: fields.optional(fields.Name, "This instance only.")
+    data_centre: fields.optional(fields.Name, "Instances of this data centre.")
+    region: fields.optional(fields.Name, "Instances of this region.")
 
 
 def _check_one_hold(hold: HoldFields) -> HoldFields:
@@ -234,30 +202,37 @@
     return hold
 
 
+OneHold = Annotated[HoldFields, pydantic.AfterValidator(_check_one_hold)]
+
+
 class OverrideFields(TypedDict):
     """An operator's own routing choice, in force until an operator changes it."""
 
-    __pydantic_config__ = _described_shape("Override")
+    __pydantic_config__ = fields.describe_shape("Override")
 
-    service: Name
-    tenant: _optional(Name, "All tenants if left out.")
-    key: _optional(
+    service: fields.required(fields.Name, "Whose keys are held.")
+    tenant: fields.optional(fields.Name, "All tenants if left out.")
+    key: fields.optional(
         str, "All keys if left out.", min_length=1, max_length=MAX_KEY_CHARACTERS
     )
-    hold_to: Annotated[HoldFields, pydantic.AfterValidator(_check_one_hold)]
+    hold_to: fields.required(OneHold, "Where the keys are kept.")
 
 
 class ConfigurationDocument(TypedDict):
     """The operators' configuration, applied as a whole."""
 
-    __pydantic_config__ = _described_shape("Configuration")
+    __pydantic_config__ = fields.describe_shape("Configuration")
 
-    services: dict[Name, ServiceFields]
-    regions: dict[Name, RegionFields]
-    data_centres_out: _optional(Names, "Data centres taken out of service.", [])
-    tenants: dict[Name, TenantFields]
-    overrides: NotRequired[list[OverrideFields]]
-    moves_per_minute: _optional_count(
+    services: fields.required(dict[fields.Name, ServiceFields], "By name.")
+    regions: fields.required(dict[fields.Name, RegionFields], "By name.")
+    data_centres_out: fields.optional(
+        fields.Names, "Data centres taken out of service.", []
+    )
+    tenants: fields.required(dict[fields.Name, TenantFields], "By name.")
+    overrides: fields.optional(
+        list[OverrideFields], "Operators' own routing choices.", []
+    )
+    moves_per_minute: fields.optional_count(
         "Largest number of shards that rebalancing moves in a minute, "
         "per service and set of home regions.",
         DEFAULT_MOVES_PER_MINUTE,
--- a/fuchsiamoor/documents/validation.py
+++ b/fuchsiamoor/documents/validation.py
@@ -16,12 +16,16 @@
 from fuchsiamoor.core import errors, faults
 
 NAME_PATTERN = r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$"
-NAME_EXPECTED = (
-    "a name of 1 to 63 letters, digits, '.', '_' or '-', "
-    "beginning with a letter or a digit"
-)
+METHOD_PATTERN = r"^[A-Z]{1,32}$"
 VALUE_DISPLAY_CHARACTERS = 60
 
+_PATTERNS_EXPECTED = {
+    NAME_PATTERN: (
+        "a name of 1 to 63 letters, digits, '.', '_' or '-', "
+        "beginning with a letter or a digit"
+    ),
+    METHOD_PATTERN: "an HTTP method in capitals",
+}
 _MESSAGE_PREFIXES = ("Input should be ", "Value error, ")
 
 
@@ -150,7 +154,8 @@
         case "extra_forbidden":
             return faults.Fault(path, shown, _expected_field(location[-1], fields))
         case "string_pattern_mismatch":
-            return faults.Fault(path, shown, NAME_EXPECTED)
+            expected = _PATTERNS_EXPECTED[item["ctx"]["pattern"]]
+            return faults.Fault(path, shown, expected)
     return faults.Fault(path, shown, _expected_text(item["msg"]))
 
 
