Feed the metrics from the node; count heat in windows of two seconds

Cause: rates were counted anew at every renewal, in windows of 200 to 250 ms, so a rate was mostly noise, and a full table of names paid a scan for each new key. Ruled out: longer renewals, which would lengthen the takeover. Change: one window of 2 s for each domain, bounded by 4,096 keys, reported until the next is over. Not measured yet.

--- a/fuchsiamoor/daemon/coordinating.py
+++ b/fuchsiamoor/daemon/coordinating.py
@@ -8,9 +8,10 @@
 from dataclasses import dataclass, field
 
 import xxhash
+from loguru import logger
 
 from fuchsiamoor.core import errors, messages, tables
-from fuchsiamoor.daemon import calls, exchange
+from fuchsiamoor.daemon import calls, exchange, observing
 from fuchsiamoor.daemon import knowledge as knowledges
 from fuchsiamoor.daemon import node as nodes
 from fuchsiamoor.ownership import coordinator as coordinators
@@ -183,6 +184,7 @@
     node.coordinating[domain] = coordination
     node.coordinator_hints[domain] = node.member.member_id
     node.metrics.count("coordinator.acquired")
+    logger.bind(domain=domain).info("coordinating")
     feed(node, coordination, events.StoreLeaseRenewed(sent_ms))
     feed(
         node,
@@ -196,6 +198,7 @@
         coordination.ended.set()
         node.coordinating.pop(domain, None)
         node.metrics.count("coordinator.ended")
+        logger.bind(domain=domain).info("no longer coordinating")
 
 
 def _read_table(entry: port.Entry | None) -> tuple[tables.ShardTable | None, int]:
@@ -270,7 +273,17 @@
 
 
 def _take_written(node, coordination, revision: int, value: bytes, version: int):
+    before = nodes.find_table(node, coordination.domain)
     knowledges.adopt_table(node.knowledge, value)
+    table = nodes.find_table(node, coordination.domain)
+    observing.record_moves(node, before, table)
+    logger.bind(
+        domain=table.domain,
+        term=table.term,
+        revision=revision,
+        pending=len(table.pending),
+        unowned=table.owners.count(tables.NO_OWNER),
+    ).info("table written")
     feed(node, coordination, events.TableWritten(revision, version))
 
 
--- a/fuchsiamoor/daemon/hand_over.py
+++ b/fuchsiamoor/daemon/hand_over.py
@@ -8,9 +8,9 @@
 from fuchsiamoor.core.messages import Answered
 from fuchsiamoor.core.requests import Answer
 from fuchsiamoor.core.verdicts import MayHaveRun, NotRun, Ran, Reason
-from fuchsiamoor.daemon.serving_state import DomainRates, Run, Serving
+from fuchsiamoor.daemon.serving_state import Run, Serving
 from fuchsiamoor.ownership.holder import MayServe, NotOwner, Wait
-from fuchsiamoor.routing import admission, capacity, parking, rates, refusals, runs
+from fuchsiamoor.routing import admission, capacity, heat, parking, refusals, runs
 from fuchsiamoor.routing.capacity import Capacity
 from fuchsiamoor.routing.runs import ShardId
 
@@ -217,7 +217,7 @@
     ends_by_ms = run.request.deadline_ms + service.longest_run_ms
     if run.domain and serving.own_member().checks_grants:
         ends_by_ms = min(ends_by_ms, grant.lease_until_ms)
-    _note_rates(serving, run, grant.shard_id)
+    _note_heat(serving, run, grant.shard_id)
     runs.start(serving.runs, grant.shard_id)
     run.handed_over = True
     number = capacity.note_start(held, now_ms)
@@ -225,16 +225,13 @@
     return Handed(grant.shard_id, held, number, now_ms, slot_until_ms, ends_by_ms)
 
 
-def _note_rates(serving: Serving, run: Run, shard_id: ShardId) -> None:
+def _note_heat(serving: Serving, run: Run, shard_id: ShardId) -> None:
     if not run.domain:
         return
-    of_domain = serving.rates.get(run.domain)
+    of_domain = serving.heat.get(run.domain)
     if of_domain is None:
-        now_ms = serving.now_ms()
-        of_domain = DomainRates(rates.make_rates(now_ms), rates.make_rates(now_ms))
-        serving.rates[run.domain] = of_domain
-    rates.note_request(of_domain.shards, shard_id.shard)
-    rates.note_request(of_domain.keys, run.key_hash)
+        of_domain = serving.heat[run.domain] = heat.make_heat(serving.now_ms())
+    heat.note_request(of_domain, shard_id.shard, run.key_hash)
 
 
 def _settle(
--- a/fuchsiamoor/daemon/holding.py
+++ b/fuchsiamoor/daemon/holding.py
@@ -73,7 +73,7 @@
     asks = holders.list_renewals(
         holder,
         node.now_ms(),
-        nodes.make_load(node),
+        nodes.make_load(node, holder.domain),
         node.knowledge.configuration.revision,
     )
     for ask in asks:
--- a/fuchsiamoor/daemon/node.py
+++ b/fuchsiamoor/daemon/node.py
@@ -15,6 +15,7 @@
 from fuchsiamoor.core import members, messages, settings, tables
 from fuchsiamoor.daemon import knowledge as knowledges
 from fuchsiamoor.daemon import metrics as metrics_module
+from fuchsiamoor.daemon import serving as servings
 from fuchsiamoor.ownership.holder import Holder
 from fuchsiamoor.store import port
 
@@ -189,19 +190,7 @@
     return node.knowledge.tables.get(domain)
 
 
-def upstream_is_ready(node: Node) -> bool:
-    """Return whether the upstream may be given work."""
-    return node.serving.capacity is not None and not node.upstream.leaving
-
-
-def make_load(node: Node) -> messages.MemberLoad:
-    """Return what this daemon tells its coordinators."""
-    return messages.MemberLoad(
-        upstream_ready=upstream_is_ready(node),
-        leaving=node.leaving or node.upstream.leaving,
-        in_flight=0,
-        limit=0,
-        latency_us=0,
-        shard_rates={},
-        hot_keys={},
-    )
+def make_load(node: Node, domain: str) -> messages.MemberLoad:
+    """Return what this daemon tells the coordinator of a domain."""
+    leaving = node.leaving or node.upstream.leaving
+    return servings.take_load(node.serving, domain, leaving)
--- a/fuchsiamoor/daemon/operating.py
+++ b/fuchsiamoor/daemon/operating.py
@@ -89,7 +89,7 @@
 
 
 def _describe_upstream(node: nodes.Node) -> statuses.UpstreamStatus:
-    load = nodes.make_load(node)
+    load = nodes.make_load(node, "")
     return statuses.UpstreamStatus(
         node.upstream.incarnation, load.upstream_ready, load.limit, load.in_flight
     )
--- a/fuchsiamoor/daemon/serving.py
+++ b/fuchsiamoor/daemon/serving.py
@@ -23,9 +23,9 @@
 from fuchsiamoor.ownership.holder import MayServe, NotOwner, Wait
 from fuchsiamoor.routing import (
     capacity,
+    heat,
     parking,
     ramp,
-    rates,
     residency,
     runs,
 )
@@ -192,18 +192,20 @@
 
 
 def take_load(serving: Serving, domain: str, leaving: bool) -> MemberLoad:
-    """Return what the coordinator of a domain is told, and count rates anew."""
+    """Return what the coordinator of a domain is told."""
     now_ms = serving.now_ms()
-    rates_of = serving.rates.get(domain)
     held = serving.capacity
+    rates = heat.Rates({}, {})
+    if domain in serving.heat:
+        rates = heat.read_rates(serving.heat[domain], now_ms)
     return MemberLoad(
         upstream_ready=held is not None and not serving.leaving,
         leaving=leaving,
         in_flight=held.in_flight if held else 0,
         limit=capacity.compute_requests(held, now_ms) if held else 0,
         latency_us=int(held.limit.latency_ms * 1_000) if held else 0,
-        shard_rates=rates.take_busiest(rates_of.shards, now_ms) if rates_of else {},
-        hot_keys=rates.take_busiest(rates_of.keys, now_ms) if rates_of else {},
+        shard_rates=rates.shards,
+        hot_keys=rates.keys,
     )
 
 
--- a/fuchsiamoor/daemon/serving_state.py
+++ b/fuchsiamoor/daemon/serving_state.py
@@ -12,8 +12,8 @@
 from fuchsiamoor.core.tables import ShardTable
 from fuchsiamoor.ownership.holder import MayServe, NotOwner, Wait
 from fuchsiamoor.routing.capacity import Capacity
+from fuchsiamoor.routing.heat import Heat
 from fuchsiamoor.routing.parking import Parking, make_parking
-from fuchsiamoor.routing.rates import Rates
 from fuchsiamoor.routing.recent import Memory, make_memory
 from fuchsiamoor.routing.runs import Runs, make_runs
 
@@ -97,13 +97,6 @@
     handed_over: bool = False
 
 
-class DomainRates(NamedTuple):
-    """Requests handed over for one domain, by shard and by key hash."""
-
-    shards: Rates
-    keys: Rates
-
-
 @dataclass(slots=True)
 class Serving:
     """The serving side of one daemon; made by `serving.make_serving`.
@@ -123,7 +116,8 @@
     parking : Parking
         Requests that wait for the right to serve their shard.
     runs : Runs
-    rates : dict of str to DomainRates
+    heat : dict of str to Heat
+        By domain.
     drain_waiters : list of Future
         Set when the last run of any shard has ended.
     """
@@ -153,5 +147,5 @@
     )
     parking: Parking = field(default_factory=make_parking)
     runs: Runs = field(default_factory=make_runs)
-    rates: dict[str, DomainRates] = field(default_factory=dict)
+    heat: dict[str, Heat] = field(default_factory=dict)
     drain_waiters: list[Future[None]] = field(default_factory=list)
--- a/fuchsiamoor/daemon/starting.py
+++ b/fuchsiamoor/daemon/starting.py
@@ -14,6 +14,7 @@
     holding,
     http_servers,
     metrics,
+    observing,
     operating,
     operator_app,
     ports,
@@ -107,6 +108,7 @@
         holding.refresh_holders(node)
         changed = events.ConfigurationChanged(knowledge.configuration)
         coordinating.feed_all(node, changed)
+        observing.record_configuration(node)
         servings.state_changed(node.serving)
         entries.state_changed(node.entry)
 
@@ -143,7 +145,11 @@
 
 def _make_caller_server(node: nodes.Node):
     async def handle(request: requests.Request) -> requests.Answer:
-        return await entries.handle(node.entry, request)
+        began_ns = time.perf_counter_ns()
+        answer = await entries.handle(node.entry, request)
+        elapsed_us = (time.perf_counter_ns() - began_ns) // 1000
+        observing.record_ending(node, request, answer, elapsed_us)
+        return answer
 
     app = callers.make_caller_app(
         lambda: node.knowledge.configuration,
--- a/fuchsiamoor/daemon/tree.py
+++ b/fuchsiamoor/daemon/tree.py
@@ -20,6 +20,7 @@
     exchange,
     holding,
     http_servers,
+    observing,
     registration,
     supervisor,
     upstream_watch,
@@ -105,6 +106,11 @@
 
 
 async def _flush_metrics(node: nodes.Node) -> None:
+    began_ms = node.now_ms()
     while True:
         await asyncio.sleep(METRICS_EVERY_S)
+        elapsed_ms = node.now_ms() - began_ms
+        began_ms = node.now_ms()
+        observing.record_pending(node, elapsed_ms)
+        observing.set_gauges(node, elapsed_ms - METRICS_EVERY_S * 1000)
         node.metrics.flush(time.time_ns() // 1_000_000)
