--- a/bench/path_load.py
+++ b/bench/path_load.py
@@ -5,11 +5,13 @@
 """
 
 import asyncio
+import contextlib
 import json
 import sys
 import time
 from typing import NamedTuple
 
+import httpx
 import uvloop
 
 from fuchsiamoor.core import messages
@@ -18,7 +20,8 @@
 from fuchsiamoor.testing import wire
 
 BODY_BYTES = 200
-PEER_KEYS = ("bench-key",)
+SLOTS = 400
+PEER_KEYS = ("bench-key-of-peers",)
 ANY_PORT = Address("127.0.0.1", 0)
 
 
@@ -137,14 +140,35 @@
             self.transport.write(self.answer)
 
 
-async def _serve_upstream() -> None:
+async def _serve_upstream(arguments: list[str]) -> None:
+    """Serve; with arguments ``ADDRESS ANNOUNCE_ADDRESS INSTANCE`` announce as well."""
     loop = asyncio.get_running_loop()
-    server = await loop.create_server(Upstream, *ANY_PORT)
+    address = parse_address(arguments[0]) if arguments else ANY_PORT
+    server = await loop.create_server(Upstream, *address)
+    announcing = asyncio.create_task(_announce(*arguments[1:])) if arguments else None
     _say(list(server.sockets[0].getsockname()[:2]))
     await _wait_for_end()
-
-
-async def _serve_peer() -> None:
+    if announcing is not None:
+        announcing.cancel()
+
+
+async def _announce(announce_address: str, instance: str) -> None:
+    body = {
+        "service": "booking",
+        "instance": instance,
+        "incarnation": instance,
+        "slots": SLOTS,
+        "connections": 2 * SLOTS,
+        "checks_grants": True,
+    }
+    async with httpx.AsyncClient(trust_env=False) as client:
+        while True:
+            with contextlib.suppress(httpx.HTTPError):
+                await client.post(f"http://{announce_address}/v1/announce", json=body)
+            await asyncio.sleep(1)
+
+
+async def _serve_peer(_arguments: list[str]) -> None:
     answered = messages.Answered(
         wire.make_answer(body=b"y" * BODY_BYTES, headers=((b"server", b"x"),)), "", 0
     )
@@ -180,8 +204,8 @@
 def main() -> None:
     """Run one far end."""
     role, *arguments = sys.argv[1:]
-    roles = {"upstream": _serve_upstream, "peer": _serve_peer}
-    uvloop.run(_call(arguments) if role == "callers" else roles[role]())
+    roles = {"upstream": _serve_upstream, "peer": _serve_peer, "callers": _call}
+    uvloop.run(roles[role](arguments))
 
 
 if __name__ == "__main__":
