--- a/bench/path_hops.py
+++ b/bench/path_hops.py
@@ -22,14 +22,9 @@
 from litestar import Litestar, Request, Response, post
 
 from bench import path_load
-from fuchsiamoor.core import addresses, messages
+from fuchsiamoor.core import messages
 from fuchsiamoor.core.addresses import Address
-from fuchsiamoor.daemon import (
-    caller_server,
-    callers,
-    http_limits,
-    upstream_client,
-)
+from fuchsiamoor.daemon import callers, http_limits, upstream_client
 from fuchsiamoor.peers import codec, links
 from fuchsiamoor.peers.codec import Envelope, Role
 from fuchsiamoor.testing import http_surface, wire
@@ -161,9 +156,9 @@
     async def handle(request):
         return wire.make_answer(request.request_id, body=b"y" * 200)
 
-    configuration = http_surface.make_configuration()
-    shared = (lambda: configuration, handle, lambda: True, wire.CountingMetrics())
-    raw = callers.make_caller_app(*shared)
+    raw = callers.make_caller_app(
+        http_surface.make_configuration, handle, lambda: True, wire.CountingMetrics()
+    )
 
     @post("/{path:path}", status_code=200)
     async def route(request: Request, path: str) -> Response:
@@ -172,27 +167,11 @@
         return Response(answer.body, headers={"fuchsiamoor-verdict": "ran"})
 
     litestar = Litestar([route], openapi_config=None, logging_config=None)
-    rows = []
-    for connections in (1, 16, 64):
-        for variant, app in (("litestar", litestar), ("raw ASGI", raw)):
-            rows.append(await measure_entry(variant, app, connections))
-        rows.append(await measure_own_entry(shared, connections))
-    return rows
-
-
-async def measure_own_entry(shared: tuple, connections: int) -> Row:
-    """Measure the callers' server."""
-    server = caller_server.make_caller_server(*shared, path_load.ANY_PORT)
-    serving = asyncio.create_task(server.serve())
-    while server.address.port == 0:
-        await asyncio.sleep(0.01)
-    address = addresses.format_address(server.address)
-    load, used_s = await measure_callers(address, connections)
-    server.should_exit = True
-    await serving
-    requests = load.per_second * DURATION_S
-    used_us = used_s / requests * 1e6
-    return Row("entry", "httptools connection", connections, used_us, *load[:3])
+    return [
+        await measure_entry(variant, app, connections)
+        for connections in (1, 16, 64)
+        for variant, app in (("litestar", litestar), ("raw ASGI", raw))
+    ]
 
 
 async def bench_codec() -> list[Row]:
--- a/fuchsiamoor/daemon/callers_test.py
+++ b/fuchsiamoor/daemon/callers_test.py
@@ -4,15 +4,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from fuchsiamoor.core.addresses import Address
 from fuchsiamoor.core.verdicts import MayHaveRun, NotRun, Reason
-from fuchsiamoor.daemon import (
-    caller_connection,
-    caller_requests,
-    caller_server,
-    callers,
-    http_limits,
-)
+from fuchsiamoor.daemon import callers, http_limits
 from fuchsiamoor.testing import http_surface, wire
 from fuchsiamoor.testing.http_surface import make_configuration, send_raw
 
@@ -26,21 +19,12 @@
         self.answer = answer
         self.configuration = configuration or make_configuration()
         self.is_ready = True
-        self.is_draining = False
-
-    def serve(self, kind):
-        shared = (
+        self.app = callers.make_caller_app(
             lambda: self.configuration,
             self.handle,
             lambda: self.is_ready,
             self.metrics,
         )
-        if kind == "asgi":
-            return http_surface.serve_app(callers.make_caller_app(*shared))
-        self.server = caller_server.make_caller_server(
-            *shared, Address("127.0.0.1", 0), lambda: self.is_draining
-        )
-        return http_surface.serve_callers(self.server)
 
     async def handle(self, request):
         self.requests.append(request)
@@ -48,16 +32,10 @@
         return await answer if asyncio.iscoroutine(answer) else answer
 
 
-@pytest.fixture(params=["asgi", "own"], autouse=True)
-def kind(request, monkeypatch):
-    monkeypatch.setattr(run, "kind", request.param, raising=False)
-    monkeypatch.setattr(caller_server, "CHECK_EVERY_S", 0.005)
-
-
-def run(scenario, own_kind=None, **options):
+def run(scenario, **options):
     async def body():
         surface = Surface(**options)
-        async with surface.serve(own_kind or run.kind) as address:
+        async with http_surface.serve_app(surface.app) as address:
             return await scenario(surface, address)
 
     return asyncio.run(body())
@@ -144,7 +122,7 @@
         (make_payload(Fuchsiamoor_Key="k" * 1025), 400),
         (make_payload().replace(b"Host", b"Fuchsiamoor-Key"), 400),
         (make_payload().replace(b"Key: k", b"Key: \xff"), 400),
-        (make_payload(X="y" * caller_requests.MAX_HEAD_BYTES), 400),
+        (make_payload(X="y" * callers.MAX_HEAD_BYTES), 400),
         (make_payload(**{f"X{i}": "y" for i in range(100)}), 400),
         (make_payload(Fuchsiamoor_Deadline_Ms="0"), 400),
         (make_payload(Fuchsiamoor_Deadline_Ms="-1"), 400),
@@ -266,7 +244,6 @@
 @pytest.mark.parametrize("start", [b"", b"GET / HTTP/1.1\r\nx"])
 def test_head_that_is_too_slow_is_refused(monkeypatch, start):
     monkeypatch.setattr(http_limits, "HEAD_TIMEOUT_S", 0.02)
-    monkeypatch.setattr(caller_connection, "HEAD_TIMEOUT_S", 0.02)
 
     async def scenario(surface, address):
         assert parse(await send_raw(address, start))[0] == 400
@@ -274,9 +251,7 @@
     run(scenario)
 
 
-names = st.sampled_from(
-    [*caller_requests.OWN_NAMES, b"content-length", b"connection", b"x"]
-)
+names = st.sampled_from([*callers._OWN_NAMES, b"content-length", b"connection", b"x"])
 
 
 @given(
@@ -285,135 +260,12 @@
     st.binary(max_size=10),
 )
 def test_any_head_is_read_or_refused(headers, raw_path, query):
-    head = caller_requests.Head("GET", raw_path, query, headers)
-    parsed = caller_requests.parse_head(make_configuration(), head, "r", 0)
-    assert isinstance(parsed, (NotRun, caller_requests.Parsed))
-
-
-def run_own(scenario, **options):
-    """Run a scenario that is about the callers' own server only."""
-    run(scenario, "own", **options)
-
-
-async def read_answer(reader):
-    head = await reader.readuntil(b"\r\n\r\n")
-    status, headers, _ = parse(head)
-    return status, headers, await reader.readexactly(int(headers["content-length"]))
-
-
-def test_planned_end_answers_what_runs_and_then_closes():
-    release = asyncio.Event()
-
-    async def answer(request_id):
-        await release.wait()
-        return wire.make_answer(request_id)
-
-    async def scenario(surface, address):
-        connections = [await asyncio.open_connection(*address) for _ in range(2)]
-        (reader, writer), (idle_reader, idle_writer) = connections
-        writer.write(make_payload(Connection=""))
-        while not surface.requests:
-            await asyncio.sleep(0.001)
-        surface.server.should_exit = True
-        assert await idle_reader.read() == b""
-        release.set()
-        status, headers, _ = await read_answer(reader)
-        assert (status, headers["connection"]) == (200, "close")
-        assert await reader.read() == b""
-        writer.close(), idle_writer.close()
-
-    run_own(scenario, answer=answer)
-
-
-def test_draining_answers_ask_to_close():
-    async def scenario(surface, address):
-        surface.is_draining = True
-        raw = await send_raw(address, make_payload(Connection=""))
-        assert parse(raw)[1]["connection"] == "close"
-
-    run_own(scenario)
-
-
-def test_failure_of_the_handler_is_not_told_as_not_run():
-    async def fail(request_id):
-        raise RuntimeError("planted")
-
-    async def scenario(surface, address):
-        status, headers, _ = parse(await send_raw(address, make_payload()))
-        assert (status, headers["fuchsiamoor-verdict"]) == (502, "may-have-run")
-
-    run_own(scenario, answer=fail)
-
-
-def test_connections_are_bounded(monkeypatch):
-    monkeypatch.setattr(caller_server, "MAX_CONNECTIONS", 1)
-
-    async def scenario(surface, address):
-        reader, writer = await asyncio.open_connection(*address)
-        writer.write(make_payload(Connection=""))
-        await read_answer(reader)
-        status, headers, _ = parse(await send_raw(address, make_payload()))
-        assert (status, headers["fuchsiamoor-verdict"]) == (503, "not-run")
-        writer.close()
-
-    run_own(scenario)
-
-
-def test_caller_is_told_to_continue_with_its_body():
-    async def scenario(surface, address):
-        reader, writer = await asyncio.open_connection(*address)
-        payload = make_payload(Expect="100-continue")
-        writer.write(payload[:-2])
-        assert b" 100 " in await reader.readuntil(b"\r\n\r\n")
-        writer.write(payload[-2:])
-        assert (await read_answer(reader))[0] == 200
-        writer.close()
-
-    run_own(scenario)
-
-
-@pytest.mark.parametrize(
-    "payload",
-    [
-        b"garbage\r\n\r\n",
-        make_payload("GET /booking/ HTTP/1.1", b"", Connection="upgrade", Upgrade="x"),
-        make_payload().replace(b"Host", b"Transfer-Encoding: chunked\r\nHost"),
-    ],
-)
-def test_malformed_request_is_refused_after_the_answers_before_it(payload):
-    async def scenario(surface, address):
-        raw = await send_raw(address, make_payload(Connection="") + payload)
-        assert raw.startswith(b"HTTP/1.1 200") and raw.count(b"HTTP/1.1 400") == 1
-        assert len(surface.requests) == 1
-
-    run_own(scenario)
-
-
-@given(st.lists(st.binary(max_size=40), max_size=5), st.integers(0, 150))
-def test_garbage_harms_no_other_connection(parts, cut):
-    payload = make_payload()[:cut]
-
-    async def scenario(surface, address):
-        _, writer = await asyncio.open_connection(*address)
-        writer.write(payload)
-        for part in parts:
-            writer.write(part)
-        assert parse(await send_raw(address, make_payload()))[0] == 200
-        writer.close()
-
-    run_own(scenario)
-
-
-def test_slow_reader_holds_back_its_own_requests_only():
-    async def scenario(surface, address):
-        _, writer = await asyncio.open_connection(*address)
-        writer.transport.pause_reading()
-        writer.write(make_payload(Connection="") * 60)
-        for _ in range(50):
-            await asyncio.sleep(0.002)
-        assert parse(await send_raw(address, make_payload()))[0] == 200
-        assert len(surface.requests) < 61
-        writer.transport.abort()
-
-    big = bytes(1_000_000)
-    run_own(scenario, answer=lambda name: wire.make_answer(name, body=big))
+    scope = {
+        "type": "http",
+        "method": "GET",
+        "raw_path": raw_path,
+        "query_string": query,
+        "headers": headers,
+    }
+    parsed = callers._parse(make_configuration(), scope, "r", 0)
+    assert isinstance(parsed, (NotRun, callers.Parsed))
--- a/fuchsiamoor/testing/http_surface.py
+++ b/fuchsiamoor/testing/http_surface.py
@@ -8,7 +8,7 @@
 
 from fuchsiamoor.core import configuration as configurations
 from fuchsiamoor.core.addresses import Address
-from fuchsiamoor.daemon import caller_server, http_limits
+from fuchsiamoor.daemon import http_limits
 
 
 @contextlib.asynccontextmanager
@@ -37,23 +37,6 @@
         await serving
 
 
-@contextlib.asynccontextmanager
-async def serve_callers(
-    server: caller_server.CallerServer,
-) -> AsyncIterator[Address]:
-    """Run a callers' server until the block ends, then cut its connections."""
-    serving = asyncio.create_task(server.serve())
-    while server.address.port == 0:
-        await asyncio.sleep(0.001)
-    try:
-        yield server.address
-    finally:
-        server.should_exit = True
-        for connection in tuple(server.connections):
-            connection.abort()
-        await serving
-
-
 async def send_raw(address: Address, payload: bytes) -> bytes:
     """Send bytes and return everything that comes back until the end."""
     reader, writer = await asyncio.open_connection(*address)
