--- a/fuchsiamoor/daemon/http_servers.py
+++ b/fuchsiamoor/daemon/http_servers.py
@@ -6,6 +6,7 @@
 import uvicorn
 
 from fuchsiamoor.core.addresses import Address
+from fuchsiamoor.daemon import http_limits
 
 GRACEFUL_STOP_S = 30
 KEEP_ALIVE_S = 75
@@ -33,7 +34,7 @@
         app,
         host=address.host,
         port=address.port,
-        http="httptools",
+        http=http_limits.BoundedHttpProtocol,
         ws="none",
         lifespan="off",
         access_log=False,
