--- a/fuchsiamoor/daemon/callers.py
+++ b/fuchsiamoor/daemon/callers.py
@@ -15,7 +15,7 @@
 from fuchsiamoor.core import verdicts
 from fuchsiamoor.core.requests import Answer, Request
 from fuchsiamoor.core.verdicts import MayHaveRun, NotRun, Reason
-from fuchsiamoor.daemon import http_headers
+from fuchsiamoor.daemon import http_headers, http_limits
 from fuchsiamoor.routing import refusals
 
 MAX_HEAD_BYTES = 32 * 1024
@@ -65,6 +65,9 @@
 ) -> Callable:
     """Return the ASGI app of the surface.
 
+    It runs under `http_limits.BoundedHttpProtocol`, which tells it of callers that go
+    away.
+
     Parameters
     ----------
     get_configuration : callable
@@ -96,7 +99,8 @@
                 await _end_without_body(send, request_id, body, metrics)
                 return
             request = request._replace(body=body)
-        answer = await _handle_until_gone(handle, request, receive, parsed.has_body)
+        set_on_gone = scope["extensions"][http_limits.ON_GONE_EXTENSION]
+        answer = await _handle_until_gone(handle, request, set_on_gone)
         if isinstance(answer, Gone):
             metrics.count("requests.cancelled")
             return
@@ -246,22 +250,18 @@
 
 
 async def _handle_until_gone(
-    handle: Handle, request: Request, receive: Callable, is_body_read: bool
+    handle: Handle, request: Request, set_on_gone: Callable
 ) -> Answer | Gone:
     """Handle a request; cancel that if the caller goes away first."""
     handling = asyncio.current_task()
     is_gone = False
 
-    async def watch() -> None:
+    def cancel() -> None:
         nonlocal is_gone
-        if not is_body_read:
-            await receive()
-        while (await receive())["type"] != "http.disconnect":
-            pass
         is_gone = True
         handling.cancel()
 
-    watcher = asyncio.create_task(watch())
+    set_on_gone(cancel)
     try:
         return await handle(request)
     except asyncio.CancelledError:
@@ -270,7 +270,7 @@
         handling.uncancel()
         return Gone()
     finally:
-        watcher.cancel()
+        set_on_gone(None)
 
 
 async def _send_ready(send: Callable, is_ready: bool) -> None:
--- a/fuchsiamoor/daemon/http_limits.py
+++ b/fuchsiamoor/daemon/http_limits.py
@@ -1,16 +1,20 @@
 """Limits on what a connection to a surface may hold before its request is whole.
 
 `BoundedHttpProtocol` goes into the ``http`` setting of uvicorn, which itself bounds
-neither the size of a request's head nor the time that it takes to arrive.
+neither the size of a request's head nor the time that it takes to arrive. It also tells
+an app of a caller that goes away, which spares a waiting task for each request.
 """
 
 import asyncio
+from collections.abc import Callable
 
 from uvicorn.protocols.http import httptools_impl
 
 MAX_HEAD_BYTES = 48 * 1024
 HEAD_TIMEOUT_S = 5.0
 
+ON_GONE_EXTENSION = "fuchsiamoor.on_gone"
+
 
 class BoundedHttpProtocol(httptools_impl.HttpToolsProtocol):
     """Closes connections whose request head is too large or too slow."""
@@ -18,6 +22,7 @@
     _head_timer: asyncio.TimerHandle | None = None
     _head_bytes = 0
     _is_in_head = True
+    _on_gone: Callable[[], object] | None = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Start the time for the first head."""
@@ -25,9 +30,11 @@
         self._start_head_timer()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Forget the timer."""
+        """Tell the app whose request is under way."""
         self._stop_head_timer()
         super().connection_lost(exc)
+        if self._on_gone is not None:
+            self._on_gone()
 
     def data_received(self, data: bytes) -> None:
         """Read data; refuse a head that is too large."""
@@ -43,6 +50,7 @@
         """End the head and start the request."""
         self._is_in_head = False
         self._stop_head_timer()
+        self.scope["extensions"] = {ON_GONE_EXTENSION: self._set_on_gone}
         super().on_headers_complete()
 
     def on_message_complete(self) -> None:
@@ -51,6 +59,12 @@
         self._head_bytes = 0
         super().on_message_complete()
 
+    def _set_on_gone(self, on_gone: Callable[[], object] | None) -> None:
+        """Call ``on_gone`` if the caller goes away; None for no longer."""
+        self._on_gone = on_gone
+        if on_gone is not None and self.transport.is_closing():
+            on_gone()
+
     def _start_head_timer(self) -> None:
         self._head_timer = self.loop.call_later(
             HEAD_TIMEOUT_S, self._refuse, "Request head too slow."
