--- a/fuchsiamoor/daemon/callers.py
+++ b/fuchsiamoor/daemon/callers.py
@@ -15,43 +15,17 @@
 from fuchsiamoor.core import verdicts
 from fuchsiamoor.core.requests import Answer, Request
 from fuchsiamoor.core.verdicts import MayHaveRun, NotRun, Reason
-from fuchsiamoor.daemon import http_headers, http_limits
+from fuchsiamoor.daemon import caller_requests, http_limits
 from fuchsiamoor.routing import refusals
 
-MAX_HEAD_BYTES = 32 * 1024
-MAX_HEADERS = 100
-MAX_DEADLINE_MS = 10 * 60 * 1000
-MAX_KEY_BYTES = 1024
 READY_PATH = b"/_ready"
 
-_KEY = b"fuchsiamoor-key"
-_TENANT = b"fuchsiamoor-tenant"
-_DEADLINE = b"fuchsiamoor-deadline-ms"
-_IDEMPOTENCY_KEY = b"idempotency-key"
-_DEFAULT_TENANT = b"default"
-_OWN_NAMES = (_KEY, _TENANT, _DEADLINE, _IDEMPOTENCY_KEY)
 _BODILESS_STATUSES = (204, 304)
 _PLAIN_TEXT = (b"content-type", b"text/plain; charset=utf-8")
 
 Handle = Callable[[Request], Awaitable[Answer]]
 
 
-class Parsed(NamedTuple):
-    """A request whose body has not been read.
-
-    Parameters
-    ----------
-    request : Request
-        With an empty body.
-    body_limit_bytes : int
-    has_body : bool
-    """
-
-    request: Request
-    body_limit_bytes: int
-    has_body: bool
-
-
 class Gone(NamedTuple):
     """The caller went away."""
 
@@ -88,7 +62,12 @@
             await _send_ready(send, is_ready())
             return
         request_id = str(uuid.uuid4())
-        parsed = _parse(get_configuration(), scope, request_id, _now_ms())
+        head = caller_requests.Head(
+            scope["method"], scope["raw_path"], scope["query_string"], scope["headers"]
+        )
+        parsed = caller_requests.parse_head(
+            get_configuration(), head, request_id, _now_ms()
+        )
         if isinstance(parsed, NotRun):
             await _refuse(send, request_id, parsed)
             return
@@ -117,104 +96,9 @@
     return time.monotonic_ns() // 1_000_000
 
 
-def _parse(
-    configuration: configurations.Configuration,
-    scope: dict,
-    request_id: str,
-    now_ms: int,
-) -> Parsed | NotRun:
-    """Read everything but the body."""
-    headers = scope["headers"]
-    head_bytes = sum([len(name) + len(value) for name, value in headers])
-    head_bytes += len(scope["raw_path"]) + len(scope["query_string"])
-    if head_bytes > MAX_HEAD_BYTES or len(headers) > MAX_HEADERS:
-        return _bad(
-            f"found {head_bytes} bytes in {len(headers)} headers, expected at most "
-            f"{MAX_HEAD_BYTES} in {MAX_HEADERS}"
-        )
-    own, content_length, is_chunked = _read_own_headers(headers)
-    if own is None:
-        return _bad("a header of this system is given twice")
-    try:
-        path = scope["raw_path"].decode("ascii")
-        query = scope["query_string"].decode("ascii")
-        key = own.get(_KEY, b"").decode()
-        tenant = own.get(_TENANT, _DEFAULT_TENANT).decode()
-        idempotency_key = own.get(_IDEMPOTENCY_KEY, b"").decode()
-    except UnicodeDecodeError:
-        return _bad("path or header is not UTF-8")
-    _, _, rest = path.partition("/")
-    service_name, _, below = rest.partition("/")
-    service = configuration.services.get(service_name)
-    if service is None:
-        return NotRun(Reason.UNKNOWN_SERVICE, f"no service {service_name!r:.80}")
-    if tenant not in configuration.tenants:
-        return NotRun(Reason.UNKNOWN_TENANT, f"no tenant {tenant!r:.80}")
-    if service.key_required and not key:
-        return _bad("Fuchsiamoor-Key is missing")
-    if max(map(len, own.values()), default=0) > MAX_KEY_BYTES:
-        return _bad(f"expected at most {MAX_KEY_BYTES} bytes in a header's value")
-    deadline_ms = _parse_deadline(own.get(_DEADLINE), service.default_deadline_ms)
-    if deadline_ms is None:
-        return _bad(
-            f"Fuchsiamoor-Deadline-Ms: found {own[_DEADLINE]!r:.40}, "
-            f"expected 1 to {MAX_DEADLINE_MS}"
-        )
-    limit_bytes = service.limits.body_bytes
-    if content_length > limit_bytes:
-        return NotRun(
-            Reason.BODY_TOO_LARGE,
-            f"found {content_length} bytes, expected at most {limit_bytes}",
-        )
-    request = Request(
-        request_id=request_id,
-        service=service_name,
-        tenant=tenant,
-        key=key,
-        idempotency_key=idempotency_key,
-        method=scope["method"],
-        path=f"/{below}?{query}" if query else f"/{below}",
-        headers=http_headers.keep_end_to_end(headers),
-        body=b"",
-        deadline_ms=now_ms + deadline_ms,
-        idempotent=scope["method"] in service.idempotent_methods,
-    )
-    return Parsed(request, limit_bytes, content_length > 0 or is_chunked)
-
-
-def _read_own_headers(
-    headers: list[tuple[bytes, bytes]],
-) -> tuple[dict[bytes, bytes] | None, int, bool]:
-    """Return this system's headers (None if repeated), the length, and if chunked."""
-    own: dict[bytes, bytes] = {}
-    content_length = 0
-    is_chunked = False
-    for name, value in headers:
-        if name in _OWN_NAMES:
-            if name in own:
-                return None, 0, False
-            own[name] = value
-        elif name == b"content-length":
-            content_length = int(value) if value.isdigit() else 0
-        elif name == b"transfer-encoding":
-            is_chunked = True
-    return own, content_length, is_chunked
-
-
-def _parse_deadline(value: bytes | None, default_ms: int) -> int | None:
-    if value is None:
-        return default_ms
-    if not value.isdigit() or len(value) > 9:
-        return None
-    deadline_ms = int(value)
-    return deadline_ms if 0 < deadline_ms <= MAX_DEADLINE_MS else None
-
-
-def _bad(detail: str) -> NotRun:
-    return NotRun(Reason.BAD_REQUEST, detail)
-
-
-async def _read_body(receive: Callable, parsed: Parsed) -> bytes | NotRun | Gone:
+async def _read_body(
+    receive: Callable, parsed: caller_requests.Parsed
+) -> bytes | NotRun | Gone:
     """Read the body within its limit and the request's deadline."""
     loop = asyncio.get_running_loop()
     remaining_ms = parsed.request.deadline_ms - _now_ms()
@@ -229,10 +113,7 @@
                 parts.append(event.get("body", b""))
                 size_bytes += len(parts[-1])
                 if size_bytes > parsed.body_limit_bytes:
-                    return NotRun(
-                        Reason.BODY_TOO_LARGE,
-                        f"expected at most {parsed.body_limit_bytes} bytes",
-                    )
+                    return caller_requests.refuse_body(parsed.body_limit_bytes)
                 if not event.get("more_body", False):
                     return b"".join(parts)
     except TimeoutError:
--- a/fuchsiamoor/daemon/callers_test.py
+++ b/fuchsiamoor/daemon/callers_test.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 
 from fuchsiamoor.core.verdicts import MayHaveRun, NotRun, Reason
-from fuchsiamoor.daemon import callers, http_limits
+from fuchsiamoor.daemon import caller_requests, callers, http_limits
 from fuchsiamoor.testing import http_surface, wire
 from fuchsiamoor.testing.http_surface import make_configuration, send_raw
 
@@ -122,7 +122,7 @@
         (make_payload(Fuchsiamoor_Key="k" * 1025), 400),
         (make_payload().replace(b"Host", b"Fuchsiamoor-Key"), 400),
         (make_payload().replace(b"Key: k", b"Key: \xff"), 400),
-        (make_payload(X="y" * callers.MAX_HEAD_BYTES), 400),
+        (make_payload(X="y" * caller_requests.MAX_HEAD_BYTES), 400),
         (make_payload(**{f"X{i}": "y" for i in range(100)}), 400),
         (make_payload(Fuchsiamoor_Deadline_Ms="0"), 400),
         (make_payload(Fuchsiamoor_Deadline_Ms="-1"), 400),
@@ -251,7 +251,9 @@
     run(scenario)
 
 
-names = st.sampled_from([*callers._OWN_NAMES, b"content-length", b"connection", b"x"])
+names = st.sampled_from(
+    [*sorted(caller_requests.OWN_NAMES), b"content-length", b"connection", b"x"]
+)
 
 
 @given(
@@ -260,12 +262,6 @@
     st.binary(max_size=10),
 )
 def test_any_head_is_read_or_refused(headers, raw_path, query):
-    scope = {
-        "type": "http",
-        "method": "GET",
-        "raw_path": raw_path,
-        "query_string": query,
-        "headers": headers,
-    }
-    parsed = callers._parse(make_configuration(), scope, "r", 0)
-    assert isinstance(parsed, (NotRun, callers.Parsed))
+    head = caller_requests.Head("GET", raw_path, query, headers)
+    parsed = caller_requests.parse_head(make_configuration(), head, "r", 0)
+    assert isinstance(parsed, (NotRun, caller_requests.Parsed))
