daemon: read a caller's head in one pass, its body under a bare timer

Cause: a head was walked four times, each body was read under asyncio.timeout and each request drew a new UUID from the operating system. Change: one pass over the headers; one timer of the loop; request ids are a UUID of the process and a number.

--- a/fuchsiamoor/daemon/caller_requests.py
+++ b/fuchsiamoor/daemon/caller_requests.py
@@ -3,7 +3,7 @@
 from typing import NamedTuple
 
 from fuchsiamoor.core import configuration as configurations
-from fuchsiamoor.core.requests import Request
+from fuchsiamoor.core.requests import Headers, Request
 from fuchsiamoor.core.verdicts import NotRun, Reason
 from fuchsiamoor.daemon import http_headers
 
@@ -53,17 +53,21 @@
     has_body: bool
 
 
-class OwnHeaders(NamedTuple):
-    """What a head says to this system.
+class SortedHeaders(NamedTuple):
+    """The headers of a head, by whom they concern.
 
     Parameters
     ----------
-    values : dict of bytes to bytes
+    own : dict of bytes to bytes
+        What they say to this system.
+    end_to_end : Headers
+        What travels on.
     content_length_bytes : int
     is_chunked : bool
     """
 
-    values: dict[bytes, bytes]
+    own: dict[bytes, bytes]
+    end_to_end: Headers
     content_length_bytes: int
     is_chunked: bool
 
@@ -85,21 +89,16 @@
     now_ms : int
         Monotonic time.
     """
-    size_bytes = _measure_head(head)
-    if size_bytes > MAX_HEAD_BYTES or len(head.headers) > MAX_HEADERS:
-        return _bad(
-            f"found {size_bytes} bytes in {len(head.headers)} headers, expected at "
-            f"most {MAX_HEAD_BYTES} in {MAX_HEADERS}"
-        )
-    own = _read_own_headers(head.headers)
-    if isinstance(own, NotRun):
-        return own
+    found = _sort_headers(head)
+    if isinstance(found, NotRun):
+        return found
+    own = found.own
     try:
         path = head.path.decode("ascii")
         query = head.query.decode("ascii")
-        key = own.values.get(_KEY, b"").decode()
-        tenant = own.values.get(_TENANT, _DEFAULT_TENANT).decode()
-        idempotency_key = own.values.get(_IDEMPOTENCY_KEY, b"").decode()
+        key = own.get(_KEY, b"").decode()
+        tenant = own.get(_TENANT, _DEFAULT_TENANT).decode()
+        idempotency_key = own.get(_IDEMPOTENCY_KEY, b"").decode()
     except UnicodeDecodeError:
         return _bad("path or header is not UTF-8")
     _, _, rest = path.partition("/")
@@ -111,14 +110,14 @@
         return NotRun(Reason.UNKNOWN_TENANT, f"no tenant {tenant!r:.80}")
     if service.key_required and not key:
         return _bad("Fuchsiamoor-Key is missing")
-    deadline_ms = _parse_deadline(own.values, service.default_deadline_ms)
+    deadline_ms = _parse_deadline(own, service.default_deadline_ms)
     if deadline_ms is None:
         return _bad(
-            f"Fuchsiamoor-Deadline-Ms: found {own.values[_DEADLINE]!r:.40}, "
+            f"Fuchsiamoor-Deadline-Ms: found {own[_DEADLINE]!r:.40}, "
             f"expected 1 to {MAX_DEADLINE_MS}"
         )
     limit_bytes = service.limits.body_bytes
-    if own.content_length_bytes > limit_bytes:
+    if found.content_length_bytes > limit_bytes:
         return refuse_body(limit_bytes)
     request = Request(
         request_id=request_id,
@@ -128,12 +127,14 @@
         idempotency_key=idempotency_key,
         method=head.method,
         path=f"/{below}?{query}" if query else f"/{below}",
-        headers=http_headers.keep_end_to_end(head.headers),
+        headers=found.end_to_end,
         body=b"",
         deadline_ms=now_ms + deadline_ms,
         idempotent=head.method in service.idempotent_methods,
     )
-    return Parsed(request, limit_bytes, own.content_length_bytes > 0 or own.is_chunked)
+    return Parsed(
+        request, limit_bytes, found.content_length_bytes > 0 or found.is_chunked
+    )
 
 
 def refuse_body(limit_bytes: int) -> NotRun:
@@ -141,31 +142,39 @@
     return NotRun(Reason.BODY_TOO_LARGE, f"expected at most {limit_bytes} bytes")
 
 
-def _measure_head(head: Head) -> int:
-    size_bytes = len(head.path) + len(head.query)
-    for name, value in head.headers:
-        size_bytes += len(name) + len(value)
-    return size_bytes
-
-
-def _read_own_headers(headers: list[tuple[bytes, bytes]]) -> OwnHeaders | NotRun:
-    values: dict[bytes, bytes] = {}
+def _sort_headers(head: Head) -> SortedHeaders | NotRun:
+    """Sort the headers within their limits."""
+    own: dict[bytes, bytes] = {}
+    kept = []
+    names_hop = False
     content_length_bytes = 0
     is_chunked = False
-    for name, value in headers:
+    size_bytes = len(head.path) + len(head.query)
+    for header in head.headers:
+        name, value = header
+        size_bytes += len(name) + len(value)
         if name in OWN_NAMES:
-            if name in values:
-                return _bad(f"{name.decode()} is given twice")
-            if len(value) > MAX_VALUE_BYTES:
+            if name in own or len(value) > MAX_VALUE_BYTES:
                 return _bad(
-                    f"{name.decode()}: expected at most {MAX_VALUE_BYTES} bytes"
+                    f"{name.decode()}: expected once, at most {MAX_VALUE_BYTES} bytes"
                 )
-            values[name] = value
+            own[name] = value
+        elif not http_headers.ends_here(name):
+            kept.append(header)
         elif name == b"content-length":
             content_length_bytes = int(value) if value.isdigit() else 0
         elif name == b"transfer-encoding":
             is_chunked = True
-    return OwnHeaders(values, content_length_bytes, is_chunked)
+        elif name == b"connection":
+            names_hop = True
+    if size_bytes > MAX_HEAD_BYTES or len(head.headers) > MAX_HEADERS:
+        return _bad(
+            f"found {size_bytes} bytes in {len(head.headers)} headers, expected at "
+            f"most {MAX_HEAD_BYTES} in {MAX_HEADERS}"
+        )
+    if names_hop:
+        kept = http_headers.keep_end_to_end(head.headers)
+    return SortedHeaders(own, tuple(kept), content_length_bytes, is_chunked)
 
 
 def _parse_deadline(values: dict[bytes, bytes], default_ms: int) -> int | None:
--- a/fuchsiamoor/daemon/callers.py
+++ b/fuchsiamoor/daemon/callers.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import http
+import itertools
 import time
 import uuid
 from collections.abc import Awaitable, Callable
@@ -54,6 +55,8 @@
     is_draining : callable
         Whether answers ask callers to close their connections.
     """
+    process_id = uuid.uuid4()
+    numbers = itertools.count(1)
 
     async def app(scope: dict, receive: Callable, send: Callable) -> None:
         if scope["type"] != "http":
@@ -61,7 +64,7 @@
         if scope["raw_path"] == READY_PATH:
             await _send_ready(send, is_ready())
             return
-        request_id = str(uuid.uuid4())
+        request_id = f"{process_id}-{next(numbers)}"
         head = caller_requests.Head(
             scope["method"], scope["raw_path"], scope["query_string"], scope["headers"]
         )
@@ -100,24 +103,41 @@
     receive: Callable, parsed: caller_requests.Parsed
 ) -> bytes | NotRun | Gone:
     """Read the body within its limit and the request's deadline."""
-    loop = asyncio.get_running_loop()
+    reading = asyncio.current_task()
+    is_late = False
+
+    def expire() -> None:
+        nonlocal is_late
+        is_late = True
+        reading.cancel()
+
     remaining_ms = parsed.request.deadline_ms - _now_ms()
-    parts = []
-    size_bytes = 0
+    loop = asyncio.get_running_loop()
+    timer = loop.call_later(max(remaining_ms, 0) / 1000, expire)
     try:
-        async with asyncio.timeout_at(loop.time() + remaining_ms / 1000):
-            while True:
-                event = await receive()
-                if event["type"] == "http.disconnect":
-                    return Gone()
-                parts.append(event.get("body", b""))
-                size_bytes += len(parts[-1])
-                if size_bytes > parsed.body_limit_bytes:
-                    return caller_requests.refuse_body(parsed.body_limit_bytes)
-                if not event.get("more_body", False):
-                    return b"".join(parts)
-    except TimeoutError:
+        return await _gather_body(receive, parsed.body_limit_bytes)
+    except asyncio.CancelledError:
+        if not is_late:
+            raise
+        reading.uncancel()
         return NotRun(Reason.DEADLINE_PASSED, "the body did not arrive in time")
+    finally:
+        timer.cancel()
+
+
+async def _gather_body(receive: Callable, limit_bytes: int) -> bytes | NotRun | Gone:
+    parts = []
+    size_bytes = 0
+    while True:
+        event = await receive()
+        if event["type"] == "http.disconnect":
+            return Gone()
+        parts.append(event["body"])
+        size_bytes += len(event["body"])
+        if size_bytes > limit_bytes:
+            return caller_requests.refuse_body(limit_bytes)
+        if not event["more_body"]:
+            return parts[0] if len(parts) == 1 else b"".join(parts)
 
 
 async def _end_without_body(
--- a/fuchsiamoor/daemon/http_headers.py
+++ b/fuchsiamoor/daemon/http_headers.py
@@ -25,6 +25,17 @@
 )
 
 
+def ends_here(name: bytes) -> bool:
+    """Return whether a header never travels on, whatever ``Connection`` names.
+
+    Examples
+    --------
+    >>> ends_here(b"te"), ends_here(b"fuchsiamoor-epoch"), ends_here(b"accept")
+    (True, True, False)
+    """
+    return name in _ENDS_HERE or name.startswith(OWN_PREFIX)
+
+
 def keep_end_to_end(headers: Iterable[tuple[bytes, bytes]]) -> Headers:
     """Return the headers that travel on.
 
@@ -41,11 +52,7 @@
     >>> keep_end_to_end([(b"accept", b"*/*"), (b"x", b"1"), (b"connection", b"X")])
     ((b'accept', b'*/*'),)
     """
-    kept = [
-        header
-        for header in headers
-        if header[0] not in _ENDS_HERE and not header[0].startswith(OWN_PREFIX)
-    ]
+    kept = [header for header in headers if not ends_here(header[0])]
     named = [value for name, value in headers if name == b"connection"]
     if not named:
         return tuple(kept)
