--- a/fuchsiamoor/cli/client.py
+++ b/fuchsiamoor/cli/client.py
@@ -64,13 +64,13 @@
     ------
     ToolError
     """
-    problems = []
+    problems = {}
     for url in client.urls:
         try:
             return await get(client, kind, url, path, **params)
         except httpx.HTTPError as error:
-            problems.append(f"{url}: {describe(error)}")
-    raise ToolError(ExitStatus.UNREACHABLE, "no daemon answers\n" + "\n".join(problems))
+            problems[url] = describe(error)
+    raise _make_unreachable(problems)
 
 
 async def get(client: Client, kind: type[T], url: str, path: str, **params: str) -> T:
@@ -158,20 +158,19 @@
         If none of the named daemons answers.
     """
     members: dict[str, str] = {}
-    silent = []
+    problems: dict[str, str] = {}
     for url in client.urls:
         try:
             found = await get(client, status.Status, url, "/v1/status")
-        except httpx.HTTPError:
-            silent.append(url)
+        except httpx.HTTPError as error:
+            problems[url] = describe(error)
             continue
         members[url] = found.instance
         for member in found.members:
             members.setdefault(f"http://{member.operator_address}", member.instance)
     if not members:
-        named = ", ".join(client.urls)
-        raise ToolError(ExitStatus.UNREACHABLE, f"no daemon answers at {named}")
-    for url in silent:
+        raise _make_unreachable(problems)
+    for url in problems:
         members.setdefault(url, url)
     return members
 
@@ -185,4 +184,11 @@
             return f"no answer within {TIMEOUT_S:g} s"
         case httpx.HTTPStatusError():
             return f"status {error.response.status_code}"
+        case httpx.DecodingError():
+            return str(error)
     return str(error) or type(error).__name__
+
+
+def _make_unreachable(problems: dict[str, str]) -> ToolError:
+    lines = [f"{url}: {problem}" for url, problem in problems.items()]
+    return ToolError(ExitStatus.UNREACHABLE, "\n".join(["no daemon answers", *lines]))
--- a/fuchsiamoor/cli/render.py
+++ b/fuchsiamoor/cli/render.py
@@ -6,6 +6,7 @@
 from fuchsiamoor.cli.client import Gathered
 from fuchsiamoor.core import members
 from fuchsiamoor.reports import burn, measures
+from fuchsiamoor.reports.counts import HOUR_MS, MINUTE_MS
 from fuchsiamoor.reports.status import (
     DomainStatus,
     Explanation,
@@ -147,7 +148,7 @@
 
 
 def _render_domains(domains: list[DomainStatus]) -> list[str]:
-    headers = ["domain", "coordinator", "term", "rev", "owners", "pending", "unowned"]
+    headers = ["domain", "coordinator", "term", "rev", "owners", "pending", "none"]
     rows = [
         [
             domain.domain,
@@ -259,7 +260,7 @@
     ]
     windows = sorted({(each.window_days, each.counted_ms) for each in found})
     notes = [
-        f"budget of {days} days, counted over {counted_ms / burn.DAY_MS:.2f} days"
+        f"budget of {days} days, counted over {_format_span(counted_ms)}"
         for days, counted_ms in windows
     ]
     return [*tables.format_table(headers, rows), *notes]
@@ -277,6 +278,13 @@
     return "-" if latency_us is None else f"{latency_us / 1000:.1f}"
 
 
+def _format_span(span_ms: int) -> str:
+    for name, unit_ms in (("days", burn.DAY_MS), ("hours", HOUR_MS)):
+        if span_ms >= 2 * unit_ms:
+            return f"{span_ms / unit_ms:.1f} {name}"
+    return f"{span_ms / MINUTE_MS:.0f} minutes"
+
+
 def _format_time(time_ms: int) -> str:
     return datetime.fromtimestamp(time_ms / 1000, UTC).strftime("%Y-%m-%d %H:%M UTC")
 
--- a/fuchsiamoor/daemon/operator_app.py
+++ b/fuchsiamoor/daemon/operator_app.py
@@ -5,9 +5,11 @@
 from typing import Protocol
 
 import litestar
+import loguru
 from litestar.connection import ASGIConnection
-from litestar.exceptions import NotAuthorizedException
+from litestar.exceptions import HTTPException, NotAuthorizedException
 from litestar.handlers import BaseRouteHandler
+from litestar.types import Scope
 
 from fuchsiamoor.core import errors, faults
 from fuchsiamoor.core.configuration import Configuration
@@ -64,6 +66,12 @@
         metrics.count(metric_names.OPERATORS_REFUSED)
         raise NotAuthorizedException(detail="an operator key is needed")
 
+    async def on_failure(error: Exception, _: Scope) -> None:
+        if isinstance(error, HTTPException):
+            return
+        metrics.count(metric_names.OPERATORS_FAILED)
+        loguru.logger.bind(error=repr(error)).error("operator call failed")
+
     @litestar.get("/v1/status", sync_to_thread=False)
     def get_status(members: bool = True) -> litestar.Response[bytes]:
         found = view.status()
@@ -107,6 +115,7 @@
             get_report,
         ],
         guards=[check_key],
+        after_exception=[on_failure],
         request_max_body_size=MAX_BODY_BYTES,
         openapi_config=None,
         logging_config=None,
--- a/fuchsiamoor/daemon/operator_app_test.py
+++ b/fuchsiamoor/daemon/operator_app_test.py
@@ -1,5 +1,6 @@
 import json
 
+import loguru
 import pytest
 from litestar.testing import TestClient
 
@@ -42,10 +43,9 @@
         self.metrics = daemon_metrics.make_metrics(None)
         self.applied = []
         self.result = apply.Applied(5)
-        app = operator_app.make_operator_app(
-            FakeView(self.metrics), self.apply, KEYS, self.metrics
-        )
-        self.client = TestClient(app)
+        self.view = FakeView(self.metrics)
+        app = operator_app.make_operator_app(self.view, self.apply, KEYS, self.metrics)
+        self.client = TestClient(app, raise_server_exceptions=False)
 
     async def apply(self, *given):
         self.applied.append(given)
@@ -134,3 +134,13 @@
 
 def test_a_body_that_is_too_large_is_refused(surface):
     assert surface.post(b" " * (operator_app.MAX_BODY_BYTES + 1)).status_code == 413
+
+
+def test_a_failure_inside_is_counted_and_logged(surface, monkeypatch):
+    lines = []
+    sink = loguru.logger.add(lines.append, format="{message} {extra}")
+    monkeypatch.setattr(surface.view, "report", lambda: 1 // 0)
+    assert surface.get("/v1/report").status_code == 500
+    loguru.logger.remove(sink)
+    assert surface.metrics.totals[metric_names.OPERATORS_FAILED] == 1
+    assert "ZeroDivisionError" in lines[0]
--- a/fuchsiamoor/reports/metric_names.py
+++ b/fuchsiamoor/reports/metric_names.py
@@ -39,6 +39,7 @@
 STORE_TIME = "store.time"
 MEMBERS_KNOWN = "members.known"
 OPERATORS_REFUSED = "operators.refused"
+OPERATORS_FAILED = "operators.failed"
 CONFIGURATION_REVISION = "configuration.revision"
 CONFIGURATION_APPLIED = "configuration.applied"
 CONFIGURATION_CONFLICTS = "configuration.conflicts"
@@ -103,6 +104,7 @@
     "peers.messages_dropped": "Messages dropped because no link was up.",
     "peers.handler_failures": "Calls that failed inside this daemon.",
     OPERATORS_REFUSED: "Operator calls refused for want of a valid key.",
+    OPERATORS_FAILED: "Operator calls that failed inside this daemon.",
     CONFIGURATION_APPLIED: "Configurations applied through this daemon.",
     CONFIGURATION_CONFLICTS: "Applies refused because another came first.",
     CONFIGURATION_REFUSED: "Applies refused for faults.",
