--- a/fuchsiamoor/daemon/entry_keyed.py
+++ b/fuchsiamoor/daemon/entry_keyed.py
@@ -10,7 +10,8 @@
 from fuchsiamoor.routing import parking, refusals, retry, routes
 
 HINTS_MAX = 4
-PARK_RECHECK_MS = 100
+PARK_FIRST_MS = 10
+PARK_MAX_MS = 100
 
 
 async def handle_keyed(entry: Entry, request: Request) -> Answer:
@@ -19,13 +20,14 @@
     ending = NotRun(Reason.NO_OWNER)
     hint = ""
     hints = 0
+    parks = 0
     while request.deadline_ms > entry.now_ms():
         route = _find_route(entry, request)
         target = _find_target(entry, route, hint)
         if target is None:
-            if not await _park(entry, route.domain, request):
+            if not await _park(entry, route.domain, request, parks):
                 return _refuse(request, ending, Reason.OVER_LIMIT)
-            hints = 0
+            parks += 1
             continue
         answered = await sending.send(entry, target, request, permit, route)
         verdict = answered.answer.verdict
@@ -41,8 +43,9 @@
         hint = ""
         if _find_route(entry, request) != route:
             continue
-        if not await _park(entry, route.domain, request):
+        if not await _park(entry, route.domain, request, parks):
             return _refuse(request, ending, Reason.OVER_LIMIT)
+        parks += 1
         hints = 0
     return _refuse(request, ending, Reason.DEADLINE_PASSED)
 
@@ -63,10 +66,15 @@
             return None
 
 
-async def _park(entry: Entry, domain: str, request: Request) -> bool:
+async def _park(entry: Entry, domain: str, request: Request, parks: int) -> bool:
+    """Wait until the owner may have changed; False if too many requests wait.
+
+    ``parks`` is how often this request was parked before; each time is longer.
+    """
     service = entry.get_configuration().services.get(request.service)
     limit = service.limits.parked_requests if service else 0
-    wait_ms = min(PARK_RECHECK_MS, request.deadline_ms - entry.now_ms())
+    recheck_ms = min(PARK_FIRST_MS << min(parks, 8), PARK_MAX_MS)
+    wait_ms = min(recheck_ms, request.deadline_ms - entry.now_ms())
     ticket = asyncio.get_running_loop().create_future()
     if not parking.park(entry.parking, domain, ticket, len(request.body), limit):
         entry.metrics.count("entry.parking_full")
--- /dev/null
+++ b/fuchsiamoor/daemon/entry_serving_golden_test.py
@@ -0,0 +1,154 @@
+"""Golden files of whole sessions through entry and serving sides.
+
+Run with ``UPDATE_GOLDEN=1`` to write them anew.
+"""
+
+import asyncio
+import os
+import pathlib
+
+import pytest
+
+from fuchsiamoor.core.requests import Request
+from fuchsiamoor.core.verdicts import Ran, format_verdict
+from fuchsiamoor.daemon import entry
+from fuchsiamoor.testing import requests_data, routing_world, virtual_time
+from fuchsiamoor.testing.routing_world import LinkFault, UpstreamFault, World
+
+GOLDEN = pathlib.Path(__file__).parent / "entry_serving_golden"
+A, B, C = (
+    requests_data.make_member("a", "north-1", slots=1),
+    requests_data.make_member("b", "north-2", slots=1),
+    requests_data.make_member("c", "south-1", slots=1),
+)
+WEST = requests_data.make_member("d", "west-1")
+
+
+async def ask(world: World, member, request_id: str, **changes) -> None:
+    """Send a request to a daemon and note its ending."""
+    in_ms = changes.pop("in_ms", 1_000)
+    deadline_ms = virtual_time.now_ms() + in_ms
+    request = requests_data.make_request(request_id, deadline_ms=deadline_ms, **changes)
+    routing_world.note(world, f"caller > {member.instance} {describe(request)}")
+    answer = await entry.handle(world.nodes[member.member_id].entry, request)
+    verdict = format_verdict(answer.verdict)
+    reason = "" if isinstance(answer.verdict, Ran) else f" {answer.verdict.reason}"
+    routing_world.note(
+        world,
+        f"{member.instance} > caller {answer.request_id} {answer.status} "
+        f"{verdict}{reason} {answer.body.decode()}".rstrip(),
+    )
+
+
+def describe(request: Request) -> str:
+    kind = "idempotent" if request.idempotent else "once"
+    return f"{request.request_id} key={request.key or '-'} {kind}"
+
+
+async def forwards_to_the_owner(world: World) -> None:
+    await ask(world, B, "r1")
+
+
+async def parks_during_a_planned_move(world: World) -> None:
+    world.upstream_faults = [UpstreamFault.SLOW]
+    running = asyncio.ensure_future(ask(world, B, "r1"))
+    await asyncio.sleep(0.02)
+    moving = asyncio.ensure_future(routing_world.move_planned(world, C.member_id))
+    await asyncio.sleep(0.02)
+    await ask(world, B, "r2")
+    await asyncio.gather(running, moving)
+    await ask(world, B, "r3")
+
+
+async def follows_the_owner_named_by_a_refusal(world: World) -> None:
+    known = world.table
+    world.nodes[B.member_id].entry.get_table = lambda domain: known
+    await routing_world.move_planned(world, C.member_id)
+    await ask(world, B, "r1")
+
+
+async def never_repeats_after_a_lost_link(world: World) -> None:
+    world.link_faults = [LinkFault.LOST_BEFORE]
+    await ask(world, B, "r1")
+
+
+async def repeats_an_idempotent_request_after_a_lost_link(world: World) -> None:
+    world.link_faults = [LinkFault.LOST_AFTER]
+    await ask(world, B, "r1", idempotent=True)
+
+
+async def sends_again_what_never_left(world: World) -> None:
+    world.link_faults = [LinkFault.UNREACHABLE]
+    await ask(world, B, "r1")
+
+
+async def gives_no_crossed_answer(world: World) -> None:
+    world.link_faults = [LinkFault.ANSWER_CROSSED]
+    await ask(world, B, "r1")
+
+
+async def cancels_at_the_deadline(world: World) -> None:
+    world.upstream_faults = [UpstreamFault.STUCK]
+    await ask(world, B, "r1", in_ms=100)
+
+
+async def cancels_when_the_caller_leaves(world: World) -> None:
+    world.upstream_faults = [UpstreamFault.SLOW]
+    leaving = asyncio.ensure_future(ask(world, B, "r1"))
+    await asyncio.sleep(0.02)
+    leaving.cancel()
+    await asyncio.wait([leaving])
+    routing_world.note(world, "caller left")
+    await asyncio.sleep(0.3)
+
+
+async def refuses_outside_the_home_regions(world: World) -> None:
+    await ask(world, WEST, "r1")
+
+
+async def hedges_a_slow_upstream(world: World) -> None:
+    world.upstream_faults = [UpstreamFault.SLOW]
+    await ask(world, B, "r1", key="", idempotent=True)
+    await asyncio.sleep(0.3)
+
+
+async def goes_elsewhere_when_one_sheds(world: World) -> None:
+    world.upstream_faults = [UpstreamFault.SHED]
+    await ask(world, B, "r1", key="")
+
+
+async def refuses_over_the_queue(world: World) -> None:
+    calls = [ask(world, A, f"r{index}", in_ms=200) for index in range(1, 8)]
+    await asyncio.gather(*calls)
+
+
+SESSIONS = [
+    forwards_to_the_owner,
+    parks_during_a_planned_move,
+    follows_the_owner_named_by_a_refusal,
+    never_repeats_after_a_lost_link,
+    repeats_an_idempotent_request_after_a_lost_link,
+    sends_again_what_never_left,
+    gives_no_crossed_answer,
+    cancels_at_the_deadline,
+    cancels_when_the_caller_leaves,
+    refuses_outside_the_home_regions,
+    hedges_a_slow_upstream,
+    goes_elsewhere_when_one_sheds,
+    refuses_over_the_queue,
+]
+
+
+@pytest.mark.parametrize("session", SESSIONS, ids=lambda session: session.__name__)
+def test_session(session):
+    async def main():
+        world = routing_world.make_world([A, B, C, WEST])
+        routing_world.announce(world)
+        await session(world)
+        return world
+
+    played = "\n".join(virtual_time.run(main()).log) + "\n"
+    path = GOLDEN / f"{session.__name__}.txt"
+    if os.environ.get("UPDATE_GOLDEN"):
+        path.write_text(played)
+    assert played == path.read_text()
