Refuse renewals from members that do not know the voters, also while they change

Cause: a settled change of voters forgets the losses before it, as voters refuse whoever knows older voters. The coordinator did so only while no change was under way, so that a member cut off for two changes was renewed on its old table. Ruled out: an early pruning of losses; voters did refuse the member. Change: the coordinator refuses whoever does not know its table's voters, and pushes a table with new voters to every member, so that a refusal is rare.

--- a/fuchsiamoor/ownership/coordinator.py
+++ b/fuchsiamoor/ownership/coordinator.py
@@ -158,14 +158,14 @@
         return False
     if renew.member_id not in coordinator.roster.members:
         return False
-    if coordinator.in_flight and _is_behind(coordinator.in_flight, renew):
+    if coordinator.in_flight and _has_lost(coordinator.in_flight, renew):
         return False
-    return not _is_behind(coordinator.table, renew)
+    if renew.revision < coordinator.table.voters_revision:
+        return False
+    return not _has_lost(coordinator.table, renew)
 
 
-def _is_behind(table: tables.ShardTable, renew: messages.Renew) -> bool:
-    if not table.previous_voters and renew.revision < table.voters_revision:
-        return True
+def _has_lost(table: tables.ShardTable, renew: messages.Renew) -> bool:
     return table.lost.get(renew.member_id, 0) > renew.revision
 
 
--- /dev/null
+++ b/fuchsiamoor/ownership/interlock_test.py
@@ -0,0 +1,243 @@
+"""No shard is ever served by two members, whatever fails; and each rule is needed.
+
+`fuchsiamoor.testing.ownership_schedules` runs the machines; every step of every run
+checks the rule. The second half breaks one rule at a time, and a schedule with a fixed
+seed has to catch it.
+"""
+
+from typing import NamedTuple
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from fuchsiamoor.core import messages
+from fuchsiamoor.ownership import (
+    drafts,
+    holder,
+    settlement,
+    state,
+    votes,
+    voucher,
+)
+from fuchsiamoor.testing import ownership_schedules as schedules
+
+SIZE = 5
+SEEDS = 12
+STRIKES_UNTIL_MS = 6_000
+CHECKED_UNTIL_MS = 9_000
+RECOVERED_AFTER_MS = 16_000
+
+SLOTS = st.integers(0, SIZE - 1)
+SLOT_SETS = st.frozensets(SLOTS, min_size=1)
+DURATIONS_MS = st.sampled_from((300, 700, 1_200, 2_500, 4_000))
+RESTARTS_MS = st.sampled_from((0, 300, 2_000, 5_000))
+FAULTS = st.one_of(
+    st.builds(schedules.Kill, SLOT_SETS, RESTARTS_MS),
+    st.builds(schedules.Claim, SLOTS),
+    st.builds(schedules.Pause, SLOT_SETS, DURATIONS_MS),
+    st.builds(schedules.Cut, SLOT_SETS, st.booleans(), DURATIONS_MS),
+    st.builds(schedules.StoreDown, DURATIONS_MS),
+    st.builds(schedules.StoreMute, DURATIONS_MS),
+    st.builds(schedules.Lossy, DURATIONS_MS),
+    st.builds(schedules.Leave, SLOTS, DURATIONS_MS),
+    st.builds(schedules.TakeOut, st.sampled_from(schedules.PLACES[:4]), DURATIONS_MS),
+    st.builds(schedules.Hold, SLOTS, DURATIONS_MS),
+    st.builds(schedules.Heat, st.integers(0, (1 << 64) - 1), DURATIONS_MS),
+)
+SCHEDULES = st.lists(
+    st.tuples(st.integers(0, STRIKES_UNTIL_MS), FAULTS), min_size=1, max_size=6
+)
+
+
+@settings(max_examples=settings.default.max_examples // 3)
+@given(SCHEDULES, st.integers(0, 1 << 32), st.booleans())
+def test_no_shard_is_served_twice_and_no_assignment_is_lost(
+    schedule, seed, checks_grants
+):
+    world = schedules.make_world(seed, SIZE, checks_grants)
+    schedules.run_schedule(world, schedule, CHECKED_UNTIL_MS)
+
+
+@settings(max_examples=max(3, settings.default.max_examples // 12))
+@given(SCHEDULES, st.integers(0, 1 << 32), st.booleans())
+def test_every_shard_is_served_again_once_all_is_well(schedule, seed, checks_grants):
+    world = schedules.make_world(seed, SIZE, checks_grants)
+    schedules.run_schedule(world, schedule, STRIKES_UNTIL_MS + RECOVERED_AFTER_MS)
+    served = schedules.list_served(world)
+    in_use = [*range(world.stored.shard_count), *world.stored.isolated.values()]
+    assert {shard: len(served[shard]) for shard in in_use} == dict.fromkeys(in_use, 1)
+
+
+class Case(NamedTuple):
+    """Who is who in a run: the coordinator's slot, and the others in order."""
+
+    coordinator: int
+    others: tuple[int, ...]
+
+
+def cut_owner_from_coordinator(case: Case) -> schedules.Schedule:
+    owner, coordinator_slot = frozenset(case.others[:1]), frozenset({case.coordinator})
+    return [(3_000, schedules.Cut(owner, False, 5_000, coordinator_slot))]
+
+
+def cut_owner_off_step_by_step(case: Case) -> schedules.Schedule:
+    alone = schedules.Cut(frozenset(case.others[:1]), False, 5_000)
+    return [*cut_owner_from_coordinator(case), (3_600, alone)]
+
+
+def cut_owner_whose_answers_are_late(case: Case) -> schedules.Schedule:
+    alone = schedules.Cut(frozenset(case.others[:1]), False, 5_000)
+    return [(2_500, schedules.Slow(case.others[0], 2_000, 6_000)), (4_500, alone)]
+
+
+def cut_coordinator_from_all(case: Case) -> schedules.Schedule:
+    slots = frozenset({case.coordinator})
+    return [(3_000, schedules.Cut(slots, False, 5_000))]
+
+
+def split_in_halves(case: Case) -> schedules.Schedule:
+    return [(3_000, schedules.Cut(frozenset(case.others[:2]), False, 5_000))]
+
+
+def cut_coordinator_and_owner(case: Case) -> schedules.Schedule:
+    slots = frozenset({case.coordinator, case.others[0]})
+    return [(3_000, schedules.Cut(slots, True, 5_000))]
+
+
+def cut_owner_while_voters_change(case: Case) -> schedules.Schedule:
+    owner = frozenset(case.others[-1:])
+    return [
+        (2_800, schedules.Leave(case.others[1], 8_000)),
+        (3_150, schedules.Cut(owner, False, 2_000)),
+        (3_150, schedules.Cut(owner, False, 6_000, frozenset({case.coordinator}))),
+    ]
+
+
+def leave_in_turn(case: Case) -> schedules.Schedule:
+    return [
+        (at_ms + 20 * position, schedules.Leave(slot, 700))
+        for at_ms in (3_000, 4_500)
+        for position, slot in enumerate(case.others)
+    ]
+
+
+def run_case(
+    seed: int, make_schedule, checks_grants: bool, size: int = 4, **fields
+) -> None:
+    world = schedules.make_world(seed, size, checks_grants)
+    for name, value in fields.items():
+        setattr(world, name, value)
+    schedules.run_schedule(world, [], 2_500)
+    slot = schedules.find_coordinator(world)
+    others = tuple(other for other in range(size) if other != slot)
+    schedule = make_schedule(Case(slot, others))
+    schedules.run_schedule(world, schedule, CHECKED_UNTIL_MS)
+
+
+def is_caught(make_schedule, checks_grants: bool = True, **fields) -> bool:
+    for seed in range(SEEDS):
+        try:
+            run_case(seed, make_schedule, checks_grants, **fields)
+        except schedules.OverlapError:
+            return True
+    return False
+
+
+ALL_CASES = (
+    cut_owner_from_coordinator,
+    cut_owner_off_step_by_step,
+    cut_owner_whose_answers_are_late,
+    cut_coordinator_from_all,
+    split_in_halves,
+    cut_coordinator_and_owner,
+    cut_owner_while_voters_change,
+    leave_in_turn,
+)
+
+
+@pytest.mark.parametrize("make_schedule", ALL_CASES)
+def test_with_all_rules_the_cases_pass(make_schedule):
+    run_case(1, make_schedule, checks_grants=False)
+    run_case(2, make_schedule, checks_grants=True)
+
+
+def test_without_the_voters_refusal(monkeypatch):
+    def answer(table, own_member_id, vouch):
+        return messages.Vouched(vouch.domain, vouch.revision)
+
+    monkeypatch.setattr(voucher, "answer_vouch", answer)
+    assert is_caught(cut_owner_from_coordinator)
+
+
+def test_without_the_wait(monkeypatch):
+    monkeypatch.setattr(settlement, "compute_wait_ms", lambda run_ms, timing: 0)
+    assert is_caught(cut_owner_from_coordinator)
+
+
+def test_without_the_wait_for_runs_at_upstreams_that_check_nothing(monkeypatch):
+    wait_ms = settlement.compute_wait_ms(0, schedules.TIMING)
+    monkeypatch.setattr(settlement, "compute_wait_ms", lambda run_ms, timing: wait_ms)
+    assert is_caught(cut_owner_from_coordinator, checks_grants=False)
+
+
+def test_without_the_acknowledgements(monkeypatch):
+    monkeypatch.setattr(votes, "have_acknowledged", lambda table, agrees: True)
+    assert is_caught(cut_coordinator_from_all)
+
+
+def test_with_evidence_counted_from_its_receipt():
+    assert is_caught(cut_owner_whose_answers_are_late, stamps_from_receipt=True)
+
+
+def test_with_vouches_from_half_of_the_votes(monkeypatch):
+    def find_half(voters, sent_ms):
+        given = 0
+        for at_ms, count in sorted(
+            ((sent_ms[v.member_id], v.votes) for v in voters if v.member_id in sent_ms),
+            reverse=True,
+        ):
+            given += count
+            if 2 * given >= sum(voter.votes for voter in voters):
+                return at_ms
+        return None
+
+    monkeypatch.setattr(votes, "find_supported_ms", find_half)
+    assert is_caught(split_in_halves)
+
+
+def test_without_joint_voters(monkeypatch):
+    def change(draft, voters):
+        draft.voters = voters
+        draft.voters_revision = draft.revision
+
+    monkeypatch.setattr(drafts, "change_voters", change)
+    assert is_caught(cut_coordinator_from_all)
+
+
+def test_with_a_coordinator_that_renews_on_a_stale_store_lease(monkeypatch):
+    monkeypatch.setattr(state, "is_fresh", lambda coordinator, now_ms: True)
+    assert is_caught(cut_coordinator_and_owner)
+
+
+def test_without_allowance_for_drift(monkeypatch):
+    monkeypatch.setattr(holder, "shorten_by_drift", lambda time_ms, timing: time_ms)
+    monkeypatch.setattr(
+        settlement, "compute_wait_ms", lambda run_ms, timing: timing.lease_ms
+    )
+    assert is_caught(cut_owner_off_step_by_step)
+
+
+def test_with_losses_forgotten_when_voters_settle(monkeypatch):
+    def settle(draft):
+        draft.previous_voters = ()
+        draft.lost = {}
+
+    monkeypatch.setattr(drafts, "settle_voters", settle)
+    monkeypatch.setattr(votes, "VOTERS_PER_DATA_CENTRE", 1)
+    assert is_caught(cut_owner_while_voters_change, size=8)
+
+
+def test_with_releases_that_any_table_lifts(monkeypatch):
+    monkeypatch.setattr(holder, "_is_released", lambda table, shard, release: False)
+    assert is_caught(leave_in_turn)
--- a/fuchsiamoor/ownership/pushes.py
+++ b/fuchsiamoor/ownership/pushes.py
@@ -65,7 +65,10 @@
     before: tables.ShardTable | None,
     table: tables.ShardTable,
 ) -> list[str]:
-    if before is None or before.term != table.term:
+    if before is None or (before.term, before.voters_revision) != (
+        table.term,
+        table.voters_revision,
+    ):
         return sorted(coordinator.roster.members)
     gaining, losing = _list_changed_owners(before, table)
     concerned = dict.fromkeys(sorted(gaining) + sorted(losing - gaining))
--- a/fuchsiamoor/testing/ownership_schedules.py
+++ b/fuchsiamoor/testing/ownership_schedules.py
@@ -23,7 +23,7 @@
 CALL_TIMEOUT_MS = 300
 RUN_MS = 1_500
 TIMING = settings.Timing(drift_ratio=0.2)
-PLACES = ("almaty-1", "almaty-2", "astana-1", "astana-2", "almaty-1")
+PLACES = ("almaty-1", "almaty-2", "astana-1", "astana-2") * 2
 
 
 class Kill(NamedTuple):
@@ -47,11 +47,15 @@
 
 
 class Cut(NamedTuple):
-    """Slots in ``slots`` reach no others; with ``store`` they lose it, too."""
+    """Slots in ``slots`` do not reach ``others``; with ``store`` they lose it, too.
+
+    Without ``others`` they reach nobody outside.
+    """
 
     slots: frozenset[int]
     store: bool
     duration_ms: int
+    others: frozenset[int] = frozenset()
 
 
 class StoreDown(NamedTuple):
@@ -72,6 +76,14 @@
     duration_ms: int
 
 
+class Slow(NamedTuple):
+    """Messages to a slot arrive late."""
+
+    slot: int
+    delay_ms: int
+    duration_ms: int
+
+
 class Leave(NamedTuple):
     """The member on a slot wants to hand everything over, then stays again."""
 
@@ -108,6 +120,7 @@
     | StoreDown
     | StoreMute
     | Lossy
+    | Slow
     | Leave
     | TakeOut
     | Hold
@@ -204,6 +217,12 @@
     return world
 
 
+def find_coordinator(world: World) -> int | None:
+    """Return the slot whose daemon coordinates, None if there is none."""
+    slots = [node.slot for node in world.nodes if node.alive and node.coordinator]
+    return slots[0] if slots else None
+
+
 def list_served(world: World) -> dict[int, list[str]]:
     """Return who serves each shard at this moment."""
     served: dict[int, list[str]] = {}
@@ -237,9 +256,11 @@
                 Pause(slots, duration_ms),
                 Claim(slot),
                 Cut(slots, source.random() < 0.5, duration_ms),
+                Cut(slots, False, duration_ms, frozenset({source.randrange(size)})),
                 StoreDown(duration_ms),
                 StoreMute(duration_ms),
                 Lossy(duration_ms),
+                Slow(slot, source.choice((200, 1_000, 2_000)), duration_ms),
                 Leave(slot, duration_ms),
                 TakeOut(source.choice(PLACES), duration_ms),
                 Hold(slot, duration_ms),
@@ -290,11 +311,11 @@
         host=host,
     )
     world.registered[instance] = member
-    half = TIMING.drift_ratio / 2
+    drift = TIMING.drift_ratio
     node = Node(
         member,
         slot,
-        world.source.uniform(1 - half, 1 + half),
+        world.source.uniform(1 - drift, 1 + drift),
         world.source.randrange(1_000_000),
         holder.make_holder(member.member_id, builders.DOMAIN, TIMING),
     )
@@ -363,11 +384,17 @@
 
 def _is_cut(world: World, first: int, second: int) -> bool:
     return any(
-        (first in fault.slots) != (second in fault.slots)
+        _separates(fault, first, second) or _separates(fault, second, first)
         for fault in _list_active(world, Cut)
     )
 
 
+def _separates(fault: Cut, first: int, second: int) -> bool:
+    if first not in fault.slots or second in fault.slots:
+        return False
+    return not fault.others or second in fault.others
+
+
 def _send(world: World, source: Node, target: Node, action: Callable) -> None:
     if source.slot != target.slot and _is_cut(world, source.slot, target.slot):
         return
@@ -375,8 +402,13 @@
     if _list_active(world, Lossy) and source.slot != target.slot:
         copies = world.source.choice((0, 1, 1, 1, 2))
         longest_ms = world.source.choice((12, 100, 700, 1_500))
+    late_ms = sum(
+        fault.delay_ms
+        for fault in _list_active(world, Slow)
+        if fault.slot == target.slot
+    )
     for _ in range(copies):
-        delay_ms = world.source.randint(0, longest_ms)
+        delay_ms = late_ms + world.source.randint(0, longest_ms)
         _at(world, world.now_ms + delay_ms, lambda: _on_node(world, target, action))
 
 
