Raise the hashed shard's epoch when an isolated key goes back to it

A fencing token must never fall. Change: merging a key assigns its hashed shard to the same owner again, so that the epoch rises. Also: an unexpected failure of a request's handling ends as may-have-run and is counted, where it was a bare 500.

--- a/fuchsiamoor/daemon/starting.py
+++ b/fuchsiamoor/daemon/starting.py
@@ -5,7 +5,7 @@
 from loguru import logger
 
 from fuchsiamoor.core import configuration as configurations
-from fuchsiamoor.core import members, requests, settings
+from fuchsiamoor.core import members, requests, settings, verdicts
 from fuchsiamoor.daemon import (
     announcements,
     callers,
@@ -29,6 +29,7 @@
 from fuchsiamoor.daemon import serving as servings
 from fuchsiamoor.ownership import events
 from fuchsiamoor.peers import links as peer_links
+from fuchsiamoor.routing import refusals
 from fuchsiamoor.store import http_store
 
 STORE_TIMEOUT_MS = 1_000
@@ -146,7 +147,13 @@
 def _make_caller_server(node: nodes.Node):
     async def handle(request: requests.Request) -> requests.Answer:
         began_ns = time.perf_counter_ns()
-        answer = await entries.handle(node.entry, request)
+        try:
+            answer = await entries.handle(node.entry, request)
+        except Exception as error:
+            node.metrics.count("requests.failed")
+            logger.bind(request=request.request_id).error(f"handling failed: {error!r}")
+            verdict = verdicts.MayHaveRun(verdicts.Reason.LINK_LOST, "daemon fault")
+            answer = refusals.make_refusal(request.request_id, verdict)
         elapsed_us = (time.perf_counter_ns() - began_ns) // 1000
         observing.record_ending(node, request, answer, elapsed_us)
         return answer
--- a/fuchsiamoor/ownership/drafts.py
+++ b/fuchsiamoor/ownership/drafts.py
@@ -110,9 +110,14 @@
 
 
 def merge_key(draft: Draft, key_hash: int) -> None:
-    """Put an isolated key back into its hashed shard, which has the same owner."""
+    """Put an isolated key back into its hashed shard, which has the same owner.
+
+    The hashed shard's epoch rises with it, so that the key's fencing token never falls.
+    """
     shard = draft.isolated.pop(key_hash)
     assign_shard(draft, shard, tables.NO_OWNER)
+    hashed = key_hash % draft.base.shard_count
+    assign_shard(draft, hashed, draft.owners[hashed])
 
 
 def finish_draft(draft: Draft) -> tables.ShardTable:
--- a/fuchsiamoor/reports/metric_names.py
+++ b/fuchsiamoor/reports/metric_names.py
@@ -45,6 +45,7 @@
 CONFIGURATION_CONFLICTS = "configuration.conflicts"
 CONFIGURATION_REFUSED = "configuration.refused"
 OVERRIDES_UNMET = "overrides.unmet"
+LOOP_LAG = "loop.lag"
 METRICS_DROPPED = "metrics.dropped"
 
 _COUNTERS = {
@@ -52,6 +53,7 @@
     REQUESTS_NOT_RUN: "Requests of callers that certainly have not run.",
     REQUESTS_MAY_HAVE_RUN: "Requests of callers whose outcome is unknown.",
     "requests.cancelled": "Requests whose caller went away.",
+    "requests.failed": "Requests whose handling failed by a fault of the daemon.",
     "requests.crossed": "Answers withheld because they belong to another request.",
     "entry.resent": "Requests with a key sent again after they had certainly not run.",
     "entry.retried": "Requests without a key sent to another upstream.",
@@ -124,6 +126,7 @@
     OVERRIDES_UNMET: "Overrides that cannot be met now.",
 }
 _TIMINGS = {
+    LOOP_LAG: "Delay of the event loop.",
     REQUEST_TIME: "Time from a caller's request to its answer.",
     UPSTREAM_TIME: "Time from a request to the upstream to its answer.",
     STORE_TIME: "Time of a call to the store, watches left out.",
