--- a/fuchsiamoor/daemon/upstream_client_test.py
+++ b/fuchsiamoor/daemon/upstream_client_test.py
@@ -307,3 +307,47 @@
     steps += [make_answer(200, ready.encode()), make_answer(200, load.encode())]
     steps += [make_answer(200, b"[]"), make_answer(500, ready.encode()), b""]
     run(steps, scenario)
+
+
+REFUSAL = make_answer(503, b"", "Fuchsiamoor-Not-Run: shed\r\n")
+script_steps = st.sampled_from(
+    [OK, OK, b"", OK[:-1], CHUNKED, REFUSAL, None, OK + b"x"]
+)
+
+
+@given(
+    st.lists(st.tuples(script_steps, st.sampled_from(METHODS)), max_size=10),
+    st.lists(st.integers(0, 9), max_size=3),
+)
+def test_any_schedule_sends_each_request_once_and_ends_it_truly(schedule, cancelled):
+    async def scenario(client, server):
+        tasks = [
+            asyncio.create_task(
+                run_request(client, 40, request_id=f"r-{i}", method=method)
+            )
+            for i, (_, method) in enumerate(schedule)
+        ]
+        await asyncio.sleep(0.001)
+        for place in cancelled:
+            if place < len(tasks):
+                tasks[place].cancel()
+        answers = await asyncio.gather(*tasks, return_exceptions=True)
+        await asyncio.sleep(0.001)
+        for i, answer in enumerate(answers):
+            own_id = f"r-{i}".encode()
+            marker = b"Request-Id: %b\r\n" % own_id
+            seen = [request for request in server.requests if marker in request]
+            assert len(seen) <= 1
+            if isinstance(answer, asyncio.CancelledError):
+                continue
+            assert answer.request_id == f"r-{i}"
+            match answer.verdict:
+                case Ran():
+                    is_head = schedule[i][1] == "HEAD"
+                    assert seen and answer.body == (b"" if is_head else own_id)
+                case NotRun(Reason.SHED):
+                    assert seen
+                case NotRun():
+                    assert not seen
+
+    run([step for step, _ in schedule], scenario)
