--- a/fuchsiamoor/daemon/entry_serving_golden_test.py
+++ b/fuchsiamoor/daemon/entry_serving_golden_test.py
@@ -112,6 +112,17 @@
     await asyncio.sleep(0.3)
 
 
+async def never_hedges_what_may_not_repeat(world: World) -> None:
+    world.upstream_faults = [UpstreamFault.SLOW]
+    await ask(world, B, "r1", key="")
+
+
+async def keeps_in_mind_that_it_may_have_run(world: World) -> None:
+    world.link_faults = [LinkFault.LOST_BEFORE]
+    world.upstream_faults = [UpstreamFault.SHED]
+    await ask(world, B, "r1", idempotent=True)
+
+
 async def goes_elsewhere_when_one_sheds(world: World) -> None:
     world.upstream_faults = [UpstreamFault.SHED]
     await ask(world, B, "r1", key="")
@@ -134,6 +145,8 @@
     cancels_when_the_caller_leaves,
     refuses_outside_the_home_regions,
     hedges_a_slow_upstream,
+    never_hedges_what_may_not_repeat,
+    keeps_in_mind_that_it_may_have_run,
     goes_elsewhere_when_one_sheds,
     refuses_over_the_queue,
 ]
--- a/fuchsiamoor/daemon/serving_test.py
+++ b/fuchsiamoor/daemon/serving_test.py
@@ -8,7 +8,7 @@
 from fuchsiamoor.core.configuration import ColdStart, Limits
 from fuchsiamoor.core.messages import Answered, Forward
 from fuchsiamoor.core.verdicts import MayHaveRun, NotRun, Ran, Reason
-from fuchsiamoor.daemon import serving
+from fuchsiamoor.daemon import hand_over, serving
 from fuchsiamoor.ownership.holder import MayServe, NotOwner, Wait
 from fuchsiamoor.testing import requests_data, virtual_time
 from fuchsiamoor.testing.requests_data import DOMAIN, make_request
@@ -289,3 +289,40 @@
         assert bench.serving.running == {}
 
     virtual_time.run(main())
+
+
+def test_slot_of_an_earlier_incarnation_is_not_used():
+    async def main():
+        cold_start = ColdStart(initial_requests=1, ramp_ms=1_000)
+        service = requests_data.make_service(cold_start=cold_start)
+        bench = Bench(service, requests_data.make_member(slots=3))
+        bench.upstream.bears(1, 3, 1_000)
+        bench.upstream.cold_since_ms = -1_000_000
+        bench.upstream.run_ms = 50
+        tasks = [bench.start(f"r{index}", key=f"k{index}") for index in range(6)]
+        await pass_ms(1)
+        earlier = bench.serving.capacity
+        for _ in range(3):
+            hand_over.release_slot(bench.serving, earlier)
+        bench.upstream.restart()
+        bench.announce("second")
+        await asyncio.wait(tasks)
+        assert bench.upstream.overfilled == []
+        assert bench.serving.capacity.in_flight == 0
+
+    virtual_time.run(main())
+
+
+def test_slot_stays_taken_while_a_run_may_go_on():
+    async def main():
+        bench = Bench(member=requests_data.make_member(slots=1))
+        bench.upstream.verdicts = [MayHaveRun(Reason.DEADLINE_PASSED)]
+        await bench.start("r1")
+        second = bench.start("r2")
+        await pass_ms(100)
+        assert bench.upstream.started == ["r1"]
+        await second
+        longest_run_ms = bench.configuration.services["stock"].longest_run_ms
+        assert virtual_time.now_ms() >= longest_run_ms
+
+    virtual_time.run(main())
--- /dev/null
+++ b/fuchsiamoor/routing/bounds_test.py
@@ -0,0 +1,106 @@
+"""Everything that keeps requests is bounded, whatever happens to it."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from fuchsiamoor.core.configuration import ColdStart
+from fuchsiamoor.routing import admission, capacity, parking, ramp, rates, recent
+from fuchsiamoor.testing import requests_data
+
+TICKETS = st.integers(0, 20)
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(["park", "leave", "wake"]),
+            st.sampled_from(["one@a", "two@a"]),
+            TICKETS,
+            st.integers(0, parking.PARKED_BYTES_MAX),
+        )
+    )
+)
+def test_parking_keeps_its_counts_and_bounds(steps):
+    parked = parking.make_parking()
+    model: dict = {}
+    for step, domain, ticket, size_bytes in steps:
+        name = (domain, ticket)
+        match step:
+            case "park" if name not in model:
+                if parking.park(parked, domain, name, size_bytes, limit=5):
+                    model[name] = size_bytes
+            case "leave":
+                parking.leave(parked, domain, name)
+                model.pop(name, None)
+            case "wake":
+                woken = parking.wake(parked, domain)
+                assert woken == [each for each in model if each[0] == domain]
+                model = {each: model[each] for each in model if each[0] != domain}
+        assert (parked.count, parked.size_bytes) == (len(model), sum(model.values()))
+        assert parked.count <= 5
+        assert parked.size_bytes <= parking.PARKED_BYTES_MAX
+
+
+@given(st.lists(st.tuples(TICKETS, st.integers(0, 60), st.integers(0, 50))))
+def test_memory_keeps_its_bounds(steps):
+    memory = recent.make_memory(count_max=5, size_bytes_max=100, keep_ms=200)
+    now_ms = 0
+    for name, size_bytes, pause_ms in steps:
+        now_ms += pause_ms
+        answer = requests_data.make_answer(body=b"x" * size_bytes)
+        ending = recent.Remembered(answer, 1, 0, now_ms)
+        recent.remember(memory, name, ending)
+        assert recent.recall(memory, name, now_ms) == ending
+        assert recent.recall(memory, name, now_ms + 200) is None
+        assert len(memory.endings) <= 5
+        sizes = [len(each.answer.body) for each in memory.endings.values()]
+        assert memory.size_bytes == sum(sizes) <= 100
+
+
+@given(st.lists(st.integers(0, 1_000), max_size=600))
+def test_rates_never_miss_a_busy_name(names):
+    counted = rates.make_rates(0)
+    for name in names:
+        rates.note_request(counted, name)
+    assert len(counted.counts) <= rates.NAMES_MAX
+    for name in set(names):
+        share = names.count(name)
+        if share > len(names) / rates.NAMES_MAX:
+            assert counted.counts[name] >= share
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(["ask", "end", "cold", "leave"]), st.integers(0, 300)
+        ),
+        max_size=80,
+    )
+)
+def test_capacity_grants_no_more_than_the_ramp(steps):
+    cold_start = ColdStart(initial_requests=2, ramp_ms=1_000)
+    held = capacity.make_capacity(ramp.make_ramp(cold_start, 8, 0), connections=130)
+    now_ms, running, ticket = 0, [], 0
+    for step, pause_ms in steps:
+        now_ms += pause_ms
+        granted = []
+        match step:
+            case "ask":
+                ticket += 1
+                request = requests_data.make_request(deadline_ms=now_ms + 500)
+                decided = capacity.ask(held, ticket, request, 3, now_ms)
+                granted = [ticket] if decided == admission.Admitted() else []
+            case "end" if running:
+                running.pop()
+                capacity.release(held)
+                granted = capacity.grant(held, now_ms)
+            case "cold":
+                capacity.note_cold(held, now_ms, now_ms)
+            case "leave" if held.waiting:
+                capacity.leave_queue(held, next(iter(held.waiting)))
+        running += granted
+        assert held.in_flight == len(running)
+        assert len(held.waiting) <= 3
+        if granted:
+            bearable = 2 + 6 * (now_ms - held.ramp.started_ms) / 1_000
+            assert len(running) <= min(8, bearable)
