Let an upstream that left take requests again when it is back

The test of the rates module is replaced by one of heat, which has replaced it: it holds the bound on keys, and exact counts for the keys met before the bound.

--- a/fuchsiamoor/daemon/serving.py
+++ b/fuchsiamoor/daemon/serving.py
@@ -80,7 +80,7 @@
 ) -> bool:
     """Take in an announcement; True if the upstream is a new incarnation.
 
-    A new incarnation starts its ramp.
+    A new incarnation starts its ramp, and takes requests again if the one before left.
     """
     if serving.capacity is not None and incarnation == serving.incarnation:
         return False
@@ -91,6 +91,7 @@
     started = ramp.make_ramp(service.cold_start, slots, serving.now_ms())
     serving.capacity = capacity.make_capacity(started, connections)
     serving.incarnation = incarnation
+    serving.leaving = False
     serving.metrics.count("serving.ramp_started")
     return True
 
--- a/fuchsiamoor/daemon/serving_test.py
+++ b/fuchsiamoor/daemon/serving_test.py
@@ -326,3 +326,19 @@
         assert virtual_time.now_ms() >= longest_run_ms
 
     virtual_time.run(main())
+
+
+def test_upstream_that_left_takes_requests_when_it_is_back():
+    async def main():
+        bench = Bench()
+        serving.leave(bench.serving)
+        refused = bench.start("r1", key="")
+        await refused
+        assert verdict_of(refused).reason is Reason.SHUTTING_DOWN
+        serving.upstream_gone(bench.serving)
+        bench.announce("second")
+        taken = bench.start("r2", key="")
+        await taken
+        assert verdict_of(taken) == Ran()
+
+    virtual_time.run(main())
--- a/fuchsiamoor/routing/bounds_test.py
+++ b/fuchsiamoor/routing/bounds_test.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies as st
 
 from fuchsiamoor.core.configuration import ColdStart
-from fuchsiamoor.routing import admission, capacity, parking, ramp, rates, recent
+from fuchsiamoor.routing import admission, capacity, heat, parking, ramp, recent
 from fuchsiamoor.testing import requests_data
 
 TICKETS = st.integers(0, 20)
@@ -57,16 +57,18 @@
         assert memory.size_bytes == sum(sizes) <= 100
 
 
-@given(st.lists(st.integers(0, 1_000), max_size=600))
-def test_rates_never_miss_a_busy_name(names):
-    counted = rates.make_rates(0)
-    for name in names:
-        rates.note_request(counted, name)
-    assert len(counted.counts) <= rates.NAMES_MAX
-    for name in set(names):
-        share = names.count(name)
-        if share > len(names) / rates.NAMES_MAX:
-            assert counted.counts[name] >= share
+@given(st.lists(st.integers(0, 6_000), max_size=600), st.integers(2_000, 4_000))
+def test_heat_is_bounded_and_counts_what_came_first(key_hashes, elapsed_ms):
+    counted = heat.make_heat(0)
+    for key_hash in (*range(heat.MAX_KEYS), *key_hashes):
+        heat.note_request(counted, key_hash % 8, key_hash)
+    assert len(counted.keys) <= heat.MAX_KEYS
+    for key_hash in set(key_hashes):
+        expected = key_hashes.count(key_hash) + 1
+        assert counted.keys[key_hash] == (expected if key_hash < heat.MAX_KEYS else 0)
+    rates = heat.read_rates(counted, elapsed_ms)
+    assert len(rates.keys) <= heat.REPORTED_KEYS
+    assert counted.keys == {}
 
 
 @given(
