Run requests without an idempotency key in their caller's task

Change: only runs that repeats may join get a task of their own. Copies of a request without a key but with an idempotency key were refused as bad requests while the first ran; they now join it (test added). Waiters for one run are bounded.

--- a/fuchsiamoor/daemon/serving.py
+++ b/fuchsiamoor/daemon/serving.py
@@ -133,7 +133,7 @@
     if refused is not None:
         return serving_runs.refuse_for_good(serving, forward, refused)
     name = serving_runs.make_name(request)
-    fingerprint = serving_runs.compute_fingerprint(request)
+    fingerprint = serving_runs.compute_fingerprint(request) if name else 0
     known = serving_runs.find_ending(
         serving, forward, request, name, fingerprint, now_ms
     )
@@ -141,6 +141,8 @@
         serving.metrics.count("serving.repeated")
         return known
     run = serving_runs.find_run(serving, request, name)
+    if run is None and name is None:
+        return await serving_runs.run_alone(serving, request, forward.attempt)
     if run is None:
         run = serving_runs.start_run(
             serving, request, forward.attempt, name, fingerprint
@@ -156,11 +158,8 @@
     `serve` then returns a refusal, which nobody waits for.
     """
     run = serving.running.get(request_id)
-    if run is None:
-        return
-    for waiter, waiting_id in run.waiters.items():
-        if waiting_id == request_id and not waiter.done():
-            waiter.set_result(serving_runs.refuse_cancelled(run, request_id))
+    if run is not None:
+        serving_runs.cancel_run(run, request_id)
 
 
 async def drain_shards(serving: Serving, domain: str, shards: Iterable[int]) -> None:
--- a/fuchsiamoor/daemon/serving_runs.py
+++ b/fuchsiamoor/daemon/serving_runs.py
@@ -17,6 +17,7 @@
 from fuchsiamoor.daemon.serving_state import IdempotencyName, Run, Serving
 from fuchsiamoor.routing import recent, refusals, routes
 
+WAITERS_MAX = 32
 OTHER_REQUEST = NotRun(
     Reason.BAD_REQUEST, "the idempotency key was used for another request"
 )
@@ -32,9 +33,7 @@
 
 
 def compute_fingerprint(request: Request) -> int:
-    """Return a hash of what is asked, 0 where no repeat can be told from it."""
-    if not request.idempotency_key:
-        return 0
+    """Return a hash of what is asked, to tell a repeat from another request."""
     asked = b"\0".join((request.method.encode(), request.path.encode(), request.body))
     return xxhash.xxh3_64_intdigest(asked)
 
@@ -83,14 +82,45 @@
     return run
 
 
+async def run_alone(serving: Serving, request: Request, attempt: int) -> Answered:
+    """Run a request without an idempotency key in the task that waits for it."""
+    run = _make_run(serving, request, attempt, 0)
+    run.alone = True
+    run.task = asyncio.current_task()
+    answered = None
+    try:
+        answered = await hand_over.run(serving, run)
+        return answered
+    except asyncio.CancelledError:
+        if not run.cancelled:
+            raise
+        run.task.uncancel()
+        return refuse_cancelled(run, request.request_id)
+    finally:
+        ending = answered or refuse_cancelled(run, request.request_id)
+        _end_run(serving, run, None, ending)
+
+
 def start_run(
     serving: Serving,
     request: Request,
     attempt: int,
-    name: IdempotencyName | None,
+    name: IdempotencyName,
     fingerprint: int,
 ) -> Run:
-    """Start the run of a request that is known under no name."""
+    """Run a request in a task of its own, which repeats may join."""
+    run = _make_run(serving, request, attempt, fingerprint)
+    serving.running_by_key[name] = run
+    run.task = asyncio.create_task(hand_over.run(serving, run))
+    run.task.add_done_callback(
+        lambda task: _end_run(serving, run, name, _take_ending(run, task))
+    )
+    return run
+
+
+def _make_run(
+    serving: Serving, request: Request, attempt: int, fingerprint: int
+) -> Run:
     domain = routes.find_domain(serving.get_configuration(), request)
     key_hash = 0
     if domain:
@@ -98,17 +128,12 @@
         key_hash = keys.hash_key(key_id)
     run = Run(request, domain, key_hash, attempt, fingerprint)
     serving.running[request.request_id] = run
-    if name is not None:
-        serving.running_by_key[name] = run
-    run.task = asyncio.create_task(hand_over.run(serving, run))
-    run.task.add_done_callback(lambda task: _end_run(serving, run, name, task))
     return run
 
 
 def _end_run(
-    serving: Serving, run: Run, name: IdempotencyName | None, task: Task[Answered]
+    serving: Serving, run: Run, name: IdempotencyName | None, answered: Answered
 ) -> None:
-    answered = _take_ending(run, task)
     del serving.running[run.request.request_id]
     if name is not None:
         del serving.running_by_key[name]
@@ -141,6 +166,9 @@
 
 async def wait_for_ending(serving: Serving, run: Run, request_id: str) -> Answered:
     """Wait for a run to end, and cancel it if all who waited are gone."""
+    if len(run.waiters) >= WAITERS_MAX:
+        verdict = MayHaveRun(Reason.OVER_LIMIT, "too many wait for the same run")
+        return Answered(refusals.make_refusal(request_id, verdict), "", 0)
     waiter = asyncio.get_running_loop().create_future()
     run.waiters[waiter] = request_id
     serving.running[request_id] = run
@@ -155,8 +183,18 @@
     request_id = run.waiters.pop(waiter)
     if request_id != run.request.request_id and request_id not in run.waiters.values():
         serving.running.pop(request_id, None)
-    if not run.waiters and not run.task.done():
+    if not run.alone and not run.waiters and not run.task.done():
+        run.task.cancel()
+
+
+def cancel_run(run: Run, request_id: str) -> None:
+    """End the waiting of a caller that has gone."""
+    if run.alone and request_id == run.request.request_id:
+        run.cancelled = True
         run.task.cancel()
+    for waiter, waiting_id in run.waiters.items():
+        if waiting_id == request_id and not waiter.done():
+            waiter.set_result(refuse_cancelled(run, request_id))
 
 
 def refuse_for_good(serving: Serving, forward: Forward, verdict: NotRun) -> Answered:
--- a/fuchsiamoor/daemon/serving_state.py
+++ b/fuchsiamoor/daemon/serving_state.py
@@ -85,6 +85,10 @@
     task : Task or None
     handed_over : bool
         Whether the upstream may have seen it.
+    alone : bool
+        Whether it runs in the task of its own caller.
+    cancelled : bool
+        Whether that caller has gone.
     """
 
     request: Request
@@ -95,6 +99,8 @@
     waiters: dict[Future[Answered], str] = field(default_factory=dict)
     task: Task[None] | None = None
     handed_over: bool = False
+    alone: bool = False
+    cancelled: bool = False
 
 
 @dataclass(slots=True)
--- a/fuchsiamoor/daemon/serving_test.py
+++ b/fuchsiamoor/daemon/serving_test.py
@@ -8,7 +8,7 @@
 from fuchsiamoor.core.configuration import ColdStart, Limits
 from fuchsiamoor.core.messages import Answered, Forward
 from fuchsiamoor.core.verdicts import MayHaveRun, NotRun, Ran, Reason
-from fuchsiamoor.daemon import hand_over, serving
+from fuchsiamoor.daemon import hand_over, serving, serving_runs
 from fuchsiamoor.ownership.holder import MayServe, NotOwner, Wait
 from fuchsiamoor.testing import requests_data, virtual_time
 from fuchsiamoor.testing.requests_data import DOMAIN, make_request
@@ -168,6 +168,38 @@
     virtual_time.run(main())
 
 
+def test_copies_of_a_request_in_flight_run_once():
+    async def main():
+        bench = Bench()
+        bench.upstream.run_ms = 50
+        for key in ("", "chair-1"):
+            name = {"key": key, "idempotency_key": "once"}
+            tasks = [bench.start(f"r{key}", **name) for _ in range(3)]
+            await asyncio.wait(tasks)
+            assert [verdict_of(task) for task in tasks] == [Ran()] * 3
+            tasks = [bench.start(f"s{key}", key=key) for _ in range(3)]
+            await asyncio.wait(tasks)
+            assert [verdict_of(task) for task in tasks] == [Ran()] * 3
+        assert bench.upstream.started == ["r", "s", "rchair-1", "schair-1"]
+
+    virtual_time.run(main())
+
+
+def test_waiters_for_one_run_are_bounded():
+    async def main():
+        bench = Bench()
+        tasks = [
+            bench.start(f"r{index}", idempotency_key="once") for index in range(60)
+        ]
+        await asyncio.wait(tasks)
+        verdicts = [verdict_of(task) for task in tasks]
+        assert bench.upstream.started == ["r0"]
+        assert verdicts.count(Ran()) == serving_runs.WAITERS_MAX
+        assert not any(isinstance(verdict, NotRun) for verdict in verdicts)
+
+    virtual_time.run(main())
+
+
 def test_repeat_of_an_unknown_outcome_is_not_run_again():
     async def main():
         bench = Bench()
