Test that daemons outside a tenant's home regions refuse; record reasons

The test took a refusal at an entry outside the home regions for a fault; now it asks for exactly that refusal there and for answers only inside.

--- a/fuchsiamoor/testing/standins_data.py
+++ b/fuchsiamoor/testing/standins_data.py
@@ -33,6 +33,7 @@
         idempotent=False,
         home_regions=HOME_REGIONS,
         verdict="ran",
+        reason="",
         status=200,
         answer_token="t1",
         served_by="a",
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -21,7 +21,7 @@
 
 ANSWER_TIMEOUT_MS = 15_000
 NO_ANSWER = "no-answer"
-NOTHING = {"status": 0, "answer_token": None, "served_by": ""}
+NOTHING = {"reason": "", "status": 0, "answer_token": None, "served_by": ""}
 
 
 class Plan(NamedTuple):
@@ -122,6 +122,7 @@
                 verdict = response.headers.get("Fuchsiamoor-Verdict", NO_ANSWER)
                 return {
                     "verdict": verdict,
+                    "reason": response.headers.get("Fuchsiamoor-Reason", ""),
                     "status": response.status,
                     "answer_token": _find_token(body),
                     "served_by": response.headers.get("Fuchsiamoor-Served-By", ""),
--- a/standins/check.py
+++ b/standins/check.py
@@ -41,6 +41,7 @@
     idempotent: bool
     home_regions: frozenset[str]
     verdict: str
+    reason: str
     status: int
     answer_token: str | None
     served_by: str
--- a/standins/whole_path_test.py
+++ b/standins/whole_path_test.py
@@ -20,6 +20,7 @@
 }
 CALLS_ENOUGH = 100
 OUTAGE_CALLS = 250
+SERVED_TIMEOUT_MS = 15_000
 
 
 RELAYED = "astana-1-stock-a"
@@ -66,12 +67,17 @@
     return lambda scenario: shared.run(request.node.name, scenario)
 
 
+def make_caller(started, name, entries=None, **changes):
+    plan = caller.Plan(SERVICE, KEYS, HOME_REGIONS)._replace(**changes)
+    urls = deployment.list_urls(started)
+    entered = [urls[instance] for instance in entries or urls]
+    return caller.make_caller(plan, entered, started.directory / f"caller-{name}.jsonl")
+
+
 @asynccontextmanager
 async def open_caller(started, name, **changes):
     """Send requests while the block runs, from the time that every key is served."""
-    plan = caller.Plan(SERVICE, KEYS, HOME_REGIONS)._replace(**changes)
-    urls = list(deployment.list_urls(started).values())
-    sender = caller.make_caller(plan, urls, started.directory / f"caller-{name}.jsonl")
+    sender = make_caller(started, name, **changes)
     caller.start(sender)
     try:
         await wait_for_every_key(sender, 0)
@@ -95,7 +101,7 @@
     async def is_served():
         return len(caller.find_served(sender, since_ms)) == len(sender.plan.keys)
 
-    await deployment.wait_until(is_served, "every key served")
+    await deployment.wait_until(is_served, "every key served", SERVED_TIMEOUT_MS)
 
 
 def busiest_owner(sender):
@@ -117,11 +123,26 @@
 
 
 def test_serves_a_tenant_in_its_home_region_only(run):
+    keys = tuple(("aktobe-clinics", f"chair-{number}") for number in range(8))
+
     async def scenario(started, name):
-        keys = tuple(("aktobe-clinics", f"chair-{number}") for number in range(8))
-        async with open_caller(started, name, keys=keys) as sender:
+        inside = {"aktobe-1-stock-a"}
+        async with open_caller(started, name, keys=keys, entries=inside) as sender:
             await wait_for_calls(sender)
-        assert {call.served_by for call in sender.calls} == {"aktobe-1-stock-a"}
+            outside = deployment.list_urls(started).keys() - inside
+            await refuse_outside(started, f"{name}-outside", outside)
+        assert verdicts_of(sender) == {"ran"}
+        assert {call.served_by for call in sender.calls} == inside
+
+    async def refuse_outside(started, name, outside):
+        sender = make_caller(started, name, entries=outside, keys=keys)
+        calls = [
+            await caller.call_once(sender, tenant, key, "POST") for tenant, key in keys
+        ]
+        await caller.stop(sender)
+        assert {(call.verdict, call.reason) for call in calls} == {
+            ("not-run", "outside-home-regions")
+        }
 
     run(scenario)
 
