--- a/standins/caller.py
+++ b/standins/caller.py
@@ -168,16 +168,17 @@
 
 
 async def _send_steadily(caller: Caller) -> None:
+    """Send to all keys in turn, in an order that is new in every round."""
     plan = caller.plan
     next_ms = programs.monotonic_ms()
     while True:
-        tenant, key = caller.rng.choice(plan.keys)
-        method = caller.rng.choice(plan.methods)
-        task = asyncio.create_task(call_once(caller, tenant, key, method))
-        caller.unanswered.add(task)
-        task.add_done_callback(caller.unanswered.discard)
-        next_ms += 1000 / plan.requests_per_s
-        await asyncio.sleep(max(0, next_ms - programs.monotonic_ms()) / 1000)
+        for tenant, key in caller.rng.sample(plan.keys, len(plan.keys)):
+            method = caller.rng.choice(plan.methods)
+            task = asyncio.create_task(call_once(caller, tenant, key, method))
+            caller.unanswered.add(task)
+            task.add_done_callback(caller.unanswered.discard)
+            next_ms += 1000 / plan.requests_per_s
+            await asyncio.sleep(max(0, next_ms - programs.monotonic_ms()) / 1000)
 
 
 def make_caller(plan: Plan, urls: list[str], path: Path, seed: int = 1) -> Caller:
