Wait at a release for runs by key, also from before the key's isolation

Cause: runs were counted by shard. A key that is isolated, or goes back, changes its shard while it runs, so that the release of its new shard did not wait for a run begun under the old one: two owners at a time were possible. Ruled out: counting by hashed shard, under which the release of a hot key would wait for keys that go on being served. Change: runs are counted by key hash; a release waits for the keys that the newest table puts into its shards. Before: the new test in serving_test fails; after: passes.

--- a/fuchsiamoor/daemon/hand_over.py
+++ b/fuchsiamoor/daemon/hand_over.py
@@ -12,7 +12,7 @@
 from fuchsiamoor.ownership.holder import MayServe, NotOwner, Wait
 from fuchsiamoor.routing import admission, capacity, heat, parking, refusals, runs
 from fuchsiamoor.routing.capacity import Capacity
-from fuchsiamoor.routing.runs import ShardId
+from fuchsiamoor.routing.runs import RunKey
 
 WAIT_RECHECK_MS = 50
 CANCELLED_HOLD_MS = 50
@@ -23,13 +23,14 @@
 
     Parameters
     ----------
-    shard_id : ShardId
+    shard : int
+        `runs.NO_SHARD` for a request without a key.
     epoch : int
     lease_until_ms : int
         Monotonic; the request's deadline where there is no lease.
     """
 
-    shard_id: ShardId
+    shard: int
     epoch: int
     lease_until_ms: int
 
@@ -43,7 +44,7 @@
 
     Parameters
     ----------
-    shard_id : ShardId
+    run_key : RunKey
     held : Capacity
         Whose slot it takes.
     run_number : int
@@ -54,7 +55,7 @@
         Time after which it can neither run nor commit in any case.
     """
 
-    shard_id: ShardId
+    run_key: RunKey
     held: Capacity
     run_number: int
     handed_ms: int
@@ -95,7 +96,7 @@
     if request.deadline_ms <= now_ms:
         return _refuse(run, NotRun(Reason.DEADLINE_PASSED, "before it was handed over"))
     if not run.domain:
-        return Grant(ShardId("", runs.NO_SHARD), 0, request.deadline_ms)
+        return Grant(runs.NO_SHARD, 0, request.deadline_ms)
     table = serving.get_table(run.domain)
     if table is None:
         return Withheld()
@@ -103,7 +104,7 @@
     permission = serving.check_serve(run.domain, shard)
     match permission:
         case MayServe(epoch, lease_until_ms) if lease_until_ms > now_ms:
-            return Grant(ShardId(run.domain, shard), epoch, lease_until_ms)
+            return Grant(shard, epoch, lease_until_ms)
         case NotOwner(owner):
             refused = refusals.make_refusal(
                 request.request_id, NotRun(Reason.NOT_OWNER, "owned elsewhere")
@@ -197,7 +198,7 @@
     try:
         answer = await serving.upstream.run(
             request,
-            grant.shard_id.shard,
+            grant.shard,
             grant.epoch,
             lease_until_unix_ms,
             request.deadline_ms + to_unix_ms,
@@ -217,21 +218,22 @@
     ends_by_ms = run.request.deadline_ms + service.longest_run_ms
     if run.domain and serving.own_member().checks_grants:
         ends_by_ms = min(ends_by_ms, grant.lease_until_ms)
-    _note_heat(serving, run, grant.shard_id)
-    runs.start(serving.runs, grant.shard_id)
+    _note_heat(serving, run, grant.shard)
+    run_key = RunKey(run.domain, run.key_hash if run.domain else runs.NO_KEY)
+    runs.start(serving.runs, run_key)
     run.handed_over = True
     number = capacity.note_start(held, now_ms)
     slot_until_ms = now_ms + service.longest_run_ms
-    return Handed(grant.shard_id, held, number, now_ms, slot_until_ms, ends_by_ms)
+    return Handed(run_key, held, number, now_ms, slot_until_ms, ends_by_ms)
 
 
-def _note_heat(serving: Serving, run: Run, shard_id: ShardId) -> None:
+def _note_heat(serving: Serving, run: Run, shard: int) -> None:
     if not run.domain:
         return
     of_domain = serving.heat.get(run.domain)
     if of_domain is None:
         of_domain = serving.heat[run.domain] = heat.make_heat(serving.now_ms())
-    heat.note_request(of_domain, shard_id.shard, run.key_hash)
+    heat.note_request(of_domain, shard, run.key_hash)
 
 
 def _settle(
@@ -242,18 +244,18 @@
     held = handed.held
     match verdict:
         case Ran():
-            last = runs.end(serving.runs, handed.shard_id)
+            last = runs.end(serving.runs, handed.run_key)
             latency_ms = now_ms - handed.handed_ms
             capacity.note_answer(held, handed.run_number, latency_ms, now_ms)
             release_slot(serving, held)
         case NotRun(reason):
-            last = runs.end(serving.runs, handed.shard_id)
+            last = runs.end(serving.runs, handed.run_key)
             capacity.note_other_ending(held, handed.run_number)
             if reason in (Reason.SHED, Reason.CONNECT_FAILED):
                 _restart_ramp(serving, handed)
             release_slot(serving, held)
         case MayHaveRun(reason):
-            last = runs.end_uncertain(serving.runs, handed.shard_id, handed.ends_by_ms)
+            last = runs.end_uncertain(serving.runs, handed.run_key, handed.ends_by_ms)
             capacity.note_other_ending(held, handed.run_number)
             if reason is Reason.UPSTREAM_LOST:
                 _restart_ramp(serving, handed)
--- a/fuchsiamoor/daemon/serving.py
+++ b/fuchsiamoor/daemon/serving.py
@@ -8,6 +8,7 @@
 import asyncio
 from collections.abc import Callable, Iterable
 
+from fuchsiamoor.core import tables
 from fuchsiamoor.core.configuration import Configuration
 from fuchsiamoor.core.members import Member
 from fuchsiamoor.core.messages import Answered, Forward, MemberLoad
@@ -29,7 +30,7 @@
     residency,
     runs,
 )
-from fuchsiamoor.routing.runs import ShardId
+from fuchsiamoor.routing.runs import RunKey
 
 HOPS_MAX = 8
 
@@ -163,29 +164,35 @@
 
 
 async def drain_shards(serving: Serving, domain: str, shards: Iterable[int]) -> None:
-    """Wait until nothing of some shards runs at the upstream.
+    """Wait until no key of some shards runs at the upstream.
 
     The holder has to refuse these shards before this is called.
     """
-    for shard in shards:
-        await _drain_shard(serving, ShardId(domain, shard))
+    drained = frozenset(shards)
+
+    def is_drained(key_hash: int) -> bool:
+        table = serving.get_table(domain)
+        return table is None or tables.find_shard(table, key_hash) in drained
+
+    for run_key in runs.select_keys(serving.runs, domain, is_drained):
+        await _drain_key(serving, run_key)
 
 
 async def drain(serving: Serving) -> None:
     """Wait until nothing runs at the upstream, with or without a key."""
     while serving.runs.counts or serving.runs.uncertain_until_ms:
-        for shard_id in [*serving.runs.counts, *serving.runs.uncertain_until_ms]:
-            await _drain_shard(serving, shard_id)
+        for run_key in [*serving.runs.counts, *serving.runs.uncertain_until_ms]:
+            await _drain_key(serving, run_key)
 
 
-async def _drain_shard(serving: Serving, shard_id: ShardId) -> None:
+async def _drain_key(serving: Serving, run_key: RunKey) -> None:
     while True:
-        if shard_id in serving.runs.counts:
+        if run_key in serving.runs.counts:
             waiter = asyncio.get_running_loop().create_future()
             serving.drain_waiters.append(waiter)
             await waiter
             continue
-        wait_ms = runs.compute_wait_ms(serving.runs, shard_id, serving.now_ms())
+        wait_ms = runs.compute_wait_ms(serving.runs, run_key, serving.now_ms())
         if wait_ms == 0:
             return
         await asyncio.sleep(wait_ms / 1000)
--- a/fuchsiamoor/daemon/serving_test.py
+++ b/fuchsiamoor/daemon/serving_test.py
@@ -5,6 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from fuchsiamoor.core import keys
 from fuchsiamoor.core.configuration import ColdStart, Limits
 from fuchsiamoor.core.messages import Answered, Forward
 from fuchsiamoor.core.verdicts import MayHaveRun, NotRun, Ran, Reason
@@ -21,11 +22,12 @@
     def __init__(self, service=None, member=None, warm=True):
         self.permission = MayServe(1, 10_000)
         self.configuration = requests_data.make_configuration(service)
+        self.table = requests_data.make_table()
         self.upstream = ScriptedUpstream()
         self.member = member or requests_data.make_member()
         self.serving = serving.make_serving(
             get_configuration=lambda: self.configuration,
-            get_table=lambda domain: requests_data.make_table(),
+            get_table=lambda domain: self.table,
             own_member=lambda: self.member,
             check_serve=lambda domain, shard: self.permission,
             upstream=self.upstream,
@@ -231,6 +233,30 @@
     virtual_time.run(main())
 
 
+def test_drain_of_an_isolated_key_waits_for_runs_from_before_its_isolation():
+    async def main():
+        bench = Bench()
+        running = bench.start("r1", key="hot", in_ms=10_000)
+        await pass_ms(1)
+        own_shard = len(bench.table.owners)
+        hot = keys.hash_key(keys.KeyId("stock", "clinic", "hot"))
+        bench.table = bench.table._replace(
+            revision=bench.table.revision + 1,
+            owners=(*bench.table.owners, bench.table.owners[0]),
+            epochs=(*bench.table.epochs, bench.table.revision + 1),
+            isolated={hot: own_shard},
+        )
+        draining = asyncio.ensure_future(
+            serving.drain_shards(bench.serving, DOMAIN, [own_shard])
+        )
+        await pass_ms(1)
+        assert not draining.done()
+        await running
+        await draining
+
+    virtual_time.run(main())
+
+
 def test_drain_waits_no_longer_than_the_lease_where_grants_are_checked():
     async def main():
         bench = Bench()
--- a/fuchsiamoor/routing/runs.py
+++ b/fuchsiamoor/routing/runs.py
@@ -1,19 +1,22 @@
-"""Runs: what may still be running at the local upstream, by shard.
+"""Runs: what may still be running at the local upstream, by key.
 
-A run whose ending is unknown counts until it can no longer be running.
+A run whose ending is unknown counts until it can no longer be running. Runs are counted
+by key and not by shard, since a key changes its shard when it is isolated or goes back.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
 NO_SHARD = -1
+NO_KEY = -1
 
 
-class ShardId(NamedTuple):
-    """A shard of a domain."""
+class RunKey(NamedTuple):
+    """A key of a domain, by its hash; `NO_KEY` for requests without one."""
 
     domain: str
-    shard: int
+    key_hash: int
 
 
 @dataclass(slots=True)
@@ -22,12 +25,12 @@
 
     Parameters
     ----------
-    counts : dict of ShardId to int
-    uncertain_until_ms : dict of ShardId to int
+    counts : dict of RunKey to int
+    uncertain_until_ms : dict of RunKey to int
     """
 
-    counts: dict[ShardId, int] = field(default_factory=dict)
-    uncertain_until_ms: dict[ShardId, int] = field(default_factory=dict)
+    counts: dict[RunKey, int] = field(default_factory=dict)
+    uncertain_until_ms: dict[RunKey, int] = field(default_factory=dict)
 
 
 def make_runs() -> Runs:
@@ -35,42 +38,58 @@
     return Runs()
 
 
-def start(runs: Runs, shard_id: ShardId) -> None:
+def start(runs: Runs, run_key: RunKey) -> None:
     """Count a run."""
-    runs.counts[shard_id] = runs.counts.get(shard_id, 0) + 1
+    runs.counts[run_key] = runs.counts.get(run_key, 0) + 1
 
 
-def end(runs: Runs, shard_id: ShardId) -> bool:
-    """Count a run as ended; True if it was the shard's last."""
-    left = runs.counts[shard_id] - 1
+def end(runs: Runs, run_key: RunKey) -> bool:
+    """Count a run as ended; True if it was the key's last."""
+    left = runs.counts[run_key] - 1
     if left:
-        runs.counts[shard_id] = left
+        runs.counts[run_key] = left
         return False
-    del runs.counts[shard_id]
+    del runs.counts[run_key]
     return True
 
 
-def end_uncertain(runs: Runs, shard_id: ShardId, until_ms: int) -> bool:
+def end_uncertain(runs: Runs, run_key: RunKey, until_ms: int) -> bool:
     """Count a run as ended that may go on until a time.
 
     Examples
     --------
-    >>> runs, shard_id = make_runs(), ShardId("stock@a", 1)
-    >>> start(runs, shard_id)
-    >>> end_uncertain(runs, shard_id, until_ms=500)
+    >>> runs, run_key = make_runs(), RunKey("stock@a", 1)
+    >>> start(runs, run_key)
+    >>> end_uncertain(runs, run_key, until_ms=500)
     True
-    >>> compute_wait_ms(runs, shard_id, now_ms=200)
+    >>> compute_wait_ms(runs, run_key, now_ms=200)
     300
     """
-    known_ms = runs.uncertain_until_ms.get(shard_id, 0)
-    runs.uncertain_until_ms[shard_id] = max(known_ms, until_ms)
-    return end(runs, shard_id)
+    known_ms = runs.uncertain_until_ms.get(run_key, 0)
+    runs.uncertain_until_ms[run_key] = max(known_ms, until_ms)
+    return end(runs, run_key)
 
 
-def compute_wait_ms(runs: Runs, shard_id: ShardId, now_ms: int) -> int:
-    """Return how long ended runs of a shard may still go on."""
-    until_ms = runs.uncertain_until_ms.get(shard_id, now_ms)
+def compute_wait_ms(runs: Runs, run_key: RunKey, now_ms: int) -> int:
+    """Return how long ended runs of a key may still go on."""
+    until_ms = runs.uncertain_until_ms.get(run_key, now_ms)
     if until_ms > now_ms:
         return until_ms - now_ms
-    runs.uncertain_until_ms.pop(shard_id, None)
+    runs.uncertain_until_ms.pop(run_key, None)
     return 0
+
+
+def select_keys(
+    runs: Runs, domain: str, is_concerned: Callable[[int], bool]
+) -> list[RunKey]:
+    """Return the keys of a domain that may still be running, among those concerned.
+
+    Parameters
+    ----------
+    runs : Runs
+    domain : str
+    is_concerned : callable
+        Told a key hash.
+    """
+    known = {*runs.counts, *runs.uncertain_until_ms}
+    return [key for key in known if key.domain == domain and is_concerned(key.key_hash)]
