--- a/fuchsiamoor/daemon/coordinating.py
+++ b/fuchsiamoor/daemon/coordinating.py
@@ -11,7 +11,7 @@
 from loguru import logger
 
 from fuchsiamoor.core import errors, messages, tables
-from fuchsiamoor.daemon import calls, exchange, observing
+from fuchsiamoor.daemon import calls, exchange
 from fuchsiamoor.daemon import knowledge as knowledges
 from fuchsiamoor.daemon import node as nodes
 from fuchsiamoor.ownership import coordinator as coordinators
@@ -273,10 +273,8 @@
 
 
 def _take_written(node, coordination, revision: int, value: bytes, version: int):
-    before = nodes.find_table(node, coordination.domain)
     knowledges.adopt_table(node.knowledge, value)
     table = nodes.find_table(node, coordination.domain)
-    observing.record_moves(node, before, table)
     logger.bind(
         domain=table.domain,
         term=table.term,
--- a/fuchsiamoor/daemon/node.py
+++ b/fuchsiamoor/daemon/node.py
@@ -16,8 +16,8 @@
 from fuchsiamoor.daemon import knowledge as knowledges
 from fuchsiamoor.daemon import metrics as metrics_module
 from fuchsiamoor.daemon import serving as servings
+from fuchsiamoor.daemon import store_metrics
 from fuchsiamoor.ownership.holder import Holder
-from fuchsiamoor.store import port
 
 
 @dataclass(slots=True)
@@ -54,7 +54,7 @@
     member : Member
         This run; its ``registered_version`` is 0 until the store has confirmed it.
     knowledge : Knowledge
-    store : Store
+    store : CountedStore
     links : Links
         Set once the peer server is made.
     metrics : Metrics
@@ -81,8 +81,6 @@
         Whether a later registration holds the instance.
     handle_message : callable
         Answers a peer's message.
-    store_reachable : bool
-        Whether the last call to the store was answered.
     renew_now : asyncio.Event
         Set when leases are to be renewed before their next turn.
     upstream_suspect : asyncio.Event
@@ -98,7 +96,7 @@
     settings: settings.Settings
     member: members.Member
     knowledge: knowledges.Knowledge
-    store: port.Store
+    store: store_metrics.CountedStore
     metrics: metrics_module.Metrics
     links: Any = None
     holders: dict[str, Holder] = field(default_factory=dict)
@@ -115,7 +113,6 @@
     closing: asyncio.Event = field(default_factory=asyncio.Event)
     stopped: asyncio.Event = field(default_factory=asyncio.Event)
     superseded: bool = False
-    store_reachable: bool = False
     renew_now: asyncio.Event = field(default_factory=asyncio.Event)
     upstream_suspect: asyncio.Event = field(default_factory=asyncio.Event)
     register_now: asyncio.Event = field(default_factory=asyncio.Event)
@@ -126,7 +123,9 @@
 
 
 def make_node(
-    config: settings.Settings, store: port.Store, metrics: metrics_module.Metrics
+    config: settings.Settings,
+    store: store_metrics.CountedStore,
+    metrics: metrics_module.Metrics,
 ) -> Node:
     """Return a node that has not started."""
     return Node(
--- a/fuchsiamoor/daemon/operating.py
+++ b/fuchsiamoor/daemon/operating.py
@@ -8,7 +8,7 @@
 from fuchsiamoor.daemon import node as nodes
 from fuchsiamoor.documents import apply
 from fuchsiamoor.ownership import holder as holders
-from fuchsiamoor.reports import counts
+from fuchsiamoor.reports import counts, overrides
 from fuchsiamoor.reports import status as statuses
 
 
@@ -74,7 +74,7 @@
         apply_id=configuration.apply_id,
         ready=is_ready(node),
         leaving=node.leaving or node.upstream.leaving,
-        store_reachable=node.store_reachable,
+        store_reachable=node.store.is_reachable,
         upstream=_describe_upstream(node),
         domains=tuple(
             _describe_domain(node, domain) for domain in sorted(node.knowledge.tables)
@@ -84,7 +84,11 @@
             for _, member in sorted(directory.by_instance.items())
         ),
         data_centres_out=tuple(sorted(configuration.data_centres_out)),
-        overrides=(),
+        overrides=overrides.judge_overrides(
+            configuration,
+            node.knowledge.tables,
+            lambda member_id: nodes.find_member(node, member_id),
+        ),
     )
 
 
@@ -172,7 +176,12 @@
         table_revision=table.revision,
         coordinator=table.coordinator,
         lease=_describe_lease(node, domain) if is_own else None,
-        override=None,
+        override=overrides.judge_for_key(
+            configuration,
+            key_id,
+            node.knowledge.tables,
+            lambda member_id: nodes.find_member(node, member_id),
+        ),
         loss_wait_ms=_loss_wait_ms(node, key_id.service, owner),
         candidates=_list_candidates(node, domain, owner_id),
     )
--- a/fuchsiamoor/daemon/ports.py
+++ b/fuchsiamoor/daemon/ports.py
@@ -1,5 +1,6 @@
 """Ports: the upstream's client in the shape that the serving side takes."""
 
+import time
 from typing import NamedTuple
 
 from fuchsiamoor.core import requests, verdicts
@@ -20,6 +21,7 @@
         deadline_at_unix_ms: int,
     ) -> requests.Answer:
         """Run a request; a refused connection shows that the upstream is gone."""
+        began_ns = time.monotonic_ns()
         answer = await self.node.client.run(
             request,
             shard,
@@ -28,6 +30,9 @@
             deadline_at_unix_ms,
         )
         match answer.verdict:
+            case verdicts.Ran():
+                elapsed_us = (time.monotonic_ns() - began_ns) // 1000
+                self.node.metrics.upstream_served(request.service, elapsed_us)
             case verdicts.NotRun(verdicts.Reason.CONNECT_FAILED):
                 self.node.upstream_suspect.set()
         return answer
--- a/fuchsiamoor/daemon/starting.py
+++ b/fuchsiamoor/daemon/starting.py
@@ -14,12 +14,12 @@
     holding,
     http_servers,
     metrics,
-    observing,
     operating,
     operator_app,
     ports,
     registration,
     stopping,
+    store_metrics,
     tree,
     upstream_client,
     upstream_watch,
@@ -39,8 +39,11 @@
 
 def make_started_node(config: settings.Settings) -> nodes.Node:
     """Return a node whose parts are joined, listening nowhere yet."""
-    store = http_store.make_http_store(config.store_url, STORE_TIMEOUT_MS)
-    node = nodes.make_node(config, store, _make_metrics(config))
+    made_metrics = _make_metrics(config)
+    store = store_metrics.make_counted_store(
+        http_store.make_http_store(config.store_url, STORE_TIMEOUT_MS), made_metrics
+    )
+    node = nodes.make_node(config, store, made_metrics)
     _join_carriers(node)
     _join_sides(node)
     _join_changes(node)
@@ -109,11 +112,13 @@
         holding.refresh_holders(node)
         changed = events.ConfigurationChanged(knowledge.configuration)
         coordinating.feed_all(node, changed)
-        observing.record_configuration(node)
+        node.metrics.configuration_changed(knowledge.configuration)
         servings.state_changed(node.serving)
         entries.state_changed(node.entry)
 
     def on_table(domain: str) -> None:
+        table = nodes.find_table(node, domain)
+        node.metrics.table_changed(table, node.member.member_id)
         holding.adopt_table(node, domain)
         servings.state_changed(node.serving)
         entries.table_changed(node.entry, domain)
@@ -155,7 +160,7 @@
             verdict = verdicts.MayHaveRun(verdicts.Reason.LINK_LOST, "daemon fault")
             answer = refusals.make_refusal(request.request_id, verdict)
         elapsed_us = (time.perf_counter_ns() - began_ns) // 1000
-        observing.record_ending(node, request, answer, elapsed_us)
+        node.metrics.answered(request.service, answer, elapsed_us)
         return answer
 
     app = callers.make_caller_app(
--- a/fuchsiamoor/daemon/store_metrics.py
+++ b/fuchsiamoor/daemon/store_metrics.py
@@ -15,10 +15,19 @@
 
 @dataclass(slots=True)
 class CountedStore:
-    """A store whose calls are counted; made by `make_counted_store`."""
+    """A store whose calls are counted; made by `make_counted_store`.
+
+    Parameters
+    ----------
+    inner : Store
+    metrics : Metrics
+    is_reachable : bool
+        Whether the last call that ended was answered.
+    """
 
     inner: port.Store
     metrics: Metrics
+    is_reachable: bool = False
 
     async def get(self, key: str) -> port.Entry | None:
         """Read one key."""
@@ -68,13 +77,17 @@
     async def _count(self, call: Awaitable[T]) -> T:
         self.metrics.count(metric_names.STORE_CALLS)
         try:
-            return await call
+            answer = await call
         except errors.StoreUnavailableError:
+            self.is_reachable = False
             self.metrics.count(metric_names.STORE_UNAVAILABLE)
             raise
         except errors.StoreOutcomeUnknownError:
+            self.is_reachable = False
             self.metrics.count(metric_names.STORE_OUTCOME_UNKNOWN)
             raise
+        self.is_reachable = True
+        return answer
 
 
 def make_counted_store(inner: port.Store, metrics: Metrics) -> CountedStore:
--- a/fuchsiamoor/daemon/tree.py
+++ b/fuchsiamoor/daemon/tree.py
@@ -20,13 +20,14 @@
     exchange,
     holding,
     http_servers,
-    observing,
+    operating,
     registration,
     supervisor,
     upstream_watch,
     watching,
 )
 from fuchsiamoor.daemon import node as nodes
+from fuchsiamoor.reports import metric_names
 
 METRICS_EVERY_S = 1.0
 
@@ -111,6 +112,6 @@
         await asyncio.sleep(METRICS_EVERY_S)
         elapsed_ms = node.now_ms() - began_ms
         began_ms = node.now_ms()
-        observing.record_pending(node, elapsed_ms)
-        observing.set_gauges(node, elapsed_ms - METRICS_EVERY_S * 1000)
+        node.metrics.timing(metric_names.LOOP_LAG, elapsed_ms - METRICS_EVERY_S * 1000)
+        node.metrics.observe(operating.describe_node(node), elapsed_ms)
         node.metrics.flush(time.time_ns() // 1_000_000)
