Count what a superseded voter tells of its table as an acknowledgement

Cause: a superseded daemon that still runs is no member, so nobody pushed tables to it and its renewals were dropped. A domain whose only voter was superseded waited for ever. Change: a retired voter goes on renewing, is refused, learns the newest table from the refusal, and its revision counts as acknowledged.

--- a/fuchsiamoor/ownership/coordinator.py
+++ b/fuchsiamoor/ownership/coordinator.py
@@ -191,11 +191,13 @@
 
 
 def _record_renew(coordinator: Coordinator, renew: messages.Renew, now_ms: int) -> bool:
-    if coordinator.table is None or not _is_entitled(coordinator, renew):
+    if coordinator.table is None or renew.domain != coordinator.domain:
         return False
     is_news = settlement.record_known(
         coordinator.settling, renew.member_id, renew.revision
     )
+    if not _is_entitled(coordinator, renew):
+        return is_news
     if liveness.record_renew(coordinator.roster, renew, now_ms):
         coordinator.changed = True
         is_news = True
--- a/fuchsiamoor/ownership/coordinator_test.py
+++ b/fuchsiamoor/ownership/coordinator_test.py
@@ -1,4 +1,4 @@
-from fuchsiamoor.core import messages, settings
+from fuchsiamoor.core import messages, settings, tables
 from fuchsiamoor.ownership import coordinator as coordinators
 from fuchsiamoor.ownership import events
 from fuchsiamoor.testing import tables as builders
@@ -74,3 +74,17 @@
     assert not is_renewed(machine, make_renew("b#1"))
     assert not is_renewed(machine, make_renew("x#1"))
     assert is_renewed(machine, make_renew("b#2"))
+
+
+def test_a_superseded_voters_renewal_counts_as_its_acknowledgement():
+    machine = make_installed(
+        voters=("b#1",), pending={0: tables.PendingShard("b#1", 9)}
+    )
+    newer = builders.make_member(
+        "b", "almaty-2", nonce="2", registered_version=2, host="x"
+    )
+    coordinators.handle(machine, events.MembersChanged((*MEMBERS, newer)), 0)
+    assert machine.settling.acknowledged_ms == {}
+    coordinators.handle(machine, events.RenewReceived(make_renew("b#1")), 0)
+    assert machine.settling.acknowledged_ms == {9: 0}
+    assert "b#1" not in machine.roster.heard_ms
--- a/fuchsiamoor/ownership/holder.py
+++ b/fuchsiamoor/ownership/holder.py
@@ -187,7 +187,8 @@
 ) -> list[Ask]:
     """Return the questions that are due.
 
-    Voters are asked only when the coordinator has left two renewals without a grant.
+    Voters are asked only when the coordinator has left two renewals without a grant. A
+    retired member that is still a voter goes on to tell which revision it knows.
 
     Parameters
     ----------
@@ -202,7 +203,7 @@
     list of Ask
     """
     table = holder.table
-    if table is None or holder.retired:
+    if table is None or not _has_part(holder, table):
         return []
     asks = []
     if table.coordinator and now_ms >= holder.renew_due_ms:
@@ -226,9 +227,9 @@
 
     Monotonic time, in milliseconds; a new table may bring it forward.
     """
-    if holder.table is None or holder.retired:
+    if holder.table is None or not _has_part(holder, holder.table):
         return None
-    if not holder.owns_any:
+    if holder.retired or not holder.owns_any:
         return holder.renew_due_ms
     return min(holder.renew_due_ms, max(holder.vouch_due_ms, _patience_end_ms(holder)))
 
@@ -342,6 +343,10 @@
     return table.term <= release.term and table.epochs[shard] == release.epoch
 
 
+def _has_part(holder: Holder, table: tables.ShardTable) -> bool:
+    return not holder.retired or holder.member_id in votes.list_voter_ids(table)
+
+
 def _calls_for_renewal(
     holder: Holder, known: tables.ShardTable, table: tables.ShardTable
 ) -> bool:
@@ -377,7 +382,7 @@
 
 
 def _needs_vouches(holder: Holder, now_ms: int) -> bool:
-    if not holder.owns_any or now_ms < holder.vouch_due_ms:
+    if holder.retired or not holder.owns_any or now_ms < holder.vouch_due_ms:
         return False
     return now_ms >= _patience_end_ms(holder)
 
--- a/fuchsiamoor/ownership/holder_test.py
+++ b/fuchsiamoor/ownership/holder_test.py
@@ -94,10 +94,14 @@
     assert holder.releases == {}
 
 
-def test_a_retired_holder_serves_nothing_and_asks_nothing():
+def test_a_retired_holder_serves_nothing_and_only_tells_what_it_knows_as_a_voter():
     holder = make_holder()
     renew(holder)
     holders.retire(holder, 10)
     renew(holder, sent_ms=20)
     assert holders.check_serve(holder, 0, 21) == holders.Wait("no lease")
-    assert holders.list_renewals(holder, 1_000, builders.make_load(), 1) == []
+    asks = holders.list_renewals(holder, 1_000, builders.make_load(), 1)
+    assert [type(ask.message) for ask in asks] == [messages.Renew]
+    newer = holder.table._replace(revision=2, voters=())
+    holders.adopt_table(holder, newer, 1_000)
+    assert holders.list_renewals(holder, 2_000, builders.make_load(), 1) == []
--- a/fuchsiamoor/ownership/interlock_test.py
+++ b/fuchsiamoor/ownership/interlock_test.py
@@ -13,10 +13,13 @@
 
 from fuchsiamoor.core import messages
 from fuchsiamoor.ownership import (
+    coordinator,
     drafts,
     holder,
+    liveness,
     settlement,
     state,
+    transfer,
     votes,
     voucher,
 )
@@ -64,6 +67,18 @@
 def test_every_shard_is_served_again_once_all_is_well(schedule, seed, checks_grants):
     world = schedules.make_world(seed, SIZE, checks_grants)
     schedules.run_schedule(world, schedule, STRIKES_UNTIL_MS + RECOVERED_AFTER_MS)
+    assert_all_served(world)
+
+
+def test_a_domain_recovers_when_its_only_voter_is_superseded():
+    world = schedules.make_world(1, 3)
+    everyone = schedules.Kill(frozenset({0, 1, 2}), 5_000)
+    schedule = [(600, everyone), (1_000, schedules.Claim(2))]
+    schedules.run_schedule(world, schedule, 20_000)
+    assert_all_served(world)
+
+
+def assert_all_served(world: schedules.World) -> None:
     served = schedules.list_served(world)
     in_use = [*range(world.stored.shard_count), *world.stored.isolated.values()]
     assert {shard: len(served[shard]) for shard in in_use} == dict.fromkeys(in_use, 1)
@@ -122,6 +137,23 @@
     ]
 
 
+def lose_answers_while_owners_leave(case: Case) -> schedules.Schedule:
+    return [
+        (3_000, schedules.Leave(case.others[0], 4_000)),
+        (3_010, schedules.StoreMute(3_000)),
+        (3_020, schedules.Leave(case.others[1], 4_000)),
+    ]
+
+
+def cut_voters_whose_instances_are_claimed(case: Case) -> schedules.Schedule:
+    apart = frozenset(case.others)
+    return [
+        (3_000, schedules.Cut(apart, False, 5_000, frozenset({case.coordinator}))),
+        (3_050, schedules.Claim(case.others[1])),
+        (3_100, schedules.Claim(case.others[2])),
+    ]
+
+
 def run_case(
     seed: int, make_schedule, checks_grants: bool, size: int = 4, **fields
 ) -> None:
@@ -153,6 +185,8 @@
     cut_coordinator_and_owner,
     cut_owner_while_voters_change,
     leave_in_turn,
+    lose_answers_while_owners_leave,
+    cut_voters_whose_instances_are_claimed,
 )
 
 
@@ -241,3 +275,35 @@
 def test_with_releases_that_any_table_lifts(monkeypatch):
     monkeypatch.setattr(holder, "_is_released", lambda table, shard, release: False)
     assert is_caught(leave_in_turn)
+
+
+def test_with_a_write_of_unknown_outcome_taken_for_failed(monkeypatch):
+    def forget(machine, revision):
+        known = machine.transfers
+        written, known.writing, machine.in_flight = known.writing, frozenset(), None
+        return [
+            action
+            for move_id in written
+            for action in transfer.give_up(known, machine.table, move_id, 0)
+        ]
+
+    monkeypatch.setattr(coordinator, "_record_unknown", forget)
+    assert is_caught(lose_answers_while_owners_leave)
+
+
+def test_with_every_superseded_voter_taken_for_ended(monkeypatch):
+    class Superseded:
+        def __init__(self, roster):
+            self.roster = roster
+
+        def __contains__(self, member_id):
+            return liveness.is_superseded(self.roster, member_id)
+
+    set_members = liveness.set_members
+
+    def set_all(roster, listed):
+        set_members(roster, listed)
+        roster.ended = Superseded(roster)
+
+    monkeypatch.setattr(liveness, "set_members", set_all)
+    assert is_caught(cut_voters_whose_instances_are_claimed)
