--- a/fuchsiamoor/testing/ownership_schedules.py
+++ b/fuchsiamoor/testing/ownership_schedules.py
@@ -34,9 +34,10 @@
 
 
 class Claim(NamedTuple):
-    """A second daemon, at another address, takes a slot's instance for its own."""
+    """A second daemon, on another slot, takes a slot's instance for its own."""
 
     slot: int
+    runs_on: int
 
 
 class Pause(NamedTuple):
@@ -254,7 +255,7 @@
                 Kill(slots, source.choice((0, 300, 2_000, 5_000))),
                 Kill(frozenset({slot}), source.choice((0, 300, 2_000, 5_000))),
                 Pause(slots, duration_ms),
-                Claim(slot),
+                Claim(slot, source.randrange(size)),
                 Cut(slots, source.random() < 0.5, duration_ms),
                 Cut(slots, False, duration_ms, frozenset({source.randrange(size)})),
                 StoreDown(duration_ms),
@@ -293,9 +294,11 @@
     action()
 
 
-def _start(world: World, slot: int, checks_grants: bool, host: str = "") -> None:
+def _start(
+    world: World, slot: int, checks_grants: bool, runs_on: int | None = None
+) -> None:
     instance = f"i{slot}"
-    host = host or instance
+    host = f"host-{slot if runs_on is None else runs_on}"
     before = world.registered.get(instance)
     replaces = ()
     if before is not None and before.peer_address.host == host:
@@ -314,14 +317,15 @@
     drift = TIMING.drift_ratio
     node = Node(
         member,
-        slot,
+        slot if runs_on is None else runs_on,
         world.source.uniform(1 - drift, 1 + drift),
         world.source.randrange(1_000_000),
         holder.make_holder(member.member_id, builders.DOMAIN, TIMING),
     )
     world.nodes.append(node)
     world.by_id[member.member_id] = node
-    world.slots[slot] = node
+    if runs_on is None:
+        world.slots[slot] = node
     if world.stored is not None:
         holder.adopt_table(node.holder, world.stored, _clock(world, node))
     for other in world.nodes:
@@ -724,17 +728,27 @@
         case Kill(slots, restart_after_ms):
             for slot in slots:
                 _kill(world, slot, restart_after_ms)
-        case Claim(slot):
-            checks = world.slots[slot].member.checks_grants
-            _start(world, slot, checks, host=f"other-{world.version}")
+        case Claim(slot, runs_on):
+            if not _is_taken(world, slot, runs_on):
+                checks = world.slots[slot].member.checks_grants
+                _start(world, slot, checks, runs_on)
         case Pause(slots, duration_ms):
-            for slot in slots:
-                _pause(world, world.slots[slot], duration_ms)
+            for node in world.nodes:
+                if node.slot in slots:
+                    _pause(world, node, duration_ms)
         case TakeOut() | Hold():
             _configure(world)
             _at(world, world.now_ms + fault.duration_ms, lambda: _configure(world))
 
 
+def _is_taken(world: World, slot: int, runs_on: int) -> bool:
+    """Return whether a daemon listens already where another would."""
+    return any(
+        node.alive and (node.slot, node.member.instance) == (runs_on, f"i{slot}")
+        for node in world.nodes
+    )
+
+
 def _kill(world: World, slot: int, restart_after_ms: int) -> None:
     ended = [node for node in world.nodes if node.slot == slot and node.alive]
     for node in ended:
