--- /dev/null
+++ b/fuchsiamoor/ownership/sessions_test.py
@@ -0,0 +1,46 @@
+"""Whole sessions of a domain against golden files; ``UPDATE_GOLDEN=1`` rewrites them."""
+
+import os
+from pathlib import Path
+
+import pytest
+
+from fuchsiamoor.testing import ownership_schedules as schedules
+from fuchsiamoor.testing import ownership_sessions as sessions
+
+GOLDEN = Path(__file__).with_name("sessions_golden")
+SECOND = frozenset({1})
+THIRD = frozenset({2})
+FOURTH = frozenset({3})
+
+SESSIONS = {
+    "first_assignment": ([], 2_500),
+    "kill": ([(3_000, schedules.Kill(THIRD, 60_000))], 7_000),
+    "kill_without_grant_checks": ([(3_000, schedules.Kill(THIRD, 60_000))], 8_000),
+    "frozen_owner_returns": ([(3_000, schedules.Pause(THIRD, 4_000))], 9_000),
+    "planned_move": ([(3_000, schedules.Leave(2, 3_000))], 8_000),
+    "succession_with_a_pending_move": (
+        [
+            (3_000, schedules.Kill(THIRD, 60_000)),
+            (4_000, schedules.Kill(SECOND, 60_000)),
+        ],
+        9_000,
+    ),
+    "store_outage_with_vouches": ([(3_000, schedules.StoreDown(4_000))], 9_000),
+    "data_centre_out_and_in": ([(3_000, schedules.TakeOut("astana-1", 2_000))], 9_000),
+    "override_met_and_unmet": (
+        [(3_000, schedules.Hold(3, 5_000)), (5_000, schedules.Kill(FOURTH, 500))],
+        12_000,
+    ),
+}
+
+
+@pytest.mark.parametrize("name", sorted(SESSIONS))
+def test_session(name):
+    schedule, until_ms = SESSIONS[name]
+    checks_grants = "without_grant_checks" not in name
+    session = sessions.write_session(schedule, until_ms, checks_grants=checks_grants)
+    path = GOLDEN / f"{name}.txt"
+    if os.environ.get("UPDATE_GOLDEN"):
+        path.write_text(session)
+    assert session == path.read_text()
