Let a retired voter say that it leaves

Cause: its renewals, which tell what it knows, also counted as signs of life wherever the coordinator had not learned of the newer run; its shards stayed with it, unserved. Change: its renewals say that it leaves and is not ready, so that its shards are moved. The driver now gossips the directory, too.

--- /dev/null
+++ b/bench/ownership_cost.py
@@ -0,0 +1,209 @@
+"""What the ownership decisions cost, each called alone, and what a fleet would pay.
+
+Run as ``python -m bench.ownership_cost``.
+"""
+
+import os
+import platform
+import time
+from collections.abc import Callable
+from typing import NamedTuple
+
+from fuchsiamoor.core import members, messages, settings, tables
+from fuchsiamoor.ownership import coordinator as coordinators
+from fuchsiamoor.ownership import (
+    events,
+    holder,
+    placement,
+    state,
+    tables_codec,
+    votes,
+    voucher,
+)
+from fuchsiamoor.testing import tables as builders
+
+MEASURED_S = 0.2
+SIZES = ((13, 256), (13, 4096), (250, 256), (250, 4096))
+PLACES = ("almaty-1", "almaty-2", "astana-1", "astana-2")
+TIMING = settings.Timing()
+FLEET_DAEMONS = 510
+FLEET_DOMAIN = (250, 4096)
+
+
+class Figures(NamedTuple):
+    """Microseconds for each call, and bytes."""
+
+    check_serve_us: float
+    list_renewals_us: float
+    list_vouches_us: float
+    answer_vouch_us: float
+    answer_renew_us: float
+    renew_received_us: float
+    tick_us: float
+    plan_us: float
+    loss_us: float
+    encode_us: float
+    decode_us: float
+    adopt_us: float
+    table_bytes: int
+
+
+def measure_us(call: Callable[[], object]) -> float:
+    """Return the mean time of a call, in microseconds."""
+    count, batch = 0, 1
+    start_s = time.perf_counter()
+    while (elapsed_s := time.perf_counter() - start_s) < MEASURED_S:
+        for _ in range(batch):
+            call()
+        count += batch
+        batch = min(batch * 2, 1_000)
+    return elapsed_s / count * 1e6
+
+
+def list_members(count: int) -> list[members.Member]:
+    """Return members spread evenly over four data centres."""
+    return [
+        builders.make_member(
+            f"stock-{n:03}", PLACES[n % len(PLACES)], nonce=f"{n:012x}"
+        )
+        for n in range(count)
+    ]
+
+
+def make_table(listed: list[members.Member], shard_count: int) -> tables.ShardTable:
+    """Return a settled table, evenly owned, with an epoch for each shard."""
+    base = tables.make_empty_table(builders.DOMAIN, shard_count)
+    return base._replace(
+        term=7,
+        coordinator=listed[0].member_id,
+        revision=2_000_000,
+        owners=tuple(listed[s % len(listed)].member_id for s in range(shard_count)),
+        epochs=tuple(1_000_000 + shard for shard in range(shard_count)),
+        voters=votes.choose_voters(listed),
+        voters_revision=1_000_000,
+    )
+
+
+def make_coordinator(listed, table, shard_count: int) -> coordinators.Coordinator:
+    """Return an installed coordinator that has heard every member."""
+    own_id = listed[0].member_id
+    machine = coordinators.make_coordinator(
+        builders.DOMAIN, own_id, TIMING, table, 1, 0
+    )
+    service = builders.make_service(shard_count)
+    for event in (
+        events.MembersChanged(tuple(listed)),
+        events.ConfigurationChanged(builders.make_configuration(service=service)),
+        events.StoreLeaseRenewed(0),
+        events.TableWritten(table.revision + 1, 2),
+    ):
+        coordinators.handle(machine, event, 0)
+    for member in listed:
+        renew = make_renew(member.member_id, table.revision + 1)
+        coordinators.handle(machine, events.RenewReceived(renew), 0)
+    return machine
+
+
+def make_renew(member_id: str, revision: int) -> messages.Renew:
+    """Return a renewal with a full report of load."""
+    load = builders.make_load(
+        shard_rates={shard: 100 + shard for shard in range(16)},
+        hot_keys=dict.fromkeys(range(16), 100),
+    )
+    return messages.Renew(builders.DOMAIN, member_id, revision, 1, load)
+
+
+def measure(member_count: int, shard_count: int) -> Figures:
+    """Measure one size of domain."""
+    listed = list_members(member_count)
+    table = make_table(listed, shard_count)
+    own_id = listed[1].member_id
+    keeper = holder.make_holder(own_id, builders.DOMAIN, TIMING)
+    holder.adopt_table(keeper, table, 0)
+    renewed = messages.Renewed(builders.DOMAIN, 7, table.revision, 1)
+    holder.record_renewed(keeper, listed[0].member_id, renewed, 0)
+    load = builders.make_load()
+    vouch = messages.Vouch(builders.DOMAIN, own_id, table.revision, 1_000_000)
+    machine = make_coordinator(listed, table, shard_count)
+    renew = make_renew(own_id, table.revision + 1)
+    layout = placement.make_layout(table, state.list_targets(machine, 0), machine.holds)
+    without = layout._replace(
+        targets=tuple(t for t in layout.targets if t.member_id != own_id)
+    )
+    value = tables_codec.encode_table(table)
+
+    def renew_due() -> None:
+        keeper.renew_due_ms = 0
+        holder.list_renewals(keeper, 1, load, 1)
+
+    def vouch_due() -> None:
+        keeper.vouch_due_ms = keeper.renew_due_ms = 0
+        holder.list_renewals(keeper, 700, load, 1)
+
+    def adopt() -> None:
+        keeper.table = None
+        holder.adopt_table(keeper, table, 0)
+
+    def plan() -> None:
+        placement.plan_data_centres_out(layout, [own_id])
+        placement.plan_overrides(layout)
+        placement.plan_balance(layout, 10)
+
+    return Figures(
+        measure_us(lambda: holder.check_serve(keeper, 1, 1)),
+        measure_us(renew_due),
+        measure_us(vouch_due),
+        measure_us(lambda: voucher.answer_vouch(table, own_id, vouch)),
+        measure_us(lambda: coordinators.answer_renew(machine, renew, 1)),
+        measure_us(
+            lambda: coordinators.handle(machine, events.RenewReceived(renew), 1)
+        ),
+        measure_us(lambda: coordinators.handle(machine, events.Tick(), 1)),
+        measure_us(plan),
+        measure_us(lambda: placement.plan_losses(without, [own_id])),
+        measure_us(lambda: tables_codec.encode_table(table)),
+        measure_us(lambda: tables_codec.decode_table(value)),
+        measure_us(adopt),
+        len(value),
+    )
+
+
+def print_fleet(figures: Figures) -> None:
+    """Work out what the decisions cost in the largest domain, at rest."""
+    per_s = 1_000 / TIMING.renew_every_ms
+    member_us = per_s * figures.list_renewals_us
+    renewals_per_s = FLEET_DOMAIN[0] * per_s
+    coordinator_us = (
+        renewals_per_s * (figures.answer_renew_us + figures.renew_received_us)
+        + 20 * figures.tick_us
+        + figures.plan_us
+    )
+    voters = 3 * len(PLACES)
+    voter_us = renewals_per_s * figures.answer_vouch_us
+    outage_us = per_s * figures.list_vouches_us
+    print()
+    print(f"a domain of {FLEET_DOMAIN[0]} members and {FLEET_DOMAIN[1]} shards,")
+    print(f"one of those of {FLEET_DAEMONS} daemons; decisions alone, share of a core:")
+    print(f"  member at rest           {member_us / 1e4:8.3f} %")
+    print(f"  coordinator at rest      {coordinator_us / 1e4:8.3f} %")
+    print(f"    renewals received      {renewals_per_s:8.0f} a second")
+    print(f"  member, store away       {outage_us / 1e4:8.3f} %")
+    print(f"    vouches asked          {per_s * voters:8.0f} a second")
+    print(f"  voter, store away        {voter_us / 1e4:8.3f} %")
+    print(f"    vouches answered       {renewals_per_s:8.0f} a second")
+
+
+def main() -> None:
+    """Measure all sizes and print one table."""
+    print(f"{os.cpu_count()} cores, Python {platform.python_version()}")
+    found = [measure(*size) for size in SIZES]
+    titles = [f"{size[0]} x {size[1]}" for size in SIZES]
+    print(f"{'members x shards':20}" + "".join(f"{title:>14}" for title in titles))
+    for position, name in enumerate(Figures._fields):
+        cells = "".join(f"{figures[position]:14.1f}" for figures in found)
+        print(f"{name:20}{cells}")
+    print_fleet(found[SIZES.index(FLEET_DOMAIN)])
+
+
+if __name__ == "__main__":
+    main()
--- a/fuchsiamoor/ownership/holder.py
+++ b/fuchsiamoor/ownership/holder.py
@@ -188,7 +188,8 @@
     """Return the questions that are due.
 
     Voters are asked only when the coordinator has left two renewals without a grant. A
-    retired member that is still a voter goes on to tell which revision it knows.
+    retired member that is still a voter goes on to tell which revision it knows, and
+    that it leaves.
 
     Parameters
     ----------
@@ -208,6 +209,8 @@
     asks = []
     if table.coordinator and now_ms >= holder.renew_due_ms:
         holder.renew_due_ms = now_ms + holder.timing.renew_every_ms
+        if holder.retired:
+            load = load._replace(upstream_ready=False, leaving=True)
         renew = messages.Renew(
             holder.domain,
             holder.member_id,
--- a/fuchsiamoor/ownership/holder_test.py
+++ b/fuchsiamoor/ownership/holder_test.py
@@ -102,6 +102,7 @@
     assert holders.check_serve(holder, 0, 21) == holders.Wait("no lease")
     asks = holders.list_renewals(holder, 1_000, builders.make_load(), 1)
     assert [type(ask.message) for ask in asks] == [messages.Renew]
+    assert asks[0].message.load.leaving
     newer = holder.table._replace(revision=2, voters=())
     holders.adopt_table(holder, newer, 1_000)
     assert holders.list_renewals(holder, 2_000, builders.make_load(), 1) == []
--- a/fuchsiamoor/testing/ownership_schedules.py
+++ b/fuchsiamoor/testing/ownership_schedules.py
@@ -151,6 +151,7 @@
     alive: bool = True
     paused_until_ms: int = 0
     waiting: list[Callable[[], None]] = field(default_factory=list)
+    listed: tuple[members_.Member, ...] = ()
     next_campaign_ms: int = 0
     store_lease: int = 0
     renew_due_ms: int = 0
@@ -338,8 +339,9 @@
 
 
 def _learn_members(world: World, node: Node) -> None:
-    if node.coordinator is not None:
-        listed = tuple(world.registered.values())
+    listed = tuple(world.registered.values())
+    if node.coordinator is not None and node.listed != listed:
+        node.listed = listed
         _tell(world, node, events.MembersChanged(listed))
     current = world.registered[node.member.instance]
     if current.member_id != node.member.member_id:
@@ -418,6 +420,7 @@
 
 def _gossip(world: World, node: Node) -> None:
     other = world.source.choice(world.nodes)
+    _send(world, node, other, lambda: _learn_members(world, other))
     if other.alive and node.holder.table is not None:
         _push(world, node, other, node.holder.table, lambda revision: None)
 
@@ -569,8 +572,8 @@
             _clock(world, node),
         )
         node.renew_due_ms = _clock(world, node)
-        listed = tuple(world.registered.values())
-        _tell(world, node, events.MembersChanged(listed))
+        node.listed = tuple(world.registered.values())
+        _tell(world, node, events.MembersChanged(node.listed))
         _tell(world, node, events.ConfigurationChanged(world.configuration))
         _tell(world, node, events.StoreLeaseRenewed(now_ms))
 
