--- a/fuchsiamoor/cli/render.py
+++ b/fuchsiamoor/cli/render.py
@@ -6,7 +6,7 @@
 from fuchsiamoor.cli.client import Gathered
 from fuchsiamoor.core import members
 from fuchsiamoor.reports import burn, measures
-from fuchsiamoor.reports.counts import HOUR_MS, MINUTE_MS
+from fuchsiamoor.reports.counts import DAY_MS, HOUR_MS, MINUTE_MS
 from fuchsiamoor.reports.status import (
     DomainStatus,
     Explanation,
@@ -279,7 +279,7 @@
 
 
 def _format_span(span_ms: int) -> str:
-    for name, unit_ms in (("days", burn.DAY_MS), ("hours", HOUR_MS)):
+    for name, unit_ms in (("days", DAY_MS), ("hours", HOUR_MS)):
         if span_ms >= 2 * unit_ms:
             return f"{span_ms / unit_ms:.1f} {name}"
     return f"{span_ms / MINUTE_MS:.0f} minutes"
--- a/fuchsiamoor/daemon/metrics.py
+++ b/fuchsiamoor/daemon/metrics.py
@@ -22,6 +22,12 @@
 TIMINGS_PER_FLUSH = 20
 PREFIX = "fuchsiamoor"
 
+_VERDICT_COUNTERS = {
+    verdicts.Ran: metric_names.REQUESTS_RAN,
+    verdicts.NotRun: metric_names.REQUESTS_NOT_RUN,
+    verdicts.MayHaveRun: metric_names.REQUESTS_MAY_HAVE_RUN,
+}
+_FAILED, _NOT_COUNTED = Outcome.FAILED, Outcome.NOT_COUNTED
 _KINDS = {name: metric.kind for name, metric in metric_names.METRICS.items()}
 
 
@@ -102,16 +108,10 @@
         latency_us : int
             From the whole request to the whole answer.
         """
-        match answer.verdict:
-            case verdicts.Ran():
-                self.count(metric_names.REQUESTS_RAN)
-            case verdicts.NotRun():
-                self.count(metric_names.REQUESTS_NOT_RUN)
-            case verdicts.MayHaveRun():
-                self.count(metric_names.REQUESTS_MAY_HAVE_RUN)
+        self.totals[_VERDICT_COUNTERS[type(answer.verdict)]] += 1
         self.timing(metric_names.REQUEST_TIME, latency_us / 1000)
         outcome = counts.classify_answer(answer)
-        if outcome is not Outcome.NOT_COUNTED:
+        if outcome is not _NOT_COUNTED:
             self._add_outcome(service, outcome, latency_us)
 
     def upstream_served(self, service: str, latency_us: int) -> None:
@@ -207,13 +207,14 @@
             gauges=dict(self.gauges),
             minutes=tuple(self.by_period.minutes),
             hours=tuple(self.by_period.hours),
+            days=tuple(self.by_period.days),
         )
 
     def _add_outcome(self, service: str, outcome: Outcome, latency_us: int) -> None:
         found = counts.find_current(self.by_period, service)
         if found is None:
             return
-        if outcome is Outcome.FAILED:
+        if outcome is _FAILED:
             found.failed += 1
             return
         found.succeeded += 1
--- a/fuchsiamoor/daemon/metrics_test.py
+++ b/fuchsiamoor/daemon/metrics_test.py
@@ -122,10 +122,14 @@
     snapshot = made.snapshot("a", "stock", "almaty-1")
     assert len(snapshot.minutes) == counts.MINUTES_KEPT
     assert len(snapshot.hours) == counts.HOURS_KEPT
+    assert len(snapshot.days) == counts.DAYS_KEPT
+    days = [day.services["stock"].succeeded for day in snapshot.days]
+    assert days == [1440] * 30 + [1439]
     full = {hour.services["stock"].succeeded for hour in snapshot.hours[:-1]}
     assert full == {60}
     assert snapshot.hours[-1].services["stock"].succeeded == 59
-    assert all(not hour.services["stock"].latency for hour in snapshot.hours)
+    periods = snapshot.hours + snapshot.days
+    assert not any(period.services["stock"].latency for period in periods)
     assert codec.decode(counts.CountsSnapshot, codec.encode(snapshot)) == snapshot
 
 
--- a/fuchsiamoor/reports/burn.py
+++ b/fuchsiamoor/reports/burn.py
@@ -11,9 +11,8 @@
 
 from fuchsiamoor.core.configuration import Objective
 from fuchsiamoor.reports import merged
-from fuchsiamoor.reports.counts import HOUR_MS, MINUTE_MS, ServiceCounts
+from fuchsiamoor.reports.counts import DAY_MS, HOUR_MS, MINUTE_MS, ServiceCounts
 
-DAY_MS = 24 * HOUR_MS
 MINUTE_WINDOWS_MS = {"5m": 5 * MINUTE_MS, "30m": 30 * MINUTE_MS, "1h": HOUR_MS}
 HOUR_WINDOWS_MS = {"6h": 6 * HOUR_MS, "3d": 3 * DAY_MS}
 WINDOWS_MS = MINUTE_WINDOWS_MS | HOUR_WINDOWS_MS
@@ -96,12 +95,12 @@
         name: _sum_since(found.minutes, end_ms - span_ms)
         for name, span_ms in MINUTE_WINDOWS_MS.items()
     }
-    # An hour holds whole minutes only, so that the current minute is added to it.
+    # Hours and days hold past minutes only, so that the current minute is added.
     current = found.minutes.get(history.latest_ms, ServiceCounts())
     for name, span_ms in HOUR_WINDOWS_MS.items():
         past = _sum_since(found.hours, end_ms - span_ms - HOUR_MS + 1)
         by_window[name] = merged.sum_counts([past, current])
-    whole = merged.sum_counts([*found.hours.values(), current])
+    whole = merged.sum_counts([*found.days.values(), current])
     counted_ms = end_ms - history.oldest_since_ms if history.latest_ms else 0
     window_ms = objective.window_days * DAY_MS
     span_ratio = min(counted_ms / window_ms, 1.0)
--- a/fuchsiamoor/reports/codec.py
+++ b/fuchsiamoor/reports/codec.py
@@ -2,7 +2,7 @@
 
 import functools
 import json
-from dataclasses import fields, is_dataclass
+from dataclasses import is_dataclass
 from typing import TypeVar
 
 import pydantic
@@ -13,27 +13,9 @@
 T = TypeVar("T")
 
 
-def to_plain(value: object) -> object:
-    """Return typed data as dictionaries, lists and scalars."""
-    if is_dataclass(value):
-        return {
-            item.name: to_plain(getattr(value, item.name)) for item in fields(value)
-        }
-    if hasattr(value, "_asdict"):
-        return {name: to_plain(part) for name, part in value._asdict().items()}
-    match value:
-        case dict():
-            return {str(name): to_plain(part) for name, part in value.items()}
-        case list() | tuple():
-            return [to_plain(part) for part in value]
-        case set() | frozenset():
-            return sorted(to_plain(part) for part in value)
-    return value
-
-
 def encode(value: object) -> bytes:
-    """Return typed data as JSON."""
-    return json.dumps(to_plain(value), ensure_ascii=False).encode()
+    """Return typed data as JSON: data classes and named tuples as objects."""
+    return _encode(value).encode()
 
 
 def decode(kind: type[T], text: bytes) -> T:
@@ -61,3 +43,22 @@
 @functools.cache
 def _adapter(kind: type) -> pydantic.TypeAdapter:
     return pydantic.TypeAdapter(kind)
+
+
+def _encode(value: object) -> str:
+    if is_dataclass(value):
+        return _adapter(type(value)).dump_json(value).decode()
+    if hasattr(value, "_asdict"):
+        return _encode(value._asdict())
+    match value:
+        case dict():
+            parts = [
+                f"{json.dumps(str(name))}: {_encode(part)}"
+                for name, part in value.items()
+            ]
+            return "{" + ", ".join(parts) + "}"
+        case list() | tuple():
+            return "[" + ", ".join(_encode(part) for part in value) + "]"
+        case set() | frozenset():
+            return _encode(sorted(value))
+    return json.dumps(value, ensure_ascii=False)
--- a/fuchsiamoor/reports/counts.py
+++ b/fuchsiamoor/reports/counts.py
@@ -1,11 +1,11 @@
-"""Counts by minute and by hour, kept in a daemon's memory for the reports.
+"""Counts by minute, hour and day, kept in a daemon's memory for the reports.
 
-A minute holds everything; an hour holds the totals without latencies. What a daemon
-counted is lost with it, which the reports say.
+A minute holds everything; hours and days hold the totals without latencies. What a
+daemon counted is lost with it, which the reports say.
 """
 
 from collections import deque
-from dataclasses import dataclass, field, fields
+from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import NamedTuple
 
@@ -16,8 +16,10 @@
 
 MINUTE_MS = 60_000
 HOUR_MS = 60 * MINUTE_MS
+DAY_MS = 24 * HOUR_MS
 MINUTES_KEPT = 60
-HOURS_KEPT = 31 * 24
+HOURS_KEPT = 3 * 24 + 1
+DAYS_KEPT = 31
 MAX_SERVICES = 64
 FIRST_SERVER_ERROR_STATUS = 500
 
@@ -41,6 +43,9 @@
     NOT_COUNTED = "not-counted"
 
 
+_SUCCEEDED, _FAILED = Outcome.SUCCEEDED, Outcome.FAILED
+
+
 @dataclass(slots=True)
 class ServiceCounts:
     """Counts of one service in one period.
@@ -73,7 +78,7 @@
 
 @dataclass(slots=True)
 class Period:
-    """Counts of one minute or hour, by service.
+    """Counts of one minute, hour or day, by service.
 
     Parameters
     ----------
@@ -97,13 +102,15 @@
     ----------
     since_ms : int
         Unix time of the daemon's start.
-    minutes, hours : deque of Period
-        Oldest first; the last one of each is current.
+    minutes, hours, days : deque of Period
+        Oldest first; the last one of each is current. Hours and days hold whole minutes
+        only.
     """
 
     since_ms: int
     minutes: deque[Period]
     hours: deque[Period]
+    days: deque[Period]
 
 
 class CountsSnapshot(NamedTuple):
@@ -117,6 +124,7 @@
     gauges: dict[str, float]
     minutes: tuple[Period, ...]
     hours: tuple[Period, ...]
+    days: tuple[Period, ...]
 
 
 def classify_answer(answer: Answer) -> Outcome:
@@ -131,18 +139,18 @@
     """
     match answer.verdict:
         case verdicts.Ran():
-            failed = answer.status >= FIRST_SERVER_ERROR_STATUS
-            return Outcome.FAILED if failed else Outcome.SUCCEEDED
+            return _SUCCEEDED if answer.status < FIRST_SERVER_ERROR_STATUS else _FAILED
         case verdicts.NotRun(reason) | verdicts.MayHaveRun(reason):
-            return Outcome.NOT_COUNTED if reason in _NOT_COUNTED else Outcome.FAILED
+            return Outcome.NOT_COUNTED if reason in _NOT_COUNTED else _FAILED
 
 
 def make_counts(now_ms: int) -> Counts:
     """Return empty counts that begin at a Unix time."""
     return Counts(
         since_ms=now_ms,
-        minutes=deque([Period(now_ms - now_ms % MINUTE_MS)], MINUTES_KEPT),
-        hours=deque([Period(now_ms - now_ms % HOUR_MS)], HOURS_KEPT),
+        minutes=deque([Period(_begin(now_ms, MINUTE_MS))], MINUTES_KEPT),
+        hours=deque([Period(_begin(now_ms, HOUR_MS))], HOURS_KEPT),
+        days=deque([Period(_begin(now_ms, DAY_MS))], DAYS_KEPT),
     )
 
 
@@ -166,28 +174,40 @@
     data_centres_out : frozenset of str
         In the configuration in force.
     """
-    minute_ms = now_ms - now_ms % MINUTE_MS
+    minute_ms = _begin(now_ms, MINUTE_MS)
     if minute_ms > counts.minutes[-1].start_ms:
-        _fold(counts.minutes[-1], counts.hours[-1])
+        for longer in (counts.hours[-1], counts.days[-1]):
+            _fold(counts.minutes[-1], longer)
         counts.minutes.append(Period(minute_ms))
-    hour_ms = now_ms - now_ms % HOUR_MS
-    if hour_ms > counts.hours[-1].start_ms:
-        counts.hours.append(Period(hour_ms))
+    for periods, length_ms in ((counts.hours, HOUR_MS), (counts.days, DAY_MS)):
+        start_ms = _begin(now_ms, length_ms)
+        if start_ms > periods[-1].start_ms:
+            periods.append(Period(start_ms))
     counts.minutes[-1].data_centres_out |= data_centres_out
 
 
+def add_totals(into: ServiceCounts, other: ServiceCounts) -> None:
+    """Add the counts of one service to another's, but for latencies."""
+    into.succeeded += other.succeeded
+    into.failed += other.failed
+    into.slow += other.slow
+    into.served += other.served
+    into.moved_planned += other.moved_planned
+    into.moved_unplanned += other.moved_unplanned
+    into.unavailable_shard_ms += other.unavailable_shard_ms
+
+
 def add_service_counts(into: ServiceCounts, other: ServiceCounts) -> None:
     """Add the counts of one service to another's."""
-    for item in fields(ServiceCounts):
-        if item.name != "latency":
-            total = getattr(into, item.name) + getattr(other, item.name)
-            setattr(into, item.name, total)
+    add_totals(into, other)
     histogram.add(into.latency, other.latency)
 
 
-def _fold(minute: Period, hour: Period) -> None:
-    hour.data_centres_out |= minute.data_centres_out
+def _begin(now_ms: int, length_ms: int) -> int:
+    return now_ms - now_ms % length_ms
+
+
+def _fold(minute: Period, longer: Period) -> None:
+    longer.data_centres_out |= minute.data_centres_out
     for service, found in minute.services.items():
-        into = hour.services.setdefault(service, ServiceCounts())
-        add_service_counts(into, found)
-        into.latency = {}
+        add_totals(longer.services.setdefault(service, ServiceCounts()), found)
--- a/fuchsiamoor/reports/histogram.py
+++ b/fuchsiamoor/reports/histogram.py
@@ -20,8 +20,11 @@
     >>> [find_bucket(latency_us) for latency_us in (0, 7, 8, 16, 17, 1000)]
     [0, 7, 8, 16, 16, 63]
     """
-    latency_us = min(max(latency_us, 0), MAX_LATENCY_US)
-    shift = max(latency_us.bit_length() - SUB_BUCKET_BITS - 1, 0)
+    if latency_us > MAX_LATENCY_US:
+        latency_us = MAX_LATENCY_US
+    shift = latency_us.bit_length() - SUB_BUCKET_BITS - 1
+    if shift <= 0:
+        return latency_us if latency_us > 0 else 0
     return (shift << SUB_BUCKET_BITS) + (latency_us >> shift)
 
 
--- a/fuchsiamoor/reports/merged.py
+++ b/fuchsiamoor/reports/merged.py
@@ -1,5 +1,6 @@
 """Counts of many daemons added up by service and time."""
 
+from collections import defaultdict
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 from typing import NamedTuple
@@ -14,7 +15,7 @@
 
     Parameters
     ----------
-    minutes, hours : dict of int to ServiceCounts
+    minutes, hours, days : dict of int to ServiceCounts
         By the Unix time at which the period begins, in milliseconds.
     served_by_instance : dict of str to int
         Requests that each upstream ran in the minutes kept.
@@ -22,6 +23,7 @@
 
     minutes: dict[int, ServiceCounts] = field(default_factory=dict)
     hours: dict[int, ServiceCounts] = field(default_factory=dict)
+    days: dict[int, ServiceCounts] = field(default_factory=dict)
     served_by_instance: dict[str, int] = field(default_factory=dict)
 
 
@@ -48,27 +50,27 @@
 
 def merge(snapshots: Sequence[CountsSnapshot]) -> History:
     """Add up the counts of daemons."""
-    services: dict[str, ServiceHistory] = {}
+    services: dict[str, ServiceHistory] = defaultdict(ServiceHistory)
     out_by_minute: dict[int, frozenset[str]] = {}
     for snapshot in snapshots:
-        own = services.setdefault(snapshot.service, ServiceHistory())
-        own.served_by_instance.setdefault(snapshot.instance, 0)
+        services[snapshot.service].served_by_instance[snapshot.instance] = 0
         for minute in snapshot.minutes:
             out = out_by_minute.get(minute.start_ms, frozenset())
             out_by_minute[minute.start_ms] = out | minute.data_centres_out
-            for service, found in minute.services.items():
-                history = services.setdefault(service, ServiceHistory())
-                if found.served:
-                    served = history.served_by_instance
-                    total = served.get(snapshot.instance, 0) + found.served
-                    served[snapshot.instance] = total
-        for minute, service, found in _list_counts(snapshot.minutes):
-            _add(services[service].minutes, minute.start_ms, found)
-        for hour, service, found in _list_counts(snapshot.hours):
-            history = services.setdefault(service, ServiceHistory())
-            _add(history.hours, hour.start_ms, found)
+    for snapshot in snapshots:
+        for start_ms, service, found in _list_counts(snapshot.minutes):
+            history = services[service]
+            _add(history.minutes, start_ms, found)
+            if found.served:
+                served = history.served_by_instance
+                total = served.get(snapshot.instance, 0) + found.served
+                served[snapshot.instance] = total
+        for start_ms, service, found in _list_counts(snapshot.hours):
+            _add(services[service].hours, start_ms, found)
+        for start_ms, service, found in _list_counts(snapshot.days):
+            _add(services[service].days, start_ms, found)
     return History(
-        services=services,
+        services=dict(services),
         out_by_minute=out_by_minute,
         latest_ms=max(out_by_minute, default=0),
         oldest_since_ms=min((found.since_ms for found in snapshots), default=0),
@@ -86,10 +88,10 @@
 
 def _list_counts(
     periods: Iterable[Period],
-) -> Iterable[tuple[Period, str, ServiceCounts]]:
+) -> Iterable[tuple[int, str, ServiceCounts]]:
     for period in periods:
         for service, found in period.services.items():
-            yield period, service, found
+            yield period.start_ms, service, found
 
 
 def _add(into: dict[int, ServiceCounts], start_ms: int, found: ServiceCounts) -> None:
