--- a/fuchsiamoor/testing/ownership_schedules.py
+++ b/fuchsiamoor/testing/ownership_schedules.py
@@ -21,31 +21,41 @@
 
 TICK_MS = 50
 CALL_TIMEOUT_MS = 300
-RUN_MS = 100
-TIMING = settings.Timing(drift_ratio=0.04)
-PLACES = ("almaty-1", "almaty-2", "astana-1", "astana-2", "almaty-1")
+RUN_MS = 1_500
+TIMING = settings.Timing(drift_ratio=0.2)
+PLACES = ("almaty-1", "almaty-2", "astana-1", "astana-2") * 2
 
 
 class Kill(NamedTuple):
-    """The daemon on a slot ends; another starts later."""
+    """The daemons on some slots end; others start there later."""
 
-    slot: int
+    slots: frozenset[int]
     restart_after_ms: int
 
 
-class Pause(NamedTuple):
-    """The daemon on a slot stands still, its clock does not."""
+class Claim(NamedTuple):
+    """A second daemon, at another address, takes a slot's instance for its own."""
 
     slot: int
+
+
+class Pause(NamedTuple):
+    """The daemons on some slots stand still, their clocks do not."""
+
+    slots: frozenset[int]
     duration_ms: int
 
 
 class Cut(NamedTuple):
-    """Slots in ``slots`` reach no others; with ``store`` they lose it, too."""
+    """Slots in ``slots`` do not reach ``others``; with ``store`` they lose it, too.
+
+    Without ``others`` they reach nobody outside.
+    """
 
     slots: frozenset[int]
     store: bool
     duration_ms: int
+    others: frozenset[int] = frozenset()
 
 
 class StoreDown(NamedTuple):
@@ -66,6 +76,14 @@
     duration_ms: int
 
 
+class Slow(NamedTuple):
+    """Messages to a slot arrive late."""
+
+    slot: int
+    delay_ms: int
+    duration_ms: int
+
+
 class Leave(NamedTuple):
     """The member on a slot wants to hand everything over, then stays again."""
 
@@ -80,6 +98,13 @@
     duration_ms: int
 
 
+class Hold(NamedTuple):
+    """An override holds everything to one instance, then is taken back."""
+
+    slot: int
+    duration_ms: int
+
+
 class Heat(NamedTuple):
     """One key becomes hot, then cools."""
 
@@ -87,7 +112,20 @@
     duration_ms: int
 
 
-Fault = Kill | Pause | Cut | StoreDown | StoreMute | Lossy | Leave | TakeOut | Heat
+Fault = (
+    Kill
+    | Claim
+    | Pause
+    | Cut
+    | StoreDown
+    | StoreMute
+    | Lossy
+    | Slow
+    | Leave
+    | TakeOut
+    | Hold
+    | Heat
+)
 Schedule = list[tuple[int, Fault]]
 
 
@@ -130,7 +168,6 @@
 
     source: random.Random
     now_ms: int = 0
-    checked_ms: int = 0
     queue: list = field(default_factory=list)
     sequence: int = 0
     nodes: list[Node] = field(default_factory=list)
@@ -146,7 +183,7 @@
     faults: list[tuple[int, Fault]] = field(default_factory=list)
     runs: dict[int, dict[str, int]] = field(default_factory=dict)
     stamps_from_receipt: bool = False
-    log: list[str] = field(default_factory=list)
+    observe: Callable[[int, str, object], None] | None = None
 
 
 def make_world(seed: int, size: int = 5, checks_grants: bool = True) -> World:
@@ -175,9 +212,17 @@
         action()
         if checks:
             _check_runs(world)
+        if world.observe is not None:
+            world.observe(world.now_ms, "", list_served(world))
     return world
 
 
+def find_coordinator(world: World) -> int | None:
+    """Return the slot whose daemon coordinates, None if there is none."""
+    slots = [node.slot for node in world.nodes if node.alive and node.coordinator]
+    return slots[0] if slots else None
+
+
 def list_served(world: World) -> dict[int, list[str]]:
     """Return who serves each shard at this moment."""
     served: dict[int, list[str]] = {}
@@ -201,17 +246,24 @@
         at_ms = source.randint(0, until_ms)
         slot = source.randrange(size)
         duration_ms = source.choice((300, 700, 1_200, 2_500, 4_000))
-        slots = frozenset(source.sample(range(size), source.randint(1, size // 2)))
+        slots = frozenset(
+            source.sample(range(size), source.choice((1, 1, 1, size // 2, size)))
+        )
         fault = source.choice(
             (
-                Kill(slot, source.choice((0, 300, 2_000, 5_000))),
-                Pause(slot, duration_ms),
+                Kill(slots, source.choice((0, 300, 2_000, 5_000))),
+                Kill(frozenset({slot}), source.choice((0, 300, 2_000, 5_000))),
+                Pause(slots, duration_ms),
+                Claim(slot),
                 Cut(slots, source.random() < 0.5, duration_ms),
+                Cut(slots, False, duration_ms, frozenset({source.randrange(size)})),
                 StoreDown(duration_ms),
                 StoreMute(duration_ms),
                 Lossy(duration_ms),
+                Slow(slot, source.choice((200, 1_000, 2_000)), duration_ms),
                 Leave(slot, duration_ms),
                 TakeOut(source.choice(PLACES), duration_ms),
+                Hold(slot, duration_ms),
                 Heat(source.randrange(1 << 64), duration_ms),
             )
         )
@@ -241,10 +293,13 @@
     action()
 
 
-def _start(world: World, slot: int, checks_grants: bool) -> None:
+def _start(world: World, slot: int, checks_grants: bool, host: str = "") -> None:
     instance = f"i{slot}"
+    host = host or instance
     before = world.registered.get(instance)
-    replaces = (before.member_id, *before.replaces)[:16] if before else ()
+    replaces = ()
+    if before is not None and before.peer_address.host == host:
+        replaces = (before.member_id, *before.replaces)[:16]
     world.version += 1
     member = builders.make_member(
         instance,
@@ -253,13 +308,14 @@
         registered_version=world.version,
         checks_grants=checks_grants,
         replaces=replaces,
+        host=host,
     )
     world.registered[instance] = member
-    half = TIMING.drift_ratio / 2
+    drift = TIMING.drift_ratio
     node = Node(
         member,
         slot,
-        world.source.uniform(1 - half, 1 + half),
+        world.source.uniform(1 - drift, 1 + drift),
         world.source.randrange(1_000_000),
         holder.make_holder(member.member_id, builders.DOMAIN, TIMING),
     )
@@ -328,20 +384,31 @@
 
 def _is_cut(world: World, first: int, second: int) -> bool:
     return any(
-        (first in fault.slots) != (second in fault.slots)
+        _separates(fault, first, second) or _separates(fault, second, first)
         for fault in _list_active(world, Cut)
     )
 
 
+def _separates(fault: Cut, first: int, second: int) -> bool:
+    if first not in fault.slots or second in fault.slots:
+        return False
+    return not fault.others or second in fault.others
+
+
 def _send(world: World, source: Node, target: Node, action: Callable) -> None:
     if source.slot != target.slot and _is_cut(world, source.slot, target.slot):
         return
     copies, longest_ms = 1, 12
     if _list_active(world, Lossy) and source.slot != target.slot:
         copies = world.source.choice((0, 1, 1, 1, 2))
-        longest_ms = world.source.choice((12, 100, 600))
+        longest_ms = world.source.choice((12, 100, 700, 1_500))
+    late_ms = sum(
+        fault.delay_ms
+        for fault in _list_active(world, Slow)
+        if fault.slot == target.slot
+    )
     for _ in range(copies):
-        delay_ms = world.source.randint(0, longest_ms)
+        delay_ms = late_ms + world.source.randint(0, longest_ms)
         _at(world, world.now_ms + delay_ms, lambda: _on_node(world, target, action))
 
 
@@ -531,7 +598,11 @@
     acting = node.coordinator
     if acting is None:
         return
-    for action in coordinators.handle(acting, event, _clock(world, node)):
+    actions = coordinators.handle(acting, event, _clock(world, node))
+    if world.observe is not None:
+        for seen in (event, *actions):
+            world.observe(world.now_ms, node.member.member_id, seen)
+    for action in actions:
         _carry_out(world, node, acting, action)
 
 
@@ -647,21 +718,33 @@
 
 def _strike(world: World, fault: Fault) -> None:
     world.faults.append((world.now_ms, fault))
+    if world.observe is not None:
+        world.observe(world.now_ms, "", fault)
     match fault:
-        case Kill(slot, restart_after_ms):
-            node = world.slots[slot]
-            if node is not None and node.alive:
-                node.alive = False
-                checks = node.member.checks_grants
-                at_ms = world.now_ms + restart_after_ms
-                _at(world, at_ms, lambda: _start(world, slot, checks))
-        case Pause(slot, duration_ms):
-            _pause(world, world.slots[slot], duration_ms)
-        case TakeOut():
+        case Kill(slots, restart_after_ms):
+            for slot in slots:
+                _kill(world, slot, restart_after_ms)
+        case Claim(slot):
+            checks = world.slots[slot].member.checks_grants
+            _start(world, slot, checks, host=f"other-{world.version}")
+        case Pause(slots, duration_ms):
+            for slot in slots:
+                _pause(world, world.slots[slot], duration_ms)
+        case TakeOut() | Hold():
             _configure(world)
             _at(world, world.now_ms + fault.duration_ms, lambda: _configure(world))
 
 
+def _kill(world: World, slot: int, restart_after_ms: int) -> None:
+    ended = [node for node in world.nodes if node.slot == slot and node.alive]
+    for node in ended:
+        node.alive = False
+    if ended:
+        checks = ended[-1].member.checks_grants
+        at_ms = world.now_ms + restart_after_ms
+        _at(world, at_ms, lambda: _start(world, slot, checks))
+
+
 def _pause(world: World, node: Node, duration_ms: int) -> None:
     node.paused_until_ms = max(node.paused_until_ms, world.now_ms + duration_ms)
 
@@ -677,8 +760,16 @@
 
 def _configure(world: World) -> None:
     out = frozenset(fault.data_centre for fault in _list_active(world, TakeOut))
+    held = tuple(
+        configurations.Override(
+            "stock", "", "", configurations.HoldToInstance(f"i{fault.slot}")
+        )
+        for fault in _list_active(world, Hold)
+    )
     world.configuration = world.configuration._replace(
-        revision=world.configuration.revision + 1, data_centres_out=out
+        revision=world.configuration.revision + 1,
+        data_centres_out=out,
+        overrides=held,
     )
     event = events.ConfigurationChanged(world.configuration)
     for node in world.nodes:
