--- a/fuchsiamoor/documents/apply_test.py
+++ b/fuchsiamoor/documents/apply_test.py
@@ -70,11 +70,16 @@
     return asyncio.run(apply.apply_document(store, based_on, apply_id, document))
 
 
+def _check(result, expected):
+    """Compare kinds too: tuples of two kinds with the same fields are equal."""
+    assert (type(result), result) == (type(expected), expected)
+
+
 def test_applies_rise_by_one_and_repeat_safely():
     store = FakeStore()
-    assert _apply(store, 0, "a", _document(1)) == apply.Applied(1)
-    assert _apply(store, 1, "b", _document(2)) == apply.Applied(2)
-    assert _apply(store, 0, "a", _document(1)) == apply.Applied(1)
+    _check(_apply(store, 0, "a", _document(1)), apply.Applied(1))
+    _check(_apply(store, 1, "b", _document(2)), apply.Applied(2))
+    _check(_apply(store, 0, "a", _document(1)), apply.Applied(1))
     assert store.whole().configuration.moves_per_minute == 2
 
 
@@ -84,7 +89,7 @@
     _apply(store, 1, "dana@b", _document(2))
     result = _apply(store, 1, "c", _document(3))
     past = stored.PastApply(2, "dana@b", ("~ moves_per_minute: 1 -> 2",))
-    assert result == apply.Conflicted(2, "dana@b", (past,))
+    _check(result, apply.Conflicted(2, "dana@b", (past,)))
 
 
 def test_refusals_change_nothing():
@@ -101,14 +106,37 @@
     assert store.entry == before
 
 
+def test_a_removed_name_keeps_its_meaning():
+    store = FakeStore()
+    without = _document(tenants={}, services={})
+    other = _document(tenants={"clinics": {"home_regions": ["almaty"]}})
+    _check(_apply(store, 0, "a", _document()), apply.Applied(1))
+    _check(_apply(store, 1, "b", without), apply.Applied(2))
+    _check(_apply(store, 2, "c", without), apply.Applied(3))
+    assert isinstance(_apply(store, 3, "d", other), apply.Refused)
+    _check(_apply(store, 3, "e", _document()), apply.Applied(4))
+
+
+def test_only_the_latest_applies_are_remembered():
+    store = FakeStore()
+    for revision in range(stored.MAX_REMEMBERED_APPLIES + 1):
+        result = _apply(store, revision, f"a{revision}", _document())
+        _check(result, apply.Applied(revision + 1))
+    _check(_apply(store, 1, "a1", _document()), apply.Applied(2))
+    result = _apply(store, 0, "a0", _document())
+    assert isinstance(result, apply.Conflicted)
+    assert len(result.past_applies) == stored.MAX_REMEMBERED_APPLIES
+
+
 def test_lost_answers_are_resolved_by_reading_back():
     lost = FakeStore([OK, LOST_AFTER])
-    assert _apply(lost, 0, "a", _document(1)) == apply.Applied(1)
+    _check(_apply(lost, 0, "a", _document(1)), apply.Applied(1))
     down = FakeStore([DOWN] * 9)
-    assert _apply(down, 0, "a", _document(1)) == apply.StoreDown()
+    _check(_apply(down, 0, "a", _document(1)), apply.StoreDown())
     unknown = FakeStore([OK, LOST_AFTER] + [DOWN] * 9)
-    assert _apply(unknown, 0, "a", _document(1)) == apply.OutcomeUnknown()
-    assert _apply(FakeStore([LOST_BEFORE] * 9), 0, "a", {}) != apply.Applied(1)
+    _check(_apply(unknown, 0, "a", _document(1)), apply.OutcomeUnknown())
+    lost_before = FakeStore([OK, LOST_BEFORE] * 9)
+    _check(_apply(lost_before, 0, "a", _document(1)), apply.OutcomeUnknown())
 
 
 @given(
--- a/fuchsiamoor/reports/burn_test.py
+++ b/fuchsiamoor/reports/burn_test.py
@@ -48,6 +48,7 @@
         ([0] * 120, BurnState.WITHIN),
         ([0] * 60 + [20] * 60, BurnState.FAST),
         ([20] * 60 + [0] * 60, BurnState.WITHIN),
+        ([0] * 60 + [100] * 20 + [0] * 10, BurnState.WITHIN),
         ([7] * 360, BurnState.SLOW),
         ([2] * 4320, BurnState.STEADY),
         ([100] * 10, BurnState.FAST),
