--- a/fuchsiamoor/daemon/callers.py
+++ b/fuchsiamoor/daemon/callers.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import http
+import itertools
 import time
 import uuid
 from collections.abc import Awaitable, Callable
@@ -15,43 +16,17 @@
 from fuchsiamoor.core import verdicts
 from fuchsiamoor.core.requests import Answer, Request
 from fuchsiamoor.core.verdicts import MayHaveRun, NotRun, Reason
-from fuchsiamoor.daemon import http_headers
+from fuchsiamoor.daemon import caller_requests, http_limits
 from fuchsiamoor.routing import refusals
 
-MAX_HEAD_BYTES = 32 * 1024
-MAX_HEADERS = 100
-MAX_DEADLINE_MS = 10 * 60 * 1000
-MAX_KEY_BYTES = 1024
 READY_PATH = b"/_ready"
 
-_KEY = b"fuchsiamoor-key"
-_TENANT = b"fuchsiamoor-tenant"
-_DEADLINE = b"fuchsiamoor-deadline-ms"
-_IDEMPOTENCY_KEY = b"idempotency-key"
-_DEFAULT_TENANT = b"default"
-_OWN_NAMES = (_KEY, _TENANT, _DEADLINE, _IDEMPOTENCY_KEY)
 _BODILESS_STATUSES = (204, 304)
 _PLAIN_TEXT = (b"content-type", b"text/plain; charset=utf-8")
 
 Handle = Callable[[Request], Awaitable[Answer]]
 
 
-class Parsed(NamedTuple):
-    """A request whose body has not been read.
-
-    Parameters
-    ----------
-    request : Request
-        With an empty body.
-    body_limit_bytes : int
-    has_body : bool
-    """
-
-    request: Request
-    body_limit_bytes: int
-    has_body: bool
-
-
 class Gone(NamedTuple):
     """The caller went away."""
 
@@ -65,6 +40,9 @@
 ) -> Callable:
     """Return the ASGI app of the surface.
 
+    It runs under `http_limits.BoundedHttpProtocol`, which tells it of callers that go
+    away.
+
     Parameters
     ----------
     get_configuration : callable
@@ -77,6 +55,8 @@
     is_draining : callable
         Whether answers ask callers to close their connections.
     """
+    process_id = uuid.uuid4()
+    numbers = itertools.count(1)
 
     async def app(scope: dict, receive: Callable, send: Callable) -> None:
         if scope["type"] != "http":
@@ -84,8 +64,13 @@
         if scope["raw_path"] == READY_PATH:
             await _send_ready(send, is_ready())
             return
-        request_id = str(uuid.uuid4())
-        parsed = _parse(get_configuration(), scope, request_id, _now_ms())
+        request_id = f"{process_id}-{next(numbers)}"
+        head = caller_requests.Head(
+            scope["method"], scope["raw_path"], scope["query_string"], scope["headers"]
+        )
+        parsed = caller_requests.parse_head(
+            get_configuration(), head, request_id, _now_ms()
+        )
         if isinstance(parsed, NotRun):
             await _refuse(send, request_id, parsed)
             return
@@ -96,7 +81,8 @@
                 await _end_without_body(send, request_id, body, metrics)
                 return
             request = request._replace(body=body)
-        answer = await _handle_until_gone(handle, request, receive, parsed.has_body)
+        set_on_gone = scope["extensions"][http_limits.ON_GONE_EXTENSION]
+        answer = await _handle_until_gone(handle, request, set_on_gone)
         if isinstance(answer, Gone):
             metrics.count("requests.cancelled")
             return
@@ -113,126 +99,45 @@
     return time.monotonic_ns() // 1_000_000
 
 
-def _parse(
-    configuration: configurations.Configuration,
-    scope: dict,
-    request_id: str,
-    now_ms: int,
-) -> Parsed | NotRun:
-    """Read everything but the body."""
-    headers = scope["headers"]
-    head_bytes = sum([len(name) + len(value) for name, value in headers])
-    head_bytes += len(scope["raw_path"]) + len(scope["query_string"])
-    if head_bytes > MAX_HEAD_BYTES or len(headers) > MAX_HEADERS:
-        return _bad(
-            f"found {head_bytes} bytes in {len(headers)} headers, expected at most "
-            f"{MAX_HEAD_BYTES} in {MAX_HEADERS}"
-        )
-    own, content_length, is_chunked = _read_own_headers(headers)
-    if own is None:
-        return _bad("a header of this system is given twice")
-    try:
-        path = scope["raw_path"].decode("ascii")
-        query = scope["query_string"].decode("ascii")
-        key = own.get(_KEY, b"").decode()
-        tenant = own.get(_TENANT, _DEFAULT_TENANT).decode()
-        idempotency_key = own.get(_IDEMPOTENCY_KEY, b"").decode()
-    except UnicodeDecodeError:
-        return _bad("path or header is not UTF-8")
-    _, _, rest = path.partition("/")
-    service_name, _, below = rest.partition("/")
-    service = configuration.services.get(service_name)
-    if service is None:
-        return NotRun(Reason.UNKNOWN_SERVICE, f"no service {service_name!r:.80}")
-    if tenant not in configuration.tenants:
-        return NotRun(Reason.UNKNOWN_TENANT, f"no tenant {tenant!r:.80}")
-    if service.key_required and not key:
-        return _bad("Fuchsiamoor-Key is missing")
-    if max(map(len, own.values()), default=0) > MAX_KEY_BYTES:
-        return _bad(f"expected at most {MAX_KEY_BYTES} bytes in a header's value")
-    deadline_ms = _parse_deadline(own.get(_DEADLINE), service.default_deadline_ms)
-    if deadline_ms is None:
-        return _bad(
-            f"Fuchsiamoor-Deadline-Ms: found {own[_DEADLINE]!r:.40}, "
-            f"expected 1 to {MAX_DEADLINE_MS}"
-        )
-    limit_bytes = service.limits.body_bytes
-    if content_length > limit_bytes:
-        return NotRun(
-            Reason.BODY_TOO_LARGE,
-            f"found {content_length} bytes, expected at most {limit_bytes}",
-        )
-    request = Request(
-        request_id=request_id,
-        service=service_name,
-        tenant=tenant,
-        key=key,
-        idempotency_key=idempotency_key,
-        method=scope["method"],
-        path=f"/{below}?{query}" if query else f"/{below}",
-        headers=http_headers.keep_end_to_end(headers),
-        body=b"",
-        deadline_ms=now_ms + deadline_ms,
-        idempotent=scope["method"] in service.idempotent_methods,
-    )
-    return Parsed(request, limit_bytes, content_length > 0 or is_chunked)
-
-
-def _read_own_headers(
-    headers: list[tuple[bytes, bytes]],
-) -> tuple[dict[bytes, bytes] | None, int, bool]:
-    """Return this system's headers (None if repeated), the length, and if chunked."""
-    own: dict[bytes, bytes] = {}
-    content_length = 0
-    is_chunked = False
-    for name, value in headers:
-        if name in _OWN_NAMES:
-            if name in own:
-                return None, 0, False
-            own[name] = value
-        elif name == b"content-length":
-            content_length = int(value) if value.isdigit() else 0
-        elif name == b"transfer-encoding":
-            is_chunked = True
-    return own, content_length, is_chunked
-
-
-def _parse_deadline(value: bytes | None, default_ms: int) -> int | None:
-    if value is None:
-        return default_ms
-    if not value.isdigit() or len(value) > 9:
-        return None
-    deadline_ms = int(value)
-    return deadline_ms if 0 < deadline_ms <= MAX_DEADLINE_MS else None
-
-
-def _bad(detail: str) -> NotRun:
-    return NotRun(Reason.BAD_REQUEST, detail)
-
-
-async def _read_body(receive: Callable, parsed: Parsed) -> bytes | NotRun | Gone:
+async def _read_body(
+    receive: Callable, parsed: caller_requests.Parsed
+) -> bytes | NotRun | Gone:
     """Read the body within its limit and the request's deadline."""
-    loop = asyncio.get_running_loop()
+    reading = asyncio.current_task()
+    is_late = False
+
+    def expire() -> None:
+        nonlocal is_late
+        is_late = True
+        reading.cancel()
+
     remaining_ms = parsed.request.deadline_ms - _now_ms()
-    parts = []
-    size_bytes = 0
+    loop = asyncio.get_running_loop()
+    timer = loop.call_later(max(remaining_ms, 0) / 1000, expire)
     try:
-        async with asyncio.timeout_at(loop.time() + remaining_ms / 1000):
-            while True:
-                event = await receive()
-                if event["type"] == "http.disconnect":
-                    return Gone()
-                parts.append(event.get("body", b""))
-                size_bytes += len(parts[-1])
-                if size_bytes > parsed.body_limit_bytes:
-                    return NotRun(
-                        Reason.BODY_TOO_LARGE,
-                        f"expected at most {parsed.body_limit_bytes} bytes",
-                    )
-                if not event.get("more_body", False):
-                    return b"".join(parts)
-    except TimeoutError:
+        return await _gather_body(receive, parsed.body_limit_bytes)
+    except asyncio.CancelledError:
+        if not is_late:
+            raise
+        reading.uncancel()
         return NotRun(Reason.DEADLINE_PASSED, "the body did not arrive in time")
+    finally:
+        timer.cancel()
+
+
+async def _gather_body(receive: Callable, limit_bytes: int) -> bytes | NotRun | Gone:
+    parts = []
+    size_bytes = 0
+    while True:
+        event = await receive()
+        if event["type"] == "http.disconnect":
+            return Gone()
+        parts.append(event["body"])
+        size_bytes += len(event["body"])
+        if size_bytes > limit_bytes:
+            return caller_requests.refuse_body(limit_bytes)
+        if not event["more_body"]:
+            return parts[0] if len(parts) == 1 else b"".join(parts)
 
 
 async def _end_without_body(
@@ -246,22 +151,18 @@
 
 
 async def _handle_until_gone(
-    handle: Handle, request: Request, receive: Callable, is_body_read: bool
+    handle: Handle, request: Request, set_on_gone: Callable
 ) -> Answer | Gone:
     """Handle a request; cancel that if the caller goes away first."""
     handling = asyncio.current_task()
     is_gone = False
 
-    async def watch() -> None:
+    def cancel() -> None:
         nonlocal is_gone
-        if not is_body_read:
-            await receive()
-        while (await receive())["type"] != "http.disconnect":
-            pass
         is_gone = True
         handling.cancel()
 
-    watcher = asyncio.create_task(watch())
+    set_on_gone(cancel)
     try:
         return await handle(request)
     except asyncio.CancelledError:
@@ -270,7 +171,7 @@
         handling.uncancel()
         return Gone()
     finally:
-        watcher.cancel()
+        set_on_gone(None)
 
 
 async def _send_ready(send: Callable, is_ready: bool) -> None:
--- a/fuchsiamoor/daemon/serving_test.py
+++ b/fuchsiamoor/daemon/serving_test.py
@@ -5,10 +5,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from fuchsiamoor.core import keys
 from fuchsiamoor.core.configuration import ColdStart, Limits
 from fuchsiamoor.core.messages import Answered, Forward
 from fuchsiamoor.core.verdicts import MayHaveRun, NotRun, Ran, Reason
-from fuchsiamoor.daemon import serving
+from fuchsiamoor.daemon import hand_over, serving
 from fuchsiamoor.ownership.holder import MayServe, NotOwner, Wait
 from fuchsiamoor.testing import requests_data, virtual_time
 from fuchsiamoor.testing.requests_data import DOMAIN, make_request
@@ -21,11 +22,12 @@
     def __init__(self, service=None, member=None, warm=True):
         self.permission = MayServe(1, 10_000)
         self.configuration = requests_data.make_configuration(service)
+        self.table = requests_data.make_table()
         self.upstream = ScriptedUpstream()
         self.member = member or requests_data.make_member()
         self.serving = serving.make_serving(
             get_configuration=lambda: self.configuration,
-            get_table=lambda domain: requests_data.make_table(),
+            get_table=lambda domain: self.table,
             own_member=lambda: self.member,
             check_serve=lambda domain, shard: self.permission,
             upstream=self.upstream,
@@ -231,6 +233,30 @@
     virtual_time.run(main())
 
 
+def test_drain_of_an_isolated_key_waits_for_runs_from_before_its_isolation():
+    async def main():
+        bench = Bench()
+        running = bench.start("r1", key="hot", in_ms=10_000)
+        await pass_ms(1)
+        own_shard = len(bench.table.owners)
+        hot = keys.hash_key(keys.KeyId("stock", "clinic", "hot"))
+        bench.table = bench.table._replace(
+            revision=bench.table.revision + 1,
+            owners=(*bench.table.owners, bench.table.owners[0]),
+            epochs=(*bench.table.epochs, bench.table.revision + 1),
+            isolated={hot: own_shard},
+        )
+        draining = asyncio.ensure_future(
+            serving.drain_shards(bench.serving, DOMAIN, [own_shard])
+        )
+        await pass_ms(1)
+        assert not draining.done()
+        await running
+        await draining
+
+    virtual_time.run(main())
+
+
 def test_drain_waits_no_longer_than_the_lease_where_grants_are_checked():
     async def main():
         bench = Bench()
@@ -289,3 +315,56 @@
         assert bench.serving.running == {}
 
     virtual_time.run(main())
+
+
+def test_slot_of_an_earlier_incarnation_is_not_used():
+    async def main():
+        cold_start = ColdStart(initial_requests=1, ramp_ms=1_000)
+        service = requests_data.make_service(cold_start=cold_start)
+        bench = Bench(service, requests_data.make_member(slots=3))
+        bench.upstream.bears(1, 3, 1_000)
+        bench.upstream.cold_since_ms = -1_000_000
+        bench.upstream.run_ms = 50
+        tasks = [bench.start(f"r{index}", key=f"k{index}") for index in range(6)]
+        await pass_ms(1)
+        earlier = bench.serving.capacity
+        for _ in range(3):
+            hand_over.release_slot(bench.serving, earlier)
+        bench.upstream.restart()
+        bench.announce("second")
+        await asyncio.wait(tasks)
+        assert bench.upstream.overfilled == []
+        assert bench.serving.capacity.in_flight == 0
+
+    virtual_time.run(main())
+
+
+def test_slot_stays_taken_while_a_run_may_go_on():
+    async def main():
+        bench = Bench(member=requests_data.make_member(slots=1))
+        bench.upstream.verdicts = [MayHaveRun(Reason.DEADLINE_PASSED)]
+        await bench.start("r1")
+        second = bench.start("r2")
+        await pass_ms(100)
+        assert bench.upstream.started == ["r1"]
+        await second
+        longest_run_ms = bench.configuration.services["stock"].longest_run_ms
+        assert virtual_time.now_ms() >= longest_run_ms
+
+    virtual_time.run(main())
+
+
+def test_upstream_that_left_takes_requests_when_it_is_back():
+    async def main():
+        bench = Bench()
+        serving.leave(bench.serving)
+        refused = bench.start("r1", key="")
+        await refused
+        assert verdict_of(refused).reason is Reason.SHUTTING_DOWN
+        serving.upstream_gone(bench.serving)
+        bench.announce("second")
+        taken = bench.start("r2", key="")
+        await taken
+        assert verdict_of(taken) == Ran()
+
+    virtual_time.run(main())
