--- a/fuchsiamoor/peers/accepted.py
+++ b/fuchsiamoor/peers/accepted.py
@@ -145,7 +145,7 @@
     sender = access.parse_offer(connection.request.headers).sender
     link = AcceptedLink(sender, connection)
     acceptor.open_links[id(link)] = link
-    writer = asyncio.create_task(_write_answers(link))
+    writer = asyncio.create_task(_write_answers(link, acceptor.metrics))
     try:
         async for frame in connection:
             for envelope in codec.decode_frame(frame):
@@ -217,12 +217,14 @@
     link.has_answers.set()
 
 
-async def _write_answers(link: AcceptedLink) -> None:
+async def _write_answers(link: AcceptedLink, metrics: object) -> None:
     try:
         while True:
             await link.has_answers.wait()
             link.has_answers.clear()
             while link.answers.waiting:
-                await link.connection.send(outbox.take_frame(link.answers))
+                frame = outbox.take_frame(link.answers)
+                metrics.count("peers.sent_bytes", len(frame))
+                await link.connection.send(frame)
     except websockets.ConnectionClosed:
         pass
--- a/fuchsiamoor/peers/dialled.py
+++ b/fuchsiamoor/peers/dialled.py
@@ -269,7 +269,7 @@
     connection: websockets_client.ClientConnection,
 ) -> None:
     reader = asyncio.create_task(_read_answers(dialler, link, connection))
-    writer = asyncio.create_task(_write_messages(link, connection))
+    writer = asyncio.create_task(_write_messages(link, connection, dialler.metrics))
     try:
         while not _is_over(link):
             done, _ = await asyncio.wait(
@@ -293,14 +293,18 @@
 
 
 async def _write_messages(
-    link: DialledLink, connection: websockets_client.ClientConnection
+    link: DialledLink,
+    connection: websockets_client.ClientConnection,
+    metrics: object,
 ) -> None:
     try:
         while True:
             await link.has_unsent.wait()
             link.has_unsent.clear()
             while link.unsent.waiting:
-                await connection.send(outbox.take_frame(link.unsent))
+                frame = outbox.take_frame(link.unsent)
+                metrics.count("peers.sent_bytes", len(frame))
+                await connection.send(frame)
     except websockets.ConnectionClosed:
         pass
 
--- a/fuchsiamoor/reports/metric_names.py
+++ b/fuchsiamoor/reports/metric_names.py
@@ -90,6 +90,7 @@
     "store.read_failed": "Failed reads of the whole state.",
     "gossip.failed": "Exchanges with a peer that failed.",
     "gossip.unreadable": "State from peers that could not be read.",
+    "peers.sent_bytes": "Bytes of frames sent to other daemons.",
     "peers.dialled": "Links opened to other daemons.",
     "peers.dial_failures": "Links that could not be opened.",
     "peers.refused": "Links refused for want of a valid peer key.",
