--- a/bench/path_whole.py
+++ b/bench/path_whole.py
@@ -1,8 +1,9 @@
 """The whole request path: callers, two daemons, their upstreams, each a process.
 
 Run with ``python -m bench.path_whole``. Callers send keyed requests to both daemons, so
-that half of the requests pass a peer link. Prints requests per second, the latency that
-the path adds to the upstream's own, and each daemon's processor time for a request.
+that half of the requests pass a peer link. Beside each line stands one for the same
+load sent to the upstreams directly. The last columns tell for each daemon how many
+cores it used, and how many it waited for because other processes had them.
 """
 
 import asyncio
@@ -15,7 +16,6 @@
 import subprocess
 import sys
 import tempfile
-import time
 from pathlib import Path
 from typing import NamedTuple
 
@@ -151,33 +151,40 @@
         await asyncio.sleep(0.1)
 
 
-def read_processor_s(process: subprocess.Popen) -> float:
-    """Return the processor time that a process has used."""
-    fields = Path(f"/proc/{process.pid}/stat").read_text().rpartition(") ")[2].split()
-    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+class Schedule(NamedTuple):
+    """A process's time on a processor, and ready but waiting for one."""
+
+    used_s: float
+    waited_s: float
+
+
+def read_schedule(process: subprocess.Popen) -> Schedule:
+    """Return how long a process has run and waited so far."""
+    used_ns, waited_ns, _ = Path(f"/proc/{process.pid}/schedstat").read_text().split()
+    return Schedule(int(used_ns) / 1e9, int(waited_ns) / 1e9)
 
 
 async def measure(instances: list[Instance], kind: str, callers: int) -> None:
     """Send for a while and print one line."""
     targets = ",".join(instance.addresses[kind] for instance in instances)
     daemons = [instance.processes[0] for instance in instances]
-    before_s = [read_processor_s(daemon) for daemon in daemons]
-    start_s = time.perf_counter()
+    before = [read_schedule(daemon) for daemon in daemons]
     far_end = path_hops.start_far_end("callers", targets, PATH, callers, DURATION_S)
     line = await asyncio.to_thread(far_end.stdout.readline)
     far_end.wait()
     load = path_load.Load(*json.loads(line))
-    took_s = time.perf_counter() - start_s
-    used_s = [
-        read_processor_s(daemon) - before
-        for daemon, before in zip(daemons, before_s, strict=True)
+    after = [read_schedule(daemon) for daemon in daemons]
+    used_s = [now.used_s - then.used_s for now, then in zip(after, before, strict=True)]
+    waited_s = [
+        now.waited_s - then.waited_s for now, then in zip(after, before, strict=True)
     ]
     requests = load.per_second * DURATION_S
-    cores = " ".join(f"{used / took_s:.2f}" for used in used_s)
+    cores = " ".join(f"{used / DURATION_S:.2f}" for used in used_s)
+    waiting = " ".join(f"{waited / DURATION_S:.2f}" for waited in waited_s)
     print(
         f"{kind:<10}{callers:>8}{load.per_second:>9.0f}{load.p50_us:>9}"
         f"{load.p99_us:>9}{load.failed:>8}{sum(used_s) / requests * 1e6:>9.0f}"
-        f"  {cores}"
+        f"  {cores:<10} {waiting}"
     )
 
 
@@ -194,7 +201,7 @@
             f"load {os.getloadavg()[0]:.1f}"
         )
         print(f"{'sent to':<10}{'callers':>8}{'req/s':>9}{'p50 us':>9}", end="")
-        print(f"{'p99 us':>9}{'failed':>8}{'us/req':>9}  cores of each daemon")
+        print(f"{'p99 us':>9}{'failed':>8}{'us/req':>9}  cores used, waited for")
         for callers in CALLERS:
             await measure(instances, "upstream", callers)
             await measure(instances, "caller", callers)
--- a/fuchsiamoor/peers/links_test.py
+++ b/fuchsiamoor/peers/links_test.py
@@ -381,3 +381,31 @@
         assert await a.call(b.member, DONE) == DONE
 
     run_pair(scenario)
+
+
+def test_idle_link_is_closed_and_dialled_again_when_needed(monkeypatch):
+    monkeypatch.setattr(dialled, "IDLE_S", 0.01)
+
+    async def scenario(a, b):
+        await a.call(b.member, DONE)
+        while b.links.acceptor.open_links:
+            await asyncio.sleep(0.005)
+        assert await a.call(b.member, DONE) == DONE
+        assert a.metrics.counts["peers.dialled"] == 2
+        assert a.metrics.counts["peers.links_lost"] == 0
+
+    run_pair(scenario)
+
+
+def test_link_with_a_call_in_flight_is_not_idle(monkeypatch):
+    monkeypatch.setattr(dialled, "IDLE_S", 0.005)
+
+    async def slowly(_sender, message):
+        await asyncio.sleep(0.05)
+        return message
+
+    async def scenario(a, b):
+        assert await a.call(b.member, DONE) == DONE
+        assert a.metrics.counts["peers.dialled"] == 1
+
+    run_pair(scenario, slowly)
