Count the upstream's lease and deadline so that a pause can only shorten them

The daemon had read its monotonic time, was stopped, and read Unix time after it woke: the difference between the two, and with it lease end and deadline, came out 6.7 s late. Ruled out: evidence of the holder (the coordinator and the voters refused it) and the upstream's checks, which were made against the late times. Change: Unix time is read before monotonic time. The start deadline that the upstream is given is also no later than the end of the lease, so that an upstream which checks no grants starts nothing that it had lying in a buffer while it was frozen.

--- a/fuchsiamoor/daemon/hand_over.py
+++ b/fuchsiamoor/daemon/hand_over.py
@@ -192,7 +192,7 @@
     """Give a request to the upstream, in the step of the loop that made the grant."""
     request = run.request
     handed = _note_hand_over(serving, run, grant, held)
-    to_unix_ms = serving.unix_ms() - handed.handed_ms
+    to_unix_ms = _read_offset_ms(serving)
     lease_until_unix_ms = grant.lease_until_ms + to_unix_ms if run.domain else 0
     verdict = MayHaveRun(Reason.CANCELLED, "cancelled while it ran")
     try:
@@ -212,10 +212,21 @@
         _settle(serving, handed, verdict)
 
 
+def _read_offset_ms(serving: Serving) -> int:
+    """Return Unix time less monotonic time, never too much.
+
+    Unix time is read first, so that a pause between the two makes the result smaller
+    and what is computed from it earlier.
+    """
+    unix_ms = serving.unix_ms()
+    return unix_ms - serving.now_ms()
+
+
 def _note_hand_over(serving: Serving, run: Run, grant: Grant, held: Capacity) -> Handed:
     now_ms = serving.now_ms()
     service = serving.get_configuration().services[run.request.service]
-    ends_by_ms = run.request.deadline_ms + service.longest_run_ms
+    start_by_ms = min(run.request.deadline_ms, grant.lease_until_ms)
+    ends_by_ms = start_by_ms + service.longest_run_ms
     if run.domain and serving.own_member().checks_grants:
         ends_by_ms = min(ends_by_ms, grant.lease_until_ms)
     _note_heat(serving, run, grant.shard)
--- a/fuchsiamoor/daemon/serving_test.py
+++ b/fuchsiamoor/daemon/serving_test.py
@@ -251,6 +251,25 @@
     virtual_time.run(main())
 
 
+def test_a_pause_while_clocks_are_read_lengthens_no_lease():
+    async def main():
+        bench = Bench()
+        paused_ms = 0
+
+        def pause_and_read_unix_ms():
+            nonlocal paused_ms
+            paused_ms += 5_000
+            return virtual_time.now_ms() + paused_ms
+
+        bench.serving.now_ms = lambda: virtual_time.now_ms() + paused_ms
+        bench.serving.unix_ms = pause_and_read_unix_ms
+        bench.permission = MayServe(1, 300)
+        await bench.start("r1", in_ms=20_000)
+        assert all(until_ms <= 300 for until_ms in bench.upstream.leases_until_ms)
+
+    virtual_time.run(main())
+
+
 def test_drain_waits_for_runs_of_unknown_ending():
     async def main():
         member = requests_data.make_member(checks_grants=False)
--- a/fuchsiamoor/daemon/upstream_client.py
+++ b/fuchsiamoor/daemon/upstream_client.py
@@ -81,8 +81,9 @@
         epoch : int
             Fencing epoch of the shard.
         lease_until_unix_ms : int
+            The upstream may start nothing after it.
         deadline_at_unix_ms : int
-            No answer is waited for after it.
+            Nor after this; no answer is waited for after it.
 
         Returns
         -------
@@ -235,9 +236,12 @@
         f"Host: {address.host}:{address.port}",
         f"Fuchsiamoor-Request-Id: {request.request_id}",
         f"Fuchsiamoor-Tenant: {request.tenant}",
-        f"Fuchsiamoor-Deadline-At-Ms: {deadline_at_unix_ms}",
     ]
     shard, epoch, lease_until_unix_ms = fence
+    start_by_unix_ms = deadline_at_unix_ms
+    if shard >= 0:
+        start_by_unix_ms = min(deadline_at_unix_ms, lease_until_unix_ms)
+    lines.append(f"Fuchsiamoor-Deadline-At-Ms: {start_by_unix_ms}")
     if request.key:
         lines.append(f"Fuchsiamoor-Key: {request.key}")
     if shard >= 0:
--- a/fuchsiamoor/daemon/upstream_client_test.py
+++ b/fuchsiamoor/daemon/upstream_client_test.py
@@ -51,6 +51,17 @@
     return run([step], scenario)
 
 
+def test_upstream_may_start_nothing_after_the_end_of_the_lease():
+    async def scenario(client, server):
+        now_ms = unix_ms()
+        lease_until_ms = now_ms + 300
+        await client.run(wire.make_request(), 3, 42, lease_until_ms, now_ms + 2000)
+        return lease_until_ms, server.requests[0]
+
+    lease_until_ms, received = run([OK], scenario)
+    assert f"Fuchsiamoor-Deadline-At-Ms: {lease_until_ms}\r\n".encode() in received
+
+
 @pytest.mark.parametrize("step", [OK, CHUNKED], ids=["length", "chunked"])
 def test_whole_answer_ran(step):
     answer, _ = run_once(step)
--- a/fuchsiamoor/testing/routing_upstream.py
+++ b/fuchsiamoor/testing/routing_upstream.py
@@ -23,6 +23,8 @@
         Request ids.
     overfilled : list of str
         Requests that came when more ran already than a cold upstream bears.
+    leases_until_ms : list of int
+        Ends of the leases, in Unix time, that the requests came under.
     """
 
     run_ms: int = 10
@@ -30,6 +32,7 @@
     started: list[str] = field(default_factory=list)
     cancelled: list[str] = field(default_factory=list)
     overfilled: list[str] = field(default_factory=list)
+    leases_until_ms: list[int] = field(default_factory=list)
     counters: Counter[str] = field(default_factory=Counter)
     running: set[str] = field(default_factory=set)
     initial: int = 1_000
@@ -64,6 +67,7 @@
     ) -> Answer:
         """Run a request as told."""
         request_id = request.request_id
+        self.leases_until_ms.append(lease_until_unix_ms)
         if self.verdicts:
             self.started.append(request_id)
             return refusals.make_refusal(request_id, self.verdicts.pop(0))
