Break links of the coordinator and of another owner in the tests

Which role the cut daemon had was left to chance. The cause is with the daemons: an owner that renews over its own outgoing links keeps its shards while nobody reaches it, and a coordinator that hears no renewals takes all other members for lost.

The demonstration also closes its callers when a step fails.

--- a/standins/demo.py
+++ b/standins/demo.py
@@ -92,10 +92,10 @@
     started = await deployment.start_deployment(example, directory, upstreams)
     try:
         elapsed_ms = programs.monotonic_ms() - began_ms
-        names = list(started.instances)
-        print(f"started a store and {len(names)} upstreams, each with its daemon")
+        count = len(started.instances)
+        print(f"started a store and {count} upstreams, each with its daemon")
         print(f"  ready after {elapsed_ms:.0f} ms, files in {directory}", flush=True)
-        held = await _demonstrate(started, example, names)
+        held = await _demonstrate(started, example)
     finally:
         await deployment.stop_deployment(started)
     print("checking the upstreams' journals against the callers' records")
@@ -105,21 +105,32 @@
     return status if held else 1
 
 
-async def _demonstrate(
-    started: deployment.Deployment, example: dict, names: list[str]
-) -> bool:
+async def _demonstrate(started: deployment.Deployment, example: dict) -> bool:
+    """Send to two services at once while instances come and go."""
     urls = list(deployment.list_urls(started).values())
     plans = [_make_plan(example, "stock"), _make_plan(example, "booking", keyless=True)]
-    callers = [
+    senders = [
         caller.make_caller(
             plan, urls, started.directory / f"caller-{plan.service}.jsonl"
         )
         for plan in plans
     ]
-    began_ms = programs.monotonic_ms()
-    for sender in callers:
+    for sender in senders:
         caller.start(sender)
-    stock = callers[0]
+    try:
+        held = await _lose_and_stop(started, *senders)
+    finally:
+        summaries = [await caller.stop(sender) for sender in senders]
+    for plan, summary in zip(plans, summaries, strict=True):
+        gap_ms = max(summary.longest_gaps_ms.values())
+        print(f"{plan.service}: {summary.verdicts}, longest gap {gap_ms:.0f} ms")
+    return held
+
+
+async def _lose_and_stop(
+    started: deployment.Deployment, stock: caller.Caller, booking: caller.Caller
+) -> bool:
+    began_ms = programs.monotonic_ms()
     await _wait_served(stock, 0, "every key served")
     elapsed_ms = programs.monotonic_ms() - began_ms
     print(f"every key is served, {elapsed_ms:.0f} ms after the first request")
@@ -127,14 +138,9 @@
     owners = dict(_count_owners(stock.calls))
     print(f"owners of {KEY_COUNT} keys of the stock service: {owners}", flush=True)
     lost = await _lose_owner(started, stock)
-    callers[1].urls = list(stock.urls)
+    booking.urls = list(stock.urls)
     others = [name for name in owners if name and name != lost]
-    held = await _stop_daemon(started, others[0], callers)
-    summaries = [await caller.stop(sender) for sender in callers]
-    for plan, summary in zip(plans, summaries, strict=True):
-        gap_ms = max(summary.longest_gaps_ms.values())
-        print(f"{plan.service}: {summary.verdicts}, longest gap {gap_ms:.0f} ms")
-    return held
+    return await _stop_daemon(started, others[0], [stock, booking])
 
 
 def main() -> None:
--- a/standins/whole_path_test.py
+++ b/standins/whole_path_test.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from fuchsiamoor.core import keys, members
 from standins import caller, check, deployment, programs, relay
 
 EXAMPLE = json.loads((programs.CHECKOUT / "examples" / "dala.json").read_text())
@@ -23,7 +24,11 @@
 SERVED_TIMEOUT_MS = 15_000
 
 
-RELAYED = "astana-1-stock-a"
+RELAYED = [
+    spec["instance"]
+    for spec in EXAMPLE["instances"][:UPSTREAMS]
+    if spec["service"] == SERVICE
+]
 
 
 class Shared:
@@ -43,7 +48,7 @@
         """Run a scenario under load, then the checker over all records so far."""
         if self.started is None:
             starting = deployment.start_deployment(
-                EXAMPLE, self.make_directory("deployment"), UPSTREAMS, [RELAYED]
+                EXAMPLE, self.make_directory("deployment"), UPSTREAMS, RELAYED
             )
             self.started = self.runner.run(starting)
         try:
@@ -123,11 +128,11 @@
 
 
 def test_serves_a_tenant_in_its_home_region_only(run):
-    keys = tuple(("aktobe-clinics", f"chair-{number}") for number in range(8))
+    clinics = tuple(("aktobe-clinics", f"chair-{number}") for number in range(8))
 
     async def scenario(started, name):
         inside = {"aktobe-1-stock-a"}
-        async with open_caller(started, name, keys=keys, entries=inside) as sender:
+        async with open_caller(started, name, keys=clinics, entries=inside) as sender:
             await wait_for_calls(sender)
             outside = deployment.list_urls(started).keys() - inside
             await refuse_outside(started, f"{name}-outside", outside)
@@ -135,9 +140,10 @@
         assert {call.served_by for call in sender.calls} == inside
 
     async def refuse_outside(started, name, outside):
-        sender = make_caller(started, name, entries=outside, keys=keys)
+        sender = make_caller(started, name, entries=outside, keys=clinics)
         calls = [
-            await caller.call_once(sender, tenant, key, "POST") for tenant, key in keys
+            await caller.call_once(sender, tenant, key, "POST")
+            for tenant, key in clinics
         ]
         await caller.stop(sender)
         assert {(call.verdict, call.reason) for call in calls} == {
@@ -213,13 +219,35 @@
     run(scenario)
 
 
-@pytest.mark.parametrize("mode", ["cut", "freeze"])
-@pytest.mark.parametrize("links", [["peer"], ["store"], ["peer", "store"]])
-def test_daemon_behind_a_broken_link_shares_no_key(run, mode, links):
+async def choose_victim(started, role):
+    """Return the stock domain's coordinator, or another owner."""
+    _, status = await deployment.ask_operator(started, "GET", "/v1/status")
+    domain = keys.make_domain_id(SERVICE, frozenset(HOME_REGIONS["default"]))
+    [view] = [view for view in status["domains"] if view["domain"] == domain]
+    coordinator = members.instance_of(view["coordinator"])
+    others = [name for name in view["shards_by_instance"] if name != coordinator]
+    return coordinator if role == "coordinator" else others[0]
+
+
+@pytest.mark.parametrize(
+    ("role", "links", "mode"),
+    [
+        ("coordinator", ["peer"], "cut"),
+        ("other", ["peer"], "cut"),
+        ("coordinator", ["peer"], "freeze"),
+        ("other", ["peer"], "freeze"),
+        ("coordinator", ["store"], "freeze"),
+        ("other", ["store"], "cut"),
+        ("coordinator", ["peer", "store"], "cut"),
+        ("other", ["peer", "store"], "freeze"),
+    ],
+)
+def test_daemon_behind_a_broken_link_shares_no_key(run, role, links, mode):
     async def scenario(started, name):
         async with open_caller(started, name, deadline_ms=2000) as sender:
-            sender.urls.remove(deployment.list_urls(started)[RELAYED])
-            placed = [started.relays[f"{RELAYED}/{link}"] for link in links]
+            victim = await choose_victim(started, role)
+            sender.urls.remove(deployment.list_urls(started)[victim])
+            placed = [started.relays[f"{victim}/{link}"] for link in links]
             await asyncio.gather(*(relay.set_mode(link, mode) for link in placed))
             await wait_for_every_key(sender, programs.monotonic_ms())
             await asyncio.gather(*(relay.set_mode(link, "pass") for link in placed))
