--- a/fuchsiamoor/testing/ownership_schedules.py
+++ b/fuchsiamoor/testing/ownership_schedules.py
@@ -169,6 +169,7 @@
     """Everything that exists in one run."""
 
     source: random.Random
+    timing: settings.Timing = TIMING
     now_ms: int = 0
     queue: list = field(default_factory=list)
     sequence: int = 0
@@ -188,9 +189,14 @@
     observe: Callable[[int, str, object], None] | None = None
 
 
-def make_world(seed: int, size: int = 5, checks_grants: bool = True) -> World:
+def make_world(
+    seed: int,
+    size: int = 5,
+    checks_grants: bool = True,
+    timing: settings.Timing = TIMING,
+) -> World:
     """Return a world with one daemon on each slot, before anything happens."""
-    world = World(random.Random(seed))
+    world = World(random.Random(seed), timing)
     world.configuration = builders.make_configuration(
         service=builders.make_service(longest_run_ms=RUN_MS)
     )
@@ -315,13 +321,13 @@
         host=host,
     )
     world.registered[instance] = member
-    drift = TIMING.drift_ratio
+    drift = world.timing.drift_ratio
     node = Node(
         member,
         slot if runs_on is None else runs_on,
         world.source.uniform(1 - drift, 1 + drift),
         world.source.randrange(1_000_000),
-        holder.make_holder(member.member_id, builders.DOMAIN, TIMING),
+        holder.make_holder(member.member_id, builders.DOMAIN, world.timing),
     )
     world.nodes.append(node)
     world.by_id[member.member_id] = node
@@ -555,7 +561,7 @@
         world.lease = (
             world.version,
             node.member.member_id,
-            world.now_ms + TIMING.store_lease_ms,
+            world.now_ms + world.timing.store_lease_ms,
         )
         return (world.version, world.stored, world.table_version)
 
@@ -566,7 +572,7 @@
         node.coordinator = coordinators.make_coordinator(
             builders.DOMAIN,
             node.member.member_id,
-            TIMING,
+            world.timing,
             table,
             version,
             _clock(world, node),
@@ -583,13 +589,13 @@
 def _renew_store_lease(world: World, node: Node) -> None:
     sent_ms = _clock(world, node)
     lease_id = node.store_lease
-    node.renew_due_ms = sent_ms + TIMING.store_lease_ms // 3
+    node.renew_due_ms = sent_ms + world.timing.store_lease_ms // 3
 
     def renew() -> bool:
         held, member_id, until_ms = world.lease
         if held != lease_id or world.now_ms > until_ms:
             return False
-        world.lease = (held, member_id, world.now_ms + TIMING.store_lease_ms)
+        world.lease = (held, member_id, world.now_ms + world.timing.store_lease_ms)
         return True
 
     def renewed(is_alive: bool) -> None:
