--- a/fuchsiamoor/daemon/serving_state.py
+++ b/fuchsiamoor/daemon/serving_state.py
@@ -12,6 +12,7 @@
 from fuchsiamoor.core.tables import ShardTable
 from fuchsiamoor.ownership.holder import MayServe, NotOwner, Wait
 from fuchsiamoor.routing.capacity import Capacity
+from fuchsiamoor.routing.heat import Heat
 from fuchsiamoor.routing.parking import Parking, make_parking
 from fuchsiamoor.routing.recent import Memory, make_memory
 from fuchsiamoor.routing.runs import Runs, make_runs
@@ -75,6 +76,7 @@
     request : Request
     domain : str
         Empty for a request without a key.
+    key_hash : int
     attempt : int
     fingerprint : int
         Hash of what was asked.
@@ -83,15 +85,22 @@
     task : Task or None
     handed_over : bool
         Whether the upstream may have seen it.
+    alone : bool
+        Whether it runs in the task of its own caller.
+    cancelled : bool
+        Whether that caller has gone.
     """
 
     request: Request
     domain: str
+    key_hash: int
     attempt: int
     fingerprint: int
     waiters: dict[Future[Answered], str] = field(default_factory=dict)
     task: Task[None] | None = None
     handed_over: bool = False
+    alone: bool = False
+    cancelled: bool = False
 
 
 @dataclass(slots=True)
@@ -113,6 +122,8 @@
     parking : Parking
         Requests that wait for the right to serve their shard.
     runs : Runs
+    heat : dict of str to Heat
+        By domain.
     drain_waiters : list of Future
         Set when the last run of any shard has ended.
     """
@@ -142,4 +153,5 @@
     )
     parking: Parking = field(default_factory=make_parking)
     runs: Runs = field(default_factory=make_runs)
+    heat: dict[str, Heat] = field(default_factory=dict)
     drain_waiters: list[Future[None]] = field(default_factory=list)
--- a/fuchsiamoor/daemon/starting.py
+++ b/fuchsiamoor/daemon/starting.py
@@ -5,7 +5,7 @@
 from loguru import logger
 
 from fuchsiamoor.core import configuration as configurations
-from fuchsiamoor.core import members, requests, settings
+from fuchsiamoor.core import members, requests, settings, verdicts
 from fuchsiamoor.daemon import (
     announcements,
     callers,
@@ -19,6 +19,7 @@
     ports,
     registration,
     stopping,
+    store_metrics,
     tree,
     upstream_client,
     upstream_watch,
@@ -28,6 +29,7 @@
 from fuchsiamoor.daemon import serving as servings
 from fuchsiamoor.ownership import events
 from fuchsiamoor.peers import links as peer_links
+from fuchsiamoor.routing import refusals
 from fuchsiamoor.store import http_store
 
 STORE_TIMEOUT_MS = 1_000
@@ -37,8 +39,11 @@
 
 def make_started_node(config: settings.Settings) -> nodes.Node:
     """Return a node whose parts are joined, listening nowhere yet."""
-    store = http_store.make_http_store(config.store_url, STORE_TIMEOUT_MS)
-    node = nodes.make_node(config, store, _make_metrics(config))
+    made_metrics = _make_metrics(config)
+    store = store_metrics.make_counted_store(
+        http_store.make_http_store(config.store_url, STORE_TIMEOUT_MS), made_metrics
+    )
+    node = nodes.make_node(config, store, made_metrics)
     _join_carriers(node)
     _join_sides(node)
     _join_changes(node)
@@ -107,10 +112,13 @@
         holding.refresh_holders(node)
         changed = events.ConfigurationChanged(knowledge.configuration)
         coordinating.feed_all(node, changed)
+        node.metrics.configuration_changed(knowledge.configuration)
         servings.state_changed(node.serving)
         entries.state_changed(node.entry)
 
     def on_table(domain: str) -> None:
+        table = nodes.find_table(node, domain)
+        node.metrics.table_changed(table, node.member.member_id)
         holding.adopt_table(node, domain)
         servings.state_changed(node.serving)
         entries.table_changed(node.entry, domain)
@@ -143,7 +151,17 @@
 
 def _make_caller_server(node: nodes.Node):
     async def handle(request: requests.Request) -> requests.Answer:
-        return await entries.handle(node.entry, request)
+        began_ns = time.perf_counter_ns()
+        try:
+            answer = await entries.handle(node.entry, request)
+        except Exception as error:
+            node.metrics.count("requests.failed")
+            logger.bind(request=request.request_id).error(f"handling failed: {error!r}")
+            verdict = verdicts.MayHaveRun(verdicts.Reason.LINK_LOST, "daemon fault")
+            answer = refusals.make_refusal(request.request_id, verdict)
+        elapsed_us = (time.perf_counter_ns() - began_ns) // 1000
+        node.metrics.answered(request.service, answer, elapsed_us)
+        return answer
 
     app = callers.make_caller_app(
         lambda: node.knowledge.configuration,
--- a/fuchsiamoor/daemon/tree.py
+++ b/fuchsiamoor/daemon/tree.py
@@ -20,12 +20,14 @@
     exchange,
     holding,
     http_servers,
+    operating,
     registration,
     supervisor,
     upstream_watch,
     watching,
 )
 from fuchsiamoor.daemon import node as nodes
+from fuchsiamoor.reports import metric_names
 
 METRICS_EVERY_S = 1.0
 
@@ -105,6 +107,11 @@
 
 
 async def _flush_metrics(node: nodes.Node) -> None:
+    began_ms = node.now_ms()
     while True:
         await asyncio.sleep(METRICS_EVERY_S)
+        elapsed_ms = node.now_ms() - began_ms
+        began_ms = node.now_ms()
+        node.metrics.timing(metric_names.LOOP_LAG, elapsed_ms - METRICS_EVERY_S * 1000)
+        node.metrics.observe(operating.describe_node(node), elapsed_ms)
         node.metrics.flush(time.time_ns() // 1_000_000)
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -21,7 +21,7 @@
 
 ANSWER_TIMEOUT_MS = 15_000
 NO_ANSWER = "no-answer"
-NOTHING = {"status": 0, "answer_token": None, "served_by": ""}
+NOTHING = {"reason": "", "status": 0, "answer_token": None, "served_by": ""}
 
 
 class Plan(NamedTuple):
@@ -122,6 +122,7 @@
                 verdict = response.headers.get("Fuchsiamoor-Verdict", NO_ANSWER)
                 return {
                     "verdict": verdict,
+                    "reason": response.headers.get("Fuchsiamoor-Reason", ""),
                     "status": response.status,
                     "answer_token": _find_token(body),
                     "served_by": response.headers.get("Fuchsiamoor-Served-By", ""),
@@ -167,16 +168,17 @@
 
 
 async def _send_steadily(caller: Caller) -> None:
+    """Send to all keys in turn, in an order that is new in every round."""
     plan = caller.plan
     next_ms = programs.monotonic_ms()
     while True:
-        tenant, key = caller.rng.choice(plan.keys)
-        method = caller.rng.choice(plan.methods)
-        task = asyncio.create_task(call_once(caller, tenant, key, method))
-        caller.unanswered.add(task)
-        task.add_done_callback(caller.unanswered.discard)
-        next_ms += 1000 / plan.requests_per_s
-        await asyncio.sleep(max(0, next_ms - programs.monotonic_ms()) / 1000)
+        for tenant, key in caller.rng.sample(plan.keys, len(plan.keys)):
+            method = caller.rng.choice(plan.methods)
+            task = asyncio.create_task(call_once(caller, tenant, key, method))
+            caller.unanswered.add(task)
+            task.add_done_callback(caller.unanswered.discard)
+            next_ms += 1000 / plan.requests_per_s
+            await asyncio.sleep(max(0, next_ms - programs.monotonic_ms()) / 1000)
 
 
 def make_caller(plan: Plan, urls: list[str], path: Path, seed: int = 1) -> Caller:
@@ -193,6 +195,15 @@
     caller.sending = asyncio.create_task(_send_steadily(caller))
 
 
+def find_served(caller: Caller, since_ms: float) -> dict[tuple[str, str], check.Call]:
+    """Return the first success of each key among the requests sent since a moment."""
+    served: dict[tuple[str, str], check.Call] = {}
+    for call in caller.calls:
+        if call.verdict == "ran" and call.status == 200 and call.sent_ms > since_ms:
+            served.setdefault((call.tenant, call.key), call)
+    return served
+
+
 async def stop(caller: Caller) -> Summary:
     """Send no more, wait for the answers that are due and close."""
     if caller.sending is not None:
