Tell the upstream to cancel runs of unknown ending, and free their slots at its word

Cause: nothing sent the upstream's cancel order: a cancelled run was only cut off from its connection, and its slot came free after 50 ms whether it had ended or not. Change: make_serving takes cancel_run (the client's cancel); a slot is given back once the upstream has confirmed, else after the service's longest run. Without cancel_run the longer time holds. Keys of uncertain runs are forgotten once their time has passed. The property test of cold starts took back its sign of coldness when the queue was full; it now waits until the sign was given.

--- a/fuchsiamoor/daemon/hand_over.py
+++ b/fuchsiamoor/daemon/hand_over.py
@@ -15,7 +15,6 @@
 from fuchsiamoor.routing.runs import RunKey
 
 WAIT_RECHECK_MS = 50
-CANCELLED_HOLD_MS = 50
 
 
 class Grant(NamedTuple):
@@ -44,6 +43,7 @@
 
     Parameters
     ----------
+    request_id : str
     run_key : RunKey
     held : Capacity
         Whose slot it takes.
@@ -55,6 +55,7 @@
         Time after which it can neither run nor commit in any case.
     """
 
+    request_id: str
     run_key: RunKey
     held: Capacity
     run_number: int
@@ -224,7 +225,15 @@
     run.handed_over = True
     number = capacity.note_start(held, now_ms)
     slot_until_ms = now_ms + service.longest_run_ms
-    return Handed(run_key, held, number, now_ms, slot_until_ms, ends_by_ms)
+    return Handed(
+        run.request.request_id,
+        run_key,
+        held,
+        number,
+        now_ms,
+        slot_until_ms,
+        ends_by_ms,
+    )
 
 
 def _note_heat(serving: Serving, run: Run, shard: int) -> None:
@@ -255,14 +264,15 @@
                 _restart_ramp(serving, handed)
             release_slot(serving, held)
         case MayHaveRun(reason):
-            last = runs.end_uncertain(serving.runs, handed.run_key, handed.ends_by_ms)
+            last = runs.end_uncertain(
+                serving.runs, handed.run_key, handed.ends_by_ms, now_ms
+            )
             capacity.note_other_ending(held, handed.run_number)
             if reason is Reason.UPSTREAM_LOST:
                 _restart_ramp(serving, handed)
-            hold_ms = max(handed.slot_until_ms - now_ms, 0)
-            if reason is Reason.CANCELLED:
-                hold_ms = min(hold_ms, CANCELLED_HOLD_MS)
-            _release_later(serving, held, hold_ms)
+            giving_up = asyncio.create_task(_give_up(serving, handed))
+            serving.giving_up.add(giving_up)
+            giving_up.add_done_callback(serving.giving_up.discard)
     if last:
         _wake_drains(serving)
 
@@ -272,10 +282,13 @@
         serving.metrics.count("serving.ramp_restarted")
 
 
-def _release_later(serving: Serving, held: Capacity, hold_ms: int) -> None:
-    """Give a slot back once what took it has surely ended."""
-    loop = asyncio.get_running_loop()
-    loop.call_later(hold_ms / 1000, release_slot, serving, held)
+async def _give_up(serving: Serving, handed: Handed) -> None:
+    """Cancel a run of unknown ending, and give its slot back once it has ended."""
+    confirmed = await serving.cancel_run(handed.request_id)
+    hold_ms = handed.slot_until_ms - serving.now_ms()
+    if not confirmed and hold_ms > 0:
+        await asyncio.sleep(hold_ms / 1000)
+    release_slot(serving, handed.held)
 
 
 def _wake_drains(serving: Serving) -> None:
--- a/fuchsiamoor/daemon/serving.py
+++ b/fuchsiamoor/daemon/serving.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 
 from fuchsiamoor.core import tables
 from fuchsiamoor.core.configuration import Configuration
@@ -45,6 +45,7 @@
     metrics: Metrics,
     now_ms: Callable[[], int],
     unix_ms: Callable[[], int],
+    cancel_run: Callable[[str], Awaitable[bool]] | None = None,
 ) -> Serving:
     """Return the serving side of a daemon, with no upstream announced yet.
 
@@ -63,6 +64,9 @@
         Monotonic time, in milliseconds.
     unix_ms : callable
         Unix time, in milliseconds, as the upstream reads it.
+    cancel_run : callable, optional
+        Tells the upstream that nobody waits for a request id any more; True if it
+        confirmed that the run ends.
     """
     return Serving(
         get_configuration,
@@ -73,9 +77,14 @@
         metrics,
         now_ms,
         unix_ms,
+        cancel_run or _cancel_nothing,
     )
 
 
+async def _cancel_nothing(request_id: str) -> bool:
+    return False
+
+
 def upstream_announced(
     serving: Serving, incarnation: str, slots: int, connections: int
 ) -> bool:
--- a/fuchsiamoor/daemon/serving_state.py
+++ b/fuchsiamoor/daemon/serving_state.py
@@ -1,7 +1,7 @@
 """State of the serving side of a daemon, and the ports that it is given."""
 
 from asyncio import Future, Task
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import NamedTuple, Protocol
 
@@ -124,6 +124,8 @@
     runs : Runs
     heat : dict of str to Heat
         By domain.
+    giving_up : set of Task
+        Cancellations under way at the upstream.
     drain_waiters : list of Future
         Set when the last run of any shard has ended.
     """
@@ -136,6 +138,7 @@
     metrics: Metrics
     now_ms: Callable[[], int]
     unix_ms: Callable[[], int]
+    cancel_run: Callable[[str], Awaitable[bool]]
     capacity: Capacity | None = None
     incarnation: str = ""
     leaving: bool = False
@@ -154,4 +157,5 @@
     parking: Parking = field(default_factory=make_parking)
     runs: Runs = field(default_factory=make_runs)
     heat: dict[str, Heat] = field(default_factory=dict)
+    giving_up: set[Task[None]] = field(default_factory=set)
     drain_waiters: list[Future[None]] = field(default_factory=list)
--- a/fuchsiamoor/daemon/serving_test.py
+++ b/fuchsiamoor/daemon/serving_test.py
@@ -21,6 +21,7 @@
 
     def __init__(self, service=None, member=None, warm=True):
         self.permission = MayServe(1, 10_000)
+        self.confirms = True
         self.configuration = requests_data.make_configuration(service)
         self.table = requests_data.make_table()
         self.upstream = ScriptedUpstream()
@@ -34,12 +35,16 @@
             metrics=self.upstream,
             now_ms=virtual_time.now_ms,
             unix_ms=virtual_time.now_ms,
+            cancel_run=self.cancel_run,
         )
         if warm:
             self.announce("first")
             ramp = self.serving.capacity.ramp._replace(started_ms=-1_000_000)
             self.serving.capacity.ramp = ramp
 
+    async def cancel_run(self, request_id):
+        return self.confirms and await self.upstream.cancel(request_id)
+
     def announce(self, incarnation):
         slots = self.member.slots
         serving.upstream_announced(self.serving, incarnation, slots, 130)
@@ -247,6 +252,9 @@
         )
         assert verdict_of(queued) == NotRun(Reason.CANCELLED, "cancelled before it ran")
         assert bench.upstream.cancelled == ["r1"]
+        await pass_ms(1)
+        assert bench.upstream.ordered == ["r1"]
+        assert bench.serving.capacity.in_flight == 0
 
     virtual_time.run(main())
 
@@ -340,8 +348,9 @@
                 case "cold":
                     bench.upstream.turn_cold()
                     bench.upstream.verdicts.append(NotRun(Reason.SHED))
-                    await bench.start(f"c{index}", in_ms=500)
-                    bench.upstream.verdicts.clear()
+                    while bench.upstream.verdicts:
+                        await bench.start(f"c{index}", in_ms=500, key=f"c{index}")
+                        await pass_ms(1)
         await pass_ms(2_000)
         assert bench.upstream.overfilled == []
         assert bench.serving.running == {}
@@ -374,6 +383,7 @@
 def test_slot_stays_taken_while_a_run_may_go_on():
     async def main():
         bench = Bench(member=requests_data.make_member(slots=1))
+        bench.confirms = False
         bench.upstream.verdicts = [MayHaveRun(Reason.DEADLINE_PASSED)]
         await bench.start("r1")
         second = bench.start("r2")
--- a/fuchsiamoor/routing/bounds_test.py
+++ b/fuchsiamoor/routing/bounds_test.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies as st
 
 from fuchsiamoor.core.configuration import ColdStart
-from fuchsiamoor.routing import admission, capacity, heat, parking, ramp, recent
+from fuchsiamoor.routing import admission, capacity, heat, parking, ramp, recent, runs
 from fuchsiamoor.testing import requests_data
 
 TICKETS = st.integers(0, 20)
@@ -71,6 +71,16 @@
     assert counted.keys == {}
 
 
+def test_uncertain_runs_are_forgotten_once_they_have_passed():
+    counted = runs.make_runs()
+    for now_ms in range(10_000):
+        run_key = runs.RunKey("stock@a", now_ms)
+        runs.start(counted, run_key)
+        runs.end_uncertain(counted, run_key, now_ms + 500, now_ms)
+        assert runs.compute_wait_ms(counted, run_key, now_ms) == 500
+    assert len(counted.uncertain_until_ms) <= 2 * runs.DROP_AT_COUNT
+
+
 @given(
     st.lists(
         st.tuples(
--- a/fuchsiamoor/routing/runs.py
+++ b/fuchsiamoor/routing/runs.py
@@ -10,6 +10,7 @@
 
 NO_SHARD = -1
 NO_KEY = -1
+DROP_AT_COUNT = 1_024
 
 
 class RunKey(NamedTuple):
@@ -27,10 +28,13 @@
     ----------
     counts : dict of RunKey to int
     uncertain_until_ms : dict of RunKey to int
+    drop_at_count : int
+        Number of uncertain keys at which those that have passed are dropped.
     """
 
     counts: dict[RunKey, int] = field(default_factory=dict)
     uncertain_until_ms: dict[RunKey, int] = field(default_factory=dict)
+    drop_at_count: int = DROP_AT_COUNT
 
 
 def make_runs() -> Runs:
@@ -53,23 +57,36 @@
     return True
 
 
-def end_uncertain(runs: Runs, run_key: RunKey, until_ms: int) -> bool:
+def end_uncertain(runs: Runs, run_key: RunKey, until_ms: int, now_ms: int) -> bool:
     """Count a run as ended that may go on until a time.
 
+    Times that have passed are dropped now and then.
+
     Examples
     --------
     >>> runs, run_key = make_runs(), RunKey("stock@a", 1)
     >>> start(runs, run_key)
-    >>> end_uncertain(runs, run_key, until_ms=500)
+    >>> end_uncertain(runs, run_key, until_ms=500, now_ms=100)
     True
     >>> compute_wait_ms(runs, run_key, now_ms=200)
     300
     """
     known_ms = runs.uncertain_until_ms.get(run_key, 0)
     runs.uncertain_until_ms[run_key] = max(known_ms, until_ms)
+    if len(runs.uncertain_until_ms) > runs.drop_at_count:
+        _drop_passed(runs, now_ms)
     return end(runs, run_key)
 
 
+def _drop_passed(runs: Runs, now_ms: int) -> None:
+    runs.uncertain_until_ms = {
+        run_key: until_ms
+        for run_key, until_ms in runs.uncertain_until_ms.items()
+        if until_ms > now_ms
+    }
+    runs.drop_at_count = max(DROP_AT_COUNT, 2 * len(runs.uncertain_until_ms))
+
+
 def compute_wait_ms(runs: Runs, run_key: RunKey, now_ms: int) -> int:
     """Return how long ended runs of a key may still go on."""
     until_ms = runs.uncertain_until_ms.get(run_key, now_ms)
--- a/fuchsiamoor/testing/routing_upstream.py
+++ b/fuchsiamoor/testing/routing_upstream.py
@@ -21,6 +21,8 @@
         Endings of the next requests.
     started, cancelled : list of str
         Request ids.
+    ordered : list of str
+        Request ids that an order to cancel came for.
     overfilled : list of str
         Requests that came when more ran already than a cold upstream bears.
     """
@@ -29,6 +31,7 @@
     verdicts: list[Verdict] = field(default_factory=list)
     started: list[str] = field(default_factory=list)
     cancelled: list[str] = field(default_factory=list)
+    ordered: list[str] = field(default_factory=list)
     overfilled: list[str] = field(default_factory=list)
     counters: Counter[str] = field(default_factory=Counter)
     running: set[str] = field(default_factory=set)
@@ -54,6 +57,11 @@
         """Add to a counter."""
         self.counters[name] += value
 
+    async def cancel(self, request_id: str) -> bool:
+        """Take an order to cancel a run, which ends it at once."""
+        self.ordered.append(request_id)
+        return True
+
     async def run(
         self,
         request: Request,
