--- a/fuchsiamoor/routing/capacity.py
+++ b/fuchsiamoor/routing/capacity.py
@@ -7,7 +7,7 @@
 from fuchsiamoor.core.requests import Request
 from fuchsiamoor.routing import admission, coldness, limits, ramp
 from fuchsiamoor.routing.coldness import Coldness
-from fuchsiamoor.routing.limits import AdaptiveLimit
+from fuchsiamoor.routing.limits import SlotLimit
 from fuchsiamoor.routing.ramp import Ramp
 
 
@@ -18,7 +18,7 @@
     Parameters
     ----------
     ramp : Ramp
-    limit : AdaptiveLimit
+    limit : SlotLimit
     coldness : Coldness
     in_flight : int
         Slots taken, those of runs with an unknown ending included.
@@ -27,7 +27,7 @@
     """
 
     ramp: Ramp
-    limit: AdaptiveLimit
+    limit: SlotLimit
     coldness: Coldness
     in_flight: int = 0
     waiting: OrderedDict[Hashable, int] = field(default_factory=OrderedDict)
@@ -42,7 +42,7 @@
 def compute_requests(capacity: Capacity, now_ms: int) -> int:
     """Return how many requests the upstream may run at a time."""
     ramped = ramp.compute_requests(capacity.ramp, now_ms)
-    return max(1, min(ramped, int(capacity.limit.requests)))
+    return max(1, min(ramped, capacity.limit.requests))
 
 
 def ask(
