--- a/fuchsiamoor/cli/render.py
+++ b/fuchsiamoor/cli/render.py
@@ -102,7 +102,7 @@
     since = _format_time(report.oldest_since_ms)
     youngest = _format_time(report.youngest_since_ms)
     lines = [
-        f"counts of {report.daemons} daemons over {report.minutes} minutes",
+        f"counts of {report.daemons} daemons over {report.minutes} min",
         f"oldest daemon since {since}, youngest since {youngest};",
         "what daemons counted that were lost or replaced is not in here",
     ]
@@ -282,7 +282,7 @@
     for name, unit_ms in (("days", DAY_MS), ("hours", HOUR_MS)):
         if span_ms >= 2 * unit_ms:
             return f"{span_ms / unit_ms:.1f} {name}"
-    return f"{span_ms / MINUTE_MS:.0f} minutes"
+    return f"{span_ms / MINUTE_MS:.0f} min"
 
 
 def _format_time(time_ms: int) -> str:
--- a/fuchsiamoor/cli/tables.py
+++ b/fuchsiamoor/cli/tables.py
@@ -13,15 +13,16 @@
 ) -> list[str]:
     """Return the lines of a table, no longer than ``width`` characters.
 
-    Columns of numbers are set to the right. The widest columns are shortened first.
+    Columns of numbers are set to the right. The widest columns are shortened first,
+    in the middle of their values.
 
     Examples
     --------
-    >>> for line in format_table(["name", "n"], [["a", "1"], ["long-name", "12"]], 12):
+    >>> for line in format_table(["name", "n"], [["a", "1"], ["long-name", "12"]], 11):
     ...     print(line)
-    name       n
-    a          1
-    long-...  12
+    name      n
+    a         1
+    lo...me  12
     """
     columns = list(zip(headers, *rows, strict=True))
     widths = _fit([max(map(len, column)) for column in columns], width)
@@ -75,5 +76,6 @@
 
 def _pad(cell: str, width: int, right: bool) -> str:
     if len(cell) > width:
-        cell = cell[: width - len(ELLIPSIS)] + ELLIPSIS
+        kept = width - len(ELLIPSIS)
+        cell = cell[: kept - kept // 2] + ELLIPSIS + cell[len(cell) - kept // 2 :]
     return cell.rjust(width) if right else cell.ljust(width)
