--- a/fuchsiamoor/cli/applying.py
+++ b/fuchsiamoor/cli/applying.py
@@ -14,7 +14,7 @@
 from fuchsiamoor.cli.exits import ExitStatus, ToolError
 from fuchsiamoor.core.configuration import Configuration
 from fuchsiamoor.documents import reader
-from fuchsiamoor.reports import codec, wire
+from fuchsiamoor.reports import wire
 from fuchsiamoor.reports.status import Status
 
 POLL_EVERY_S = 0.3
@@ -84,18 +84,10 @@
     for url in client.urls * ROUNDS:
         try:
             response = await client.http.post(f"{url}/v1/configuration", json=body)
+            return _read_applied(response, based_on)
         except httpx.HTTPError as error:
             problems[url] = tool_client.describe(error)
-            not_sent = isinstance(error, httpx.ConnectError | httpx.ConnectTimeout)
-            maybe_applied = maybe_applied or not not_sent
-            continue
-        if response.status_code == httpx.codes.CONFLICT:
-            raise ToolError(ExitStatus.CONFLICT, _describe_conflict(response, based_on))
-        if not response.is_server_error:
-            return tool_client.read_answer(wire.AppliedBody, response).revision
-        problems[url] = tool_client.read_problem(response)
-        unavailable = response.status_code == httpx.codes.SERVICE_UNAVAILABLE
-        maybe_applied = maybe_applied or not unavailable
+            maybe_applied = maybe_applied or not _had_no_effect(error)
     raise ToolError(ExitStatus.UNREACHABLE, _describe_failure(problems, maybe_applied))
 
 
@@ -148,8 +140,23 @@
     )
 
 
-def _describe_conflict(response: httpx.Response, based_on: int) -> str:
-    found = codec.decode(wire.ConflictBody, response.content)
+def _read_applied(response: httpx.Response, based_on: int) -> int:
+    if response.status_code != httpx.codes.CONFLICT:
+        return tool_client.read_answer(wire.AppliedBody, response).revision
+    found = tool_client.decode_answer(wire.ConflictBody, response)
+    raise ToolError(ExitStatus.CONFLICT, _describe_conflict(found, based_on))
+
+
+def _had_no_effect(error: httpx.HTTPError) -> bool:
+    match error:
+        case httpx.ConnectError() | httpx.ConnectTimeout():
+            return True
+        case httpx.HTTPStatusError():
+            return error.response.status_code == httpx.codes.SERVICE_UNAVAILABLE
+    return False
+
+
+def _describe_conflict(found: wire.ConflictBody, based_on: int) -> str:
     lines = [
         f"conflict: based on revision {based_on}, but revision {found.revision} "
         f"is in force, applied as {found.apply_id}"
--- a/fuchsiamoor/cli/client.py
+++ b/fuchsiamoor/cli/client.py
@@ -95,10 +95,21 @@
     if response.is_client_error:
         raise ToolError(ExitStatus.WRONG_INPUT, read_problem(response))
     response.raise_for_status()
+    return decode_answer(kind, response)
+
+
+def decode_answer(kind: type[T], response: httpx.Response) -> T:
+    """Return the body of an answer.
+
+    Raises
+    ------
+    httpx.DecodingError
+        If it is not of this kind.
+    """
     try:
         return codec.decode(kind, response.content)
-    except errors.InvalidDocumentError as error:
-        raise httpx.DecodingError(f"an answer of another version: {error}") from error
+    except errors.InvalidDocumentError:
+        raise httpx.DecodingError("an answer that cannot be read") from None
 
 
 def read_problem(response: httpx.Response) -> str:
@@ -183,7 +194,7 @@
         case httpx.TimeoutException():
             return f"no answer within {TIMEOUT_S:g} s"
         case httpx.HTTPStatusError():
-            return f"status {error.response.status_code}"
+            return read_problem(error.response)
         case httpx.DecodingError():
             return str(error)
     return str(error) or type(error).__name__
--- a/fuchsiamoor/cli/commands.py
+++ b/fuchsiamoor/cli/commands.py
@@ -6,12 +6,12 @@
 
 import httpx
 
-from fuchsiamoor.cli import applying, render, tables
+from fuchsiamoor.cli import applying, notes, render, tables
 from fuchsiamoor.cli import client as tool_client
 from fuchsiamoor.cli.client import Client, Gathered
 from fuchsiamoor.cli.exits import ExitStatus, ToolError
 from fuchsiamoor.core import errors, faults, members
-from fuchsiamoor.core.configuration import Configuration, HoldToInstance
+from fuchsiamoor.core.configuration import Configuration
 from fuchsiamoor.documents import changes, reader
 from fuchsiamoor.reports import burn, measures, wire
 from fuchsiamoor.reports.counts import CountsSnapshot
@@ -99,7 +99,8 @@
     if not lines:
         lines = [f"no difference from revision {old.revision}"]
         return Ending(ExitStatus.OK, lines, data)
-    lines += await _note_unknown_instances(client, new)
+    found = await tool_client.get_first(client, Status, "/v1/status")
+    lines += notes.list_notes(new, found.members)
     lines.append(f"to apply: fuchsiamoor apply {path} --based-on {old.revision}")
     return Ending(ExitStatus.OK, tables.wrap_all(lines), data)
 
@@ -217,18 +218,6 @@
     return found
 
 
-async def _note_unknown_instances(client: Client, new: Configuration) -> list[str]:
-    """Say which overrides hold to an instance that no daemon knows."""
-    known = set((await tool_client.find_members(client)).values())
-    return [
-        f"note: override for {override.service}: no daemon knows instance "
-        f"{override.hold.instance}"
-        for override in new.overrides
-        if isinstance(override.hold, HoldToInstance)
-        and override.hold.instance not in known
-    ]
-
-
 async def _gather_status(client: Client) -> Gathered:
     return await tool_client.gather(
         client,
