--- a/fuchsiamoor/cli/pages_test.py
+++ b/fuchsiamoor/cli/pages_test.py
@@ -1,5 +1,6 @@
 """Holds the pages to the code: commands, documents, metrics and paths in them."""
 
+import json
 import pathlib
 import re
 
@@ -61,6 +62,12 @@
             reader.read_document(text.encode())
 
 
+@pytest.mark.parametrize("name", ["dala", "andina"])
+def test_the_examples_have_no_faults(name):
+    example = json.loads(_read(f"examples/{name}.json"))
+    reader.read_value(example["configuration"])
+
+
 def test_the_field_tables_equal_the_models():
     text = _read("docs/CONFIGURATION.md")
     assert page.format_fields(model.ADAPTER) in text
--- a/fuchsiamoor/documents/apply.py
+++ b/fuchsiamoor/documents/apply.py
@@ -59,7 +59,11 @@
 
 
 async def apply_document(
-    store: port.Store, based_on: int, apply_id: str, document: object
+    store: port.Store,
+    based_on: int,
+    apply_id: str,
+    document: object,
+    in_force_revision: int = 0,
 ) -> ApplyResult:
     """Check a document and put it in force.
 
@@ -72,6 +76,9 @@
         The same for every repetition of one apply.
     document : object
         Decoded JSON.
+    in_force_revision : int
+        Known to the caller. A store that holds a lower one has lost its data; what is
+        applied to it would never be adopted.
 
     Returns
     -------
@@ -85,7 +92,8 @@
     may_have_written = False
     for _ in range(MAX_ATTEMPTS):
         try:
-            result = await _try_apply(store, based_on, apply_id, read)
+            known = await _read_known(store, in_force_revision)
+            result = await _try_apply(store, known, based_on, apply_id, read)
         except errors.StoreOutcomeUnknownError:
             may_have_written = True
         except errors.StoreUnavailableError:
@@ -98,27 +106,48 @@
     return OutcomeUnknown() if may_have_written else StoreDown()
 
 
+class _Known(NamedTuple):
+    """What the store holds, and at which version."""
+
+    version: int
+    stored: stored.StoredConfiguration
+
+
+async def _read_known(store: port.Store, in_force_revision: int) -> _Known:
+    try:
+        entry = await store.get(stored.CONFIGURATION_KEY)
+    except errors.StoreOutcomeUnknownError as error:
+        raise errors.StoreUnavailableError(str(error)) from error
+    if entry is None:
+        known = _Known(port.ABSENT, stored.make_first_stored())
+    else:
+        known = _Known(entry.version, stored.decode_whole(entry.value))
+    revision = known.stored.configuration.revision
+    if revision < in_force_revision:
+        expected = f"at least {in_force_revision}, the revision in force"
+        fault = faults.Fault("store", f"revision {revision}", expected)
+        raise errors.InvalidDocumentError([fault])
+    return known
+
+
 async def _try_apply(
-    store: port.Store, based_on: int, apply_id: str, new: Configuration
+    store: port.Store, known: _Known, based_on: int, apply_id: str, new: Configuration
 ) -> ApplyResult | None:
-    """Read, decide and swap once; None if another write came in between."""
-    entry = await _read_entry(store)
-    known = stored.decode_whole(entry.value) if entry else stored.make_first_stored()
-    past = find_past_apply(known, apply_id)
+    """Decide and swap once; None if another write came in between."""
+    past = find_past_apply(known.stored, apply_id)
     if past is not None:
         return Applied(past.revision)
-    old = known.configuration
+    old = known.stored.configuration
     if based_on != old.revision:
-        return make_conflict(known, based_on)
-    found = changes.check_change(old, new, known.identities)
+        return make_conflict(known.stored, based_on)
+    found = changes.check_change(old, new, known.stored.identities)
     if found:
         return Refused(tuple(found))
-    following = stored.make_next_stored(known, apply_id, new)
+    following = stored.make_next_stored(known.stored, apply_id, new)
     value = stored.encode_stored(following)
     if len(value) > stored.MAX_STORED_BYTES:
         return Refused((_too_large(value),))
-    expected_version = entry.version if entry else port.ABSENT
-    result = await store.swap(stored.CONFIGURATION_KEY, expected_version, value)
+    result = await store.swap(stored.CONFIGURATION_KEY, known.version, value)
     match result:
         case port.Swapped():
             return Applied(following.configuration.revision)
@@ -126,13 +155,6 @@
             return None
 
 
-async def _read_entry(store: port.Store) -> port.Entry | None:
-    try:
-        return await store.get(stored.CONFIGURATION_KEY)
-    except errors.StoreOutcomeUnknownError as error:
-        raise errors.StoreUnavailableError(str(error)) from error
-
-
 def find_past_apply(
     known: stored.StoredConfiguration, apply_id: str
 ) -> stored.PastApply | None:
--- a/fuchsiamoor/documents/apply_test.py
+++ b/fuchsiamoor/documents/apply_test.py
@@ -117,6 +117,14 @@
     _check(_apply(store, 3, "e", _document()), apply.Applied(4))
 
 
+def test_a_store_that_has_lost_its_data_is_refused():
+    store = FakeStore()
+    call = apply.apply_document(store, 0, "a", _document(), in_force_revision=9)
+    [fault] = asyncio.run(call).faults
+    assert fault.path == "store"
+    assert store.entry is None
+
+
 def test_only_the_latest_applies_are_remembered():
     store = FakeStore()
     for revision in range(stored.MAX_REMEMBERED_APPLIES + 1):
