Empty the queue of an upstream that is gone

Cause: those who waited for a slot were refused but stayed in the old capacity's queue, so that the end of a run set their ticket a second time and raised InvalidStateError after the upstream had answered: the caller lost a whole answer. Seen in the log of the property tests at 2,000 examples, which did not fail for it. Change: the queue is emptied; a test that failed before holds the first caller's answer; the virtual loop now fails a test for any exception that nobody took.

--- a/fuchsiamoor/daemon/serving.py
+++ b/fuchsiamoor/daemon/serving.py
@@ -110,8 +110,8 @@
     """Take in that there is no upstream; those who wait for a slot are refused."""
     if serving.capacity is None:
         return
-    waiting, serving.capacity = list(serving.capacity.waiting), None
-    for ticket in waiting:
+    tickets, serving.capacity = capacity.clear_queue(serving.capacity), None
+    for ticket in tickets:
         ticket.set_result(NotRun(Reason.STARTING, "the upstream is gone"))
 
 
--- a/fuchsiamoor/daemon/serving_test.py
+++ b/fuchsiamoor/daemon/serving_test.py
@@ -147,6 +147,7 @@
         await pass_ms(10)
         serving.upstream_gone(bench.serving)
         await asyncio.wait([first, second])
+        assert verdict_of(first) == Ran()
         assert verdict_of(second).reason is Reason.STARTING
         bench.announce("second")
         assert bench.serving.capacity.in_flight == 0
--- a/fuchsiamoor/routing/capacity.py
+++ b/fuchsiamoor/routing/capacity.py
@@ -86,6 +86,13 @@
     return capacity.waiting.pop(ticket, None) is not None
 
 
+def clear_queue(capacity: Capacity) -> list[Hashable]:
+    """Empty the queue and return its tickets."""
+    tickets = list(capacity.waiting)
+    capacity.waiting.clear()
+    return tickets
+
+
 def grant(capacity: Capacity, now_ms: int) -> list[Hashable]:
     """Give free slots to the first in the queue and return their tickets."""
     if not capacity.waiting:
--- a/fuchsiamoor/testing/virtual_time.py
+++ b/fuchsiamoor/testing/virtual_time.py
@@ -10,6 +10,10 @@
     """Every task waits for something that nothing will set."""
 
 
+class UnhandledError(RuntimeError):
+    """A task or callback raised something that nobody took."""
+
+
 class _JumpingSelector(selectors.SelectSelector):
     """A selector that spends virtual time in place of waiting."""
 
@@ -44,10 +48,21 @@
 def run(main: Coroutine[Any, Any, Any]) -> Any:
     """Run a coroutine to its end under virtual time.
 
+    Raises
+    ------
+    UnhandledError
+        If a task or callback raised something that nobody took.
+
     Examples
     --------
     >>> run(asyncio.sleep(3600, result="done"))
     'done'
     """
+    unhandled: list[dict[str, Any]] = []
     with asyncio.Runner(loop_factory=VirtualTimeLoop) as runner:
-        return runner.run(main)
+        loop = runner.get_loop()
+        loop.set_exception_handler(lambda _, context: unhandled.append(context))
+        result = runner.run(main)
+    if unhandled:
+        raise UnhandledError(unhandled)
+    return result
