--- a/fuchsiamoor/daemon/entry.py
+++ b/fuchsiamoor/daemon/entry.py
@@ -11,7 +11,7 @@
 from fuchsiamoor.core.tables import ShardTable
 from fuchsiamoor.daemon import entry_any, entry_keyed
 from fuchsiamoor.daemon.sending import Entry, Links, Metrics
-from fuchsiamoor.routing import parking, refusals, residency
+from fuchsiamoor.routing import choice, parking, refusals, residency
 
 
 def make_entry(
@@ -68,7 +68,14 @@
 
 
 def state_changed(entry: Entry) -> None:
-    """Send all parked requests on their way again: configuration or members changed."""
+    """Take in that configuration or members changed.
+
+    Parked requests are sent on their way again, and members that are gone forgotten.
+    """
+    measured = entry.measurements.members
+    kept = {member_id for member_id in measured if entry.get_member(member_id)}
+    choice.forget_members(entry.measurements, kept)
+    entry.candidates_until_ms = 0
     _release(parking.wake_all(entry.parking))
 
 
--- a/fuchsiamoor/daemon/entry_serving_test.py
+++ b/fuchsiamoor/daemon/entry_serving_test.py
@@ -34,6 +34,7 @@
 class Move(NamedTuple):
     at_ms: int
     owner_index: int
+    planned: bool
 
 
 CALLS = st.builds(
@@ -46,7 +47,15 @@
     deadline_in_ms=st.integers(1, 600),
     cancel_after_ms=st.none() | st.integers(0, 60),
 )
-MOVES = st.builds(Move, at_ms=st.integers(0, 500), owner_index=st.integers(0, 2))
+MOVES = st.builds(
+    Move,
+    at_ms=st.integers(0, 500),
+    owner_index=st.integers(0, 2),
+    planned=st.booleans(),
+)
+
+
+MOVE_WAYS = {True: routing_world.move_planned, False: routing_world.move_unplanned}
 
 
 async def play(world: World, calls: list[Call], moves: list[Move]) -> dict:
@@ -76,7 +85,7 @@
     async def move() -> None:
         for each in sorted(moves):
             await asyncio.sleep(max(each.at_ms - virtual_time.now_ms(), 0) / 1000)
-            await routing_world.move_planned(world, HOME_IDS[each.owner_index])
+            await MOVE_WAYS[each.planned](world, HOME_IDS[each.owner_index])
 
     await asyncio.gather(move(), *(place(i, call) for i, call in enumerate(calls)))
     await asyncio.sleep(10)
@@ -131,3 +140,21 @@
     answers = virtual_time.run(play(world, [call], []))
     assert isinstance(answers["r0"].verdict, NotRun)
     assert world.runs == []
+
+
+def test_members_that_are_gone_are_forgotten():
+    world = routing_world.make_world(MEMBERS)
+
+    async def main():
+        routing_world.announce(world)
+        node = world.nodes[HOME_IDS[0]]
+        for index in range(20):
+            request = requests_data.make_request(f"r{index}", key="")
+            await entry.handle(node.entry, request)
+        assert len(node.entry.measurements.members) > 1
+        for member_id in HOME_IDS[1:]:
+            del world.nodes[member_id]
+        entry.state_changed(node.entry)
+        assert set(node.entry.measurements.members) == {HOME_IDS[0]}
+
+    virtual_time.run(main())
--- a/fuchsiamoor/testing/routing_world.py
+++ b/fuchsiamoor/testing/routing_world.py
@@ -27,6 +27,7 @@
 
 LINK_MS = 2
 RUN_MS = 10
+LEASE_MS = 800
 
 
 class LinkFault(Enum):
@@ -175,6 +176,16 @@
     notify(world)
 
 
+async def move_unplanned(world: World, new_owner: str) -> None:
+    """Move all shards from an owner that is lost, after lease and longest run."""
+    service = world.configuration.services["stock"]
+    world.nodes[world.table.owners[0]].may_serve = False
+    await asyncio.sleep((LEASE_MS + service.longest_run_ms) / 1000)
+    change_owner(world, new_owner)
+    world.nodes[new_owner].may_serve = True
+    notify(world)
+
+
 def change_owner(world: World, new_owner: str) -> None:
     """Write a table under which one member owns all shards."""
     revision = world.table.revision + 1
@@ -223,7 +234,7 @@
         return NotOwner(table.owners[shard])
     if not node.may_serve:
         return Wait("handed over")
-    return MayServe(table.epochs[shard], virtual_time.now_ms() + 800)
+    return MayServe(table.epochs[shard], virtual_time.now_ms() + LEASE_MS)
 
 
 def _get_member(world: World, member_id: str) -> Member | None:
