Exchange state with a few fixed partners; back off from the role of coordinator

Cause: a random peer for every exchange keeps up to 240 links open at 510 daemons (60 s idle time, two dials a second each way), and a daemon that no coordinator renews asked the store for a lease, a swap and a revocation every 100 to 5,100 ms. Ruled out: fewer exchanges, which would slow the spread. Change: four fixed partners and any member for one exchange in ten; one read before each candidacy, which backs off to 10 s.

--- a/fuchsiamoor/daemon/coordinating.py
+++ b/fuchsiamoor/daemon/coordinating.py
@@ -5,7 +5,9 @@
 """
 
 import asyncio
+import random
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 import xxhash
 from loguru import logger
@@ -20,7 +22,9 @@
 from fuchsiamoor.store import port
 
 TICK_MS = 50
-CANDIDATE_CHECK_MS = 100
+CANDIDATE_CHECK_MS = 50
+FIRST_RETRY_MS = 100
+LARGEST_RETRY_MS = 10_000
 RANK_DELAY_MS = 150
 LARGEST_RANK_DELAY_MS = 5_000
 READ_BACK_DELAY_MS = 50
@@ -46,6 +50,21 @@
     ended: asyncio.Event = field(default_factory=asyncio.Event)
 
 
+class Candidacy(NamedTuple):
+    """Waiting to take over a domain.
+
+    Parameters
+    ----------
+    tries : int
+        Made so far.
+    due_ms : int
+        Monotonic time of the next.
+    """
+
+    tries: int
+    due_ms: int
+
+
 def coordinator_key(domain: str) -> str:
     """Return the store key that names a domain's coordinator."""
     return f"domains/{domain}/coordinator"
@@ -91,19 +110,35 @@
 
 async def run_candidacies(node: nodes.Node) -> None:
     """Take over the domains of this daemon that seem to have no coordinator."""
-    waiting_since_ms: dict[str, int] = {}
+    candidacies: dict[str, Candidacy] = {}
     while True:
         await asyncio.sleep(CANDIDATE_CHECK_MS / 1000)
         now_ms = node.now_ms()
         for domain, holder in list(node.holders.items()):
             if not _needs_coordinator(node, domain, holder):
-                waiting_since_ms.pop(domain, None)
-                continue
-            since_ms = waiting_since_ms.setdefault(domain, now_ms)
-            if now_ms - since_ms < _rank_delay_ms(node, domain):
+                candidacies.pop(domain, None)
                 continue
-            del waiting_since_ms[domain]
-            nodes.spawn(node, _try_coordinating(node, domain), f"coordinate {domain}")
+            if domain not in candidacies:
+                due_ms = now_ms + _rank_delay_ms(node, domain)
+                candidacies[domain] = Candidacy(0, due_ms)
+            tries, due_ms = candidacies[domain]
+            if now_ms >= due_ms:
+                candidacies[domain] = Candidacy(
+                    tries + 1, now_ms + compute_retry_ms(tries, node.rng)
+                )
+                nodes.spawn(node, _try_coordinating(node, domain), "candidacy")
+
+
+def compute_retry_ms(tries: int, rng: random.Random) -> int:
+    """Return the time until the next try to coordinate, doubling with each.
+
+    Examples
+    --------
+    >>> compute_retry_ms(0, random.Random(1)) <= FIRST_RETRY_MS
+    True
+    """
+    longest_ms = min(FIRST_RETRY_MS * 2**tries, LARGEST_RETRY_MS)
+    return int(longest_ms * rng.uniform(0.5, 1.0))
 
 
 def _needs_coordinator(node, domain: str, holder: holders.Holder) -> bool:
@@ -140,6 +175,10 @@
 async def _try_coordinating(node: nodes.Node, domain: str) -> None:
     timing = node.settings.timing
     try:
+        holder = await node.store.get(coordinator_key(domain))
+        if holder is not None:
+            node.coordinator_hints[domain] = holder.value.decode()
+            return
         lease_id = await node.store.grant_lease(timing.store_lease_ms)
         sent_ms = node.now_ms()
         taken = await _take_role(node, domain, lease_id)
--- a/fuchsiamoor/daemon/exchange.py
+++ b/fuchsiamoor/daemon/exchange.py
@@ -7,6 +7,7 @@
 from fuchsiamoor.daemon import knowledge as knowledges
 from fuchsiamoor.daemon import node as nodes
 from fuchsiamoor.membership import directory as directories
+from fuchsiamoor.membership import partners
 from fuchsiamoor.peers import codec
 
 CALL_TIMEOUT_MS = 1_000
@@ -20,17 +21,15 @@
 
 
 async def run_gossip(node: nodes.Node) -> None:
-    """Exchange state with a random peer at the pace of the settings."""
+    """Exchange state with a partner at the pace of the settings."""
     interval_ms = node.settings.timing.gossip_every_ms
     while True:
         await asyncio.sleep(node.rng.uniform(0.5, 1.5) * interval_ms / 1000)
-        peers = [
-            member.member_id
-            for member in node.knowledge.directory.by_instance.values()
-            if member.member_id != node.member.member_id
-        ]
-        if peers:
-            await exchange_with(node, node.rng.choice(peers))
+        partner = partners.choose_partner(
+            node.member.member_id, list(node.knowledge.directory.by_id), node.rng
+        )
+        if partner is not None:
+            await exchange_with(node, partner)
 
 
 async def exchange_with(node: nodes.Node, member_id: str) -> None:
