Hold broken links past the lease before asking for every key

Without it the tests of a cut coordinator passed by the answers of the first second, when the leases still held.

--- a/standins/whole_path_test.py
+++ b/standins/whole_path_test.py
@@ -21,6 +21,7 @@
 }
 CALLS_ENOUGH = 100
 OUTAGE_CALLS = 250
+BROKEN_LINK_CALLS = 200
 SERVED_TIMEOUT_MS = 15_000
 
 
@@ -249,6 +250,7 @@
             sender.urls.remove(deployment.list_urls(started)[victim])
             placed = [started.relays[f"{victim}/{link}"] for link in links]
             await asyncio.gather(*(relay.set_mode(link, mode) for link in placed))
+            await wait_for_calls(sender, BROKEN_LINK_CALLS)
             await wait_for_every_key(sender, programs.monotonic_ms())
             await asyncio.gather(*(relay.set_mode(link, "pass") for link in placed))
             await wait_for_every_key(sender, programs.monotonic_ms())
