Let the caller stand-in open a connection for each request

The caller's library sends a GET again by itself when a kept connection breaks; its second sending found the killed entry refusing connections, and the caller took that for a proof that nothing had been sent and tried another entry. Ruled out: the entry's merging of endings, which keeps may-have-run over attempts. Change: no connection is kept, so that the library never resends.

--- a/standins/caller.py
+++ b/standins/caller.py
@@ -184,7 +184,7 @@
 def make_caller(plan: Plan, urls: list[str], path: Path, seed: int = 1) -> Caller:
     """Return a caller that records to ``path``; `stop` closes it."""
     client = aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(limit=0),
+        connector=aiohttp.TCPConnector(limit=0, force_close=True),
         timeout=aiohttp.ClientTimeout(ANSWER_TIMEOUT_MS / 1000),
     )
     return Caller(plan, list(urls), path.open("a"), client, random.Random(seed))
