Keep a shard's weight until its rate has changed much, and let rates count more

Cause: with rates that the members tell with noise of a tenth, weights rounded to steps flipped between two steps, and balance followed them without end. Ruled out: slower smoothing alone, which only slows the flipping. Change: a weight stays until its rate has changed by about a third; rates count three times as much as the bare number of shards.

--- a/fuchsiamoor/ownership/loads.py
+++ b/fuchsiamoor/ownership/loads.py
@@ -1,11 +1,10 @@
 """How much each shard weighs when shards are spread, from the rates that members tell.
 
-Every shard weighs 1; one that is among a member's busiest weighs more, by its part of a
-member's mean rate. Rates are smoothed and weights are coarse, so that noise moves
-nothing.
+Every shard weighs 1; one that is among a member's busiest weighs more, by its part of
+the rates told. Rates are smoothed, and a weight stays until its rate has changed
+much, so that noise moves nothing.
 """
 
-import math
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
@@ -13,15 +12,25 @@
 from fuchsiamoor.ownership import isolation
 
 _SMOOTHING = 0.3
-_STEPS_PER_DOUBLING = 2
+_KEPT_WITHIN_RATIO = 0.35
+_RATE_FACTOR = 3.0
 _FORGOTTEN_BELOW = 0.5
 
 
 @dataclass(slots=True)
 class ShardLoads:
-    """Smoothed rates of the busiest shards, in requests per second."""
+    """What is known of the busiest shards.
+
+    Parameters
+    ----------
+    rates : dict of int to float
+        Smoothed rates, in requests per second.
+    weights : dict of int to float
+        As they were computed last.
+    """
 
     rates: dict[int, float] = field(default_factory=dict)
+    weights: dict[int, float] = field(default_factory=dict)
 
 
 def update_rates(known: ShardLoads, loads: Iterable[messages.MemberLoad]) -> None:
@@ -36,9 +45,7 @@
     known.rates = rates
 
 
-def compute_weights(
-    known: ShardLoads, shard_count: int, member_count: int
-) -> Mapping[int, float]:
+def compute_weights(known: ShardLoads, shard_count: int) -> Mapping[int, float]:
     """Return the weights of the shards that weigh more than 1.
 
     Parameters
@@ -46,8 +53,6 @@
     known : ShardLoads
     shard_count : int
         Number of hashed shards.
-    member_count : int
-        Members that share them.
 
     Returns
     -------
@@ -55,22 +60,21 @@
 
     Examples
     --------
-    >>> compute_weights(ShardLoads({3: 50.0, 4: 50.0}), 16, 2)
-    {3: 9.0, 4: 9.0}
+    >>> compute_weights(ShardLoads({3: 50.0, 4: 50.0}), 16)
+    {3: 25.0, 4: 25.0}
     """
     total = sum(known.rates.values())
-    if not total or not member_count:
+    if not total:
         return {}
-    member_rate = total / member_count
-    share = shard_count / member_count
-    return {
-        shard: 1.0 + _round_to_step(rate / member_rate * share)
+    per_rate = _RATE_FACTOR * shard_count / total
+    known.weights = {
+        shard: _keep_or_replace(known.weights.get(shard), 1.0 + rate * per_rate)
         for shard, rate in sorted(known.rates.items())
     }
+    return known.weights
 
 
-def _round_to_step(weight: float) -> float:
-    if weight < 1.0:
-        return 0.0
-    steps = round(math.log2(weight) * _STEPS_PER_DOUBLING)
-    return 2.0 ** (steps / _STEPS_PER_DOUBLING)
+def _keep_or_replace(kept: float | None, weight: float) -> float:
+    if kept is None or abs(weight - kept) > _KEPT_WITHIN_RATIO * kept:
+        return weight
+    return kept
--- a/fuchsiamoor/ownership/planning.py
+++ b/fuchsiamoor/ownership/planning.py
@@ -72,7 +72,7 @@
     reached = [m for m in known if state.is_reached(coordinator, m, now_ms)]
     loads.update_rates(coordinator.shard_loads, [known[m] for m in reached])
     coordinator.shard_weights = loads.compute_weights(
-        coordinator.shard_loads, coordinator.table.shard_count, len(reached)
+        coordinator.shard_loads, coordinator.table.shard_count
     )
 
 
