--- a/fuchsiamoor/daemon/entry.py
+++ b/fuchsiamoor/daemon/entry.py
@@ -11,7 +11,7 @@
 from fuchsiamoor.core.tables import ShardTable
 from fuchsiamoor.daemon import entry_any, entry_keyed
 from fuchsiamoor.daemon.sending import Entry, Links, Metrics
-from fuchsiamoor.routing import choice, parking, refusals, residency
+from fuchsiamoor.routing import choice, parking, refusals, residency, routes
 
 
 def make_entry(
@@ -63,7 +63,15 @@
 
 
 def table_changed(entry: Entry, domain: str) -> None:
-    """Send the parked requests of a domain on their way again."""
+    """Take in a new table, and send the domain's parked requests on their way again."""
+    table = entry.get_table(domain)
+    if table is not None:
+        entry.changes[domain] = routes.note_change(
+            entry.changes.get(domain),
+            table.revision,
+            entry.now_ms(),
+            entry_keyed.CROWD_MS,
+        )
     _release(parking.wake(entry.parking, domain))
 
 
--- a/fuchsiamoor/daemon/entry_serving_test.py
+++ b/fuchsiamoor/daemon/entry_serving_test.py
@@ -6,8 +6,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from fuchsiamoor.core.configuration import Limits
 from fuchsiamoor.core.verdicts import NotRun, Ran
 from fuchsiamoor.daemon import entry
+from fuchsiamoor.routing import budget
 from fuchsiamoor.testing import requests_data, routing_world, virtual_time
 from fuchsiamoor.testing.routing_world import LinkFault, UpstreamFault, World
 
@@ -158,3 +160,25 @@
         assert set(node.entry.measurements.members) == {HOME_IDS[0]}
 
     virtual_time.run(main())
+
+
+def test_planned_move_loses_no_request():
+    limits = Limits(body_bytes=100, queued_requests=2, parked_requests=100)
+    configuration = requests_data.make_configuration(
+        requests_data.make_service(limits=limits)
+    )
+    members = [member._replace(slots=2) for member in MEMBERS]
+    world = routing_world.make_world(members, configuration)
+    world.upstream_faults = [UpstreamFault.SLOW]
+    calls = [Call(10 * i, "chair-1", False, "", i % 3, 1_000, None) for i in range(40)]
+    answers = virtual_time.run(play(world, calls, [Move(5, 1, True)]))
+    assert [answer.verdict for answer in answers.values()] == [Ran()] * 40
+    assert {record.instance for record in world.runs} == {"a", "b"}
+
+
+def test_overload_is_not_multiplied_by_repeats_of_a_keyed_request():
+    world = routing_world.make_world(MEMBERS)
+    world.link_faults = [LinkFault.LOST_AFTER] * 1_000
+    calls = [Call(10 * i, "chair-1", True, "", 1, 500, None) for i in range(40)]
+    virtual_time.run(play(world, calls, []))
+    assert len(world.runs) <= 40 * 1.1 + budget.RESERVE_TOKENS
--- a/fuchsiamoor/daemon/sending.py
+++ b/fuchsiamoor/daemon/sending.py
@@ -63,6 +63,7 @@
     measurements: Measurements = field(default_factory=make_measurements)
     budgets: dict[str, Budget] = field(default_factory=dict)
     latencies: dict[str, Latencies] = field(default_factory=dict)
+    changes: dict[str, routes.Recent] = field(default_factory=dict)
     candidates: dict[CandidatesName, Candidates] = field(default_factory=dict)
     candidates_until_ms: int = 0
 
--- a/fuchsiamoor/routing/bounds_test.py
+++ b/fuchsiamoor/routing/bounds_test.py
@@ -101,7 +101,7 @@
                 ticket += 1
                 request = requests_data.make_request(deadline_ms=now_ms + 500)
                 decided = capacity.ask(held, ticket, request, 3, now_ms)
-                granted = [ticket] if decided == admission.Admitted() else []
+                granted = [ticket] if isinstance(decided, admission.Admitted) else []
             case "end" if running:
                 running.pop()
                 capacity.release(held)
--- a/fuchsiamoor/routing/routes.py
+++ b/fuchsiamoor/routing/routes.py
@@ -71,3 +71,49 @@
     if tables.shard_state(table, shard) is not tables.ShardState.OWNED:
         return Unsettled(domain, Reason.NO_OWNER, table.revision)
     return Owned(domain, shard, table.owners[shard], table.revision)
+
+
+class Recent(NamedTuple):
+    """A window in which a domain's table has changed.
+
+    Parameters
+    ----------
+    before_revision : int
+        Of the table before the window.
+    last_revision : int
+        Of the newest table.
+    since_ms : int
+        Start of the window.
+    """
+
+    before_revision: int
+    last_revision: int
+    since_ms: int
+
+
+def note_change(
+    recent: Recent | None, revision: int, now_ms: int, window_ms: int
+) -> Recent:
+    """Take in a new table, opening a new window if the last one is over.
+
+    Examples
+    --------
+    >>> recent = note_change(None, 5, now_ms=0, window_ms=100)
+    >>> recent = note_change(recent, 6, now_ms=50, window_ms=100)
+    >>> note_change(recent, 7, now_ms=200, window_ms=100)
+    Recent(before_revision=6, last_revision=7, since_ms=200)
+    """
+    if recent is None:
+        return Recent(0, revision, now_ms)
+    if now_ms < recent.since_ms + window_ms:
+        return recent._replace(last_revision=revision)
+    return Recent(recent.last_revision, revision, now_ms)
+
+
+def has_moved(
+    recent: Recent | None, table: ShardTable, shard: int, now_ms: int, window_ms: int
+) -> bool:
+    """Return whether a shard was assigned in the present window."""
+    if recent is None or now_ms >= recent.since_ms + window_ms:
+        return False
+    return shard < len(table.epochs) and table.epochs[shard] > recent.before_revision
