--- a/fuchsiamoor/daemon/upstream_client_test.py
+++ b/fuchsiamoor/daemon/upstream_client_test.py
@@ -1,9 +1,10 @@
 import asyncio
 import json
+import re
 import time
 
 import pytest
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 
 from fuchsiamoor.core.addresses import Address
@@ -51,6 +52,17 @@
     return run([step], scenario)
 
 
+def test_upstream_may_start_nothing_after_the_end_of_the_lease():
+    async def scenario(client, server):
+        now_ms = unix_ms()
+        lease_until_ms = now_ms + 300
+        await client.run(wire.make_request(), 3, 42, lease_until_ms, now_ms + 2000)
+        return lease_until_ms, server.requests[0]
+
+    lease_until_ms, received = run([OK], scenario)
+    assert f"Fuchsiamoor-Deadline-At-Ms: {lease_until_ms}\r\n".encode() in received
+
+
 @pytest.mark.parametrize("step", [OK, CHUNKED], ids=["length", "chunked"])
 def test_whole_answer_ran(step):
     answer, _ = run_once(step)
@@ -307,3 +319,66 @@
     steps += [make_answer(200, ready.encode()), make_answer(200, load.encode())]
     steps += [make_answer(200, b"[]"), make_answer(500, ready.encode()), b""]
     run(steps, scenario)
+
+
+REFUSAL = make_answer(503, b"", "Fuchsiamoor-Not-Run: shed\r\n")
+
+
+def echo(request):
+    """Answer with the request's own id."""
+    return make_answer(200, re.search(rb"Request-Id: (\S+)", request)[1])
+
+
+script_steps = st.sampled_from(
+    [
+        echo,
+        b"",
+        None,
+        REFUSAL,
+        lambda request: echo(request)[:-1],
+        lambda request: echo(request) + b"x",
+    ]
+)
+
+
+@example([(echo, "POST"), (echo, "HEAD"), (echo, "GET")], [])
+@given(
+    st.lists(st.tuples(script_steps, st.sampled_from(METHODS)), max_size=10),
+    st.lists(st.integers(0, 9), max_size=3),
+)
+def test_any_schedule_sends_each_request_once_and_ends_it_truly(schedule, cancelled):
+    timeout_ms = 50 if any(step is None for step, _ in schedule) else 5000
+
+    async def scenario(client, server):
+        tasks = [
+            asyncio.create_task(
+                run_request(client, timeout_ms, request_id=f"r-{i}", method=method)
+            )
+            for i, (_, method) in enumerate(schedule)
+        ]
+        await asyncio.sleep(0.001)
+        for place in cancelled:
+            if place < len(tasks):
+                tasks[place].cancel()
+        answers = await asyncio.gather(*tasks, return_exceptions=True)
+        await asyncio.sleep(0.001)
+        if not cancelled and all(step is echo for step, _ in schedule):
+            assert all(answer.verdict == Ran() for answer in answers)
+        for i, answer in enumerate(answers):
+            own_id = f"r-{i}".encode()
+            marker = b"Request-Id: %b\r\n" % own_id
+            seen = [request for request in server.requests if marker in request]
+            assert len(seen) <= 1
+            if isinstance(answer, asyncio.CancelledError):
+                continue
+            assert answer.request_id == f"r-{i}"
+            match answer.verdict:
+                case Ran():
+                    is_head = schedule[i][1] == "HEAD"
+                    assert seen and answer.body == (b"" if is_head else own_id)
+                case NotRun(Reason.SHED):
+                    assert seen
+                case NotRun():
+                    assert not seen
+
+    run([step for step, _ in schedule], scenario)
