--- a/fuchsiamoor/daemon/hand_over.py
+++ b/fuchsiamoor/daemon/hand_over.py
@@ -7,7 +7,8 @@
 from fuchsiamoor.core import tables
 from fuchsiamoor.core.messages import Answered
 from fuchsiamoor.core.requests import Answer
-from fuchsiamoor.core.verdicts import MayHaveRun, NotRun, Ran, Reason
+from fuchsiamoor.core.verdicts import MayHaveRun, NotRun, Reason
+from fuchsiamoor.daemon import settling
 from fuchsiamoor.daemon.serving_state import Run, Serving
 from fuchsiamoor.ownership.holder import MayServe, NotOwner, Wait
 from fuchsiamoor.routing import admission, capacity, heat, parking, refusals, runs
@@ -38,32 +39,6 @@
     """The shard may not be served now, but perhaps soon."""
 
 
-class Handed(NamedTuple):
-    """A request at the upstream.
-
-    Parameters
-    ----------
-    request_id : str
-    run_key : RunKey
-    held : Capacity
-        Whose slot it takes.
-    run_number : int
-    handed_ms : int
-    slot_until_ms : int
-        Time after which it has ended if the upstream started it at once.
-    ends_by_ms : int
-        Time after which it can neither run nor commit in any case.
-    """
-
-    request_id: str
-    run_key: RunKey
-    held: Capacity
-    run_number: int
-    handed_ms: int
-    slot_until_ms: int
-    ends_by_ms: int
-
-
 async def run(serving: Serving, run: Run) -> Answered:
     """Take a request to its ending.
 
@@ -88,7 +63,7 @@
         grant = _check_grant(serving, run)
         if isinstance(grant, Grant) and _is_bearable(serving, held):
             return Answered(await _hand_over(serving, run, grant, held), "", 0)
-        release_slot(serving, held)
+        settling.release_slot(serving, held)
 
 
 def _check_grant(serving: Serving, run: Run) -> Grant | Withheld | Answered:
@@ -172,7 +147,7 @@
         await asyncio.wait((ticket,), timeout=wait_ms / 1000)
     except asyncio.CancelledError:
         if not capacity.leave_queue(held, ticket) and ticket.result() is None:
-            release_slot(serving, held)
+            settling.release_slot(serving, held)
         raise
     if ticket.done():
         return ticket.result()
@@ -180,13 +155,6 @@
     return NotRun(Reason.DEADLINE_PASSED, "while it waited for a slot")
 
 
-def release_slot(serving: Serving, held: Capacity) -> None:
-    """Give one slot back and wake those who wait."""
-    capacity.release(held)
-    for ticket in capacity.grant(held, serving.now_ms()):
-        ticket.set_result(None)
-
-
 async def _hand_over(
     serving: Serving, run: Run, grant: Grant, held: Capacity
 ) -> Answer:
@@ -210,7 +178,7 @@
         verdict = answer.verdict
         return answer
     finally:
-        _settle(serving, handed, verdict)
+        settling.settle(serving, handed, verdict)
 
 
 def _read_offset_ms(serving: Serving) -> int:
@@ -223,7 +191,9 @@
     return unix_ms - serving.now_ms()
 
 
-def _note_hand_over(serving: Serving, run: Run, grant: Grant, held: Capacity) -> Handed:
+def _note_hand_over(
+    serving: Serving, run: Run, grant: Grant, held: Capacity
+) -> settling.Handed:
     now_ms = serving.now_ms()
     service = serving.get_configuration().services[run.request.service]
     start_by_ms = min(run.request.deadline_ms, grant.lease_until_ms)
@@ -236,7 +206,7 @@
     run.handed_over = True
     number = capacity.note_start(held, now_ms)
     slot_until_ms = now_ms + service.longest_run_ms
-    return Handed(
+    return settling.Handed(
         run.request.request_id,
         run_key,
         held,
@@ -256,58 +226,5 @@
     heat.note_request(of_domain, shard, run.key_hash)
 
 
-def _settle(
-    serving: Serving, handed: Handed, verdict: NotRun | MayHaveRun | Ran
-) -> None:
-    """Count a run as ended and learn from it."""
-    now_ms = serving.now_ms()
-    held = handed.held
-    match verdict:
-        case Ran():
-            last = runs.end(serving.runs, handed.run_key)
-            latency_ms = now_ms - handed.handed_ms
-            capacity.note_answer(held, handed.run_number, latency_ms, now_ms)
-            release_slot(serving, held)
-        case NotRun(reason):
-            last = runs.end(serving.runs, handed.run_key)
-            capacity.note_other_ending(held, handed.run_number)
-            if reason in (Reason.SHED, Reason.CONNECT_FAILED):
-                _restart_ramp(serving, handed)
-            release_slot(serving, held)
-        case MayHaveRun(reason):
-            last = runs.end_uncertain(
-                serving.runs, handed.run_key, handed.ends_by_ms, now_ms
-            )
-            capacity.note_other_ending(held, handed.run_number)
-            if reason is Reason.UPSTREAM_LOST:
-                _restart_ramp(serving, handed)
-            giving_up = asyncio.create_task(_give_up(serving, handed))
-            serving.giving_up.add(giving_up)
-            giving_up.add_done_callback(serving.giving_up.discard)
-    if last:
-        _wake_drains(serving)
-
-
-def _restart_ramp(serving: Serving, handed: Handed) -> None:
-    if capacity.note_cold(handed.held, handed.handed_ms, serving.now_ms()):
-        serving.metrics.count("serving.ramp_restarted")
-
-
-async def _give_up(serving: Serving, handed: Handed) -> None:
-    """Cancel a run of unknown ending, and give its slot back once it has ended."""
-    confirmed = await serving.cancel_run(handed.request_id)
-    hold_ms = handed.slot_until_ms - serving.now_ms()
-    if not confirmed and hold_ms > 0:
-        await asyncio.sleep(hold_ms / 1000)
-    release_slot(serving, handed.held)
-
-
-def _wake_drains(serving: Serving) -> None:
-    waiters, serving.drain_waiters = serving.drain_waiters, []
-    for waiter in waiters:
-        if not waiter.done():
-            waiter.set_result(None)
-
-
 def _refuse(run: Run, verdict: NotRun) -> Answered:
     return Answered(refusals.make_refusal(run.request.request_id, verdict), "", 0)
