--- a/fuchsiamoor/daemon/hand_over.py
+++ b/fuchsiamoor/daemon/hand_over.py
@@ -7,7 +7,8 @@
 from fuchsiamoor.core import tables
 from fuchsiamoor.core.messages import Answered
 from fuchsiamoor.core.requests import Answer
-from fuchsiamoor.core.verdicts import MayHaveRun, NotRun, Ran, Reason
+from fuchsiamoor.core.verdicts import MayHaveRun, NotRun, Reason
+from fuchsiamoor.daemon import settling
 from fuchsiamoor.daemon.serving_state import Run, Serving
 from fuchsiamoor.ownership.holder import MayServe, NotOwner, Wait
 from fuchsiamoor.routing import admission, capacity, heat, parking, refusals, runs
@@ -15,7 +16,6 @@
 from fuchsiamoor.routing.runs import RunKey
 
 WAIT_RECHECK_MS = 50
-CANCELLED_HOLD_MS = 50
 
 
 class Grant(NamedTuple):
@@ -39,30 +39,6 @@
     """The shard may not be served now, but perhaps soon."""
 
 
-class Handed(NamedTuple):
-    """A request at the upstream.
-
-    Parameters
-    ----------
-    run_key : RunKey
-    held : Capacity
-        Whose slot it takes.
-    run_number : int
-    handed_ms : int
-    slot_until_ms : int
-        Time after which it has ended if the upstream started it at once.
-    ends_by_ms : int
-        Time after which it can neither run nor commit in any case.
-    """
-
-    run_key: RunKey
-    held: Capacity
-    run_number: int
-    handed_ms: int
-    slot_until_ms: int
-    ends_by_ms: int
-
-
 async def run(serving: Serving, run: Run) -> Answered:
     """Take a request to its ending.
 
@@ -87,7 +63,7 @@
         grant = _check_grant(serving, run)
         if isinstance(grant, Grant) and _is_bearable(serving, held):
             return Answered(await _hand_over(serving, run, grant, held), "", 0)
-        release_slot(serving, held)
+        settling.release_slot(serving, held)
 
 
 def _check_grant(serving: Serving, run: Run) -> Grant | Withheld | Answered:
@@ -171,7 +147,7 @@
         await asyncio.wait((ticket,), timeout=wait_ms / 1000)
     except asyncio.CancelledError:
         if not capacity.leave_queue(held, ticket) and ticket.result() is None:
-            release_slot(serving, held)
+            settling.release_slot(serving, held)
         raise
     if ticket.done():
         return ticket.result()
@@ -179,20 +155,13 @@
     return NotRun(Reason.DEADLINE_PASSED, "while it waited for a slot")
 
 
-def release_slot(serving: Serving, held: Capacity) -> None:
-    """Give one slot back and wake those who wait."""
-    capacity.release(held)
-    for ticket in capacity.grant(held, serving.now_ms()):
-        ticket.set_result(None)
-
-
 async def _hand_over(
     serving: Serving, run: Run, grant: Grant, held: Capacity
 ) -> Answer:
     """Give a request to the upstream, in the step of the loop that made the grant."""
     request = run.request
     handed = _note_hand_over(serving, run, grant, held)
-    to_unix_ms = serving.unix_ms() - handed.handed_ms
+    to_unix_ms = _read_offset_ms(serving)
     lease_until_unix_ms = grant.lease_until_ms + to_unix_ms if run.domain else 0
     verdict = MayHaveRun(Reason.CANCELLED, "cancelled while it ran")
     try:
@@ -209,13 +178,26 @@
         verdict = answer.verdict
         return answer
     finally:
-        _settle(serving, handed, verdict)
+        settling.settle(serving, handed, verdict)
 
 
-def _note_hand_over(serving: Serving, run: Run, grant: Grant, held: Capacity) -> Handed:
+def _read_offset_ms(serving: Serving) -> int:
+    """Return Unix time less monotonic time, never too much.
+
+    Unix time is read first, so that a pause between the two makes the result smaller
+    and what is computed from it earlier.
+    """
+    unix_ms = serving.unix_ms()
+    return unix_ms - serving.now_ms()
+
+
+def _note_hand_over(
+    serving: Serving, run: Run, grant: Grant, held: Capacity
+) -> settling.Handed:
     now_ms = serving.now_ms()
     service = serving.get_configuration().services[run.request.service]
-    ends_by_ms = run.request.deadline_ms + service.longest_run_ms
+    start_by_ms = min(run.request.deadline_ms, grant.lease_until_ms)
+    ends_by_ms = start_by_ms + service.longest_run_ms
     if run.domain and serving.own_member().checks_grants:
         ends_by_ms = min(ends_by_ms, grant.lease_until_ms)
     _note_heat(serving, run, grant.shard)
@@ -224,7 +206,15 @@
     run.handed_over = True
     number = capacity.note_start(held, now_ms)
     slot_until_ms = now_ms + service.longest_run_ms
-    return Handed(run_key, held, number, now_ms, slot_until_ms, ends_by_ms)
+    return settling.Handed(
+        run.request.request_id,
+        run_key,
+        held,
+        number,
+        now_ms,
+        slot_until_ms,
+        ends_by_ms,
+    )
 
 
 def _note_heat(serving: Serving, run: Run, shard: int) -> None:
@@ -236,54 +226,5 @@
     heat.note_request(of_domain, shard, run.key_hash)
 
 
-def _settle(
-    serving: Serving, handed: Handed, verdict: NotRun | MayHaveRun | Ran
-) -> None:
-    """Count a run as ended and learn from it."""
-    now_ms = serving.now_ms()
-    held = handed.held
-    match verdict:
-        case Ran():
-            last = runs.end(serving.runs, handed.run_key)
-            latency_ms = now_ms - handed.handed_ms
-            capacity.note_answer(held, handed.run_number, latency_ms, now_ms)
-            release_slot(serving, held)
-        case NotRun(reason):
-            last = runs.end(serving.runs, handed.run_key)
-            capacity.note_other_ending(held, handed.run_number)
-            if reason in (Reason.SHED, Reason.CONNECT_FAILED):
-                _restart_ramp(serving, handed)
-            release_slot(serving, held)
-        case MayHaveRun(reason):
-            last = runs.end_uncertain(serving.runs, handed.run_key, handed.ends_by_ms)
-            capacity.note_other_ending(held, handed.run_number)
-            if reason is Reason.UPSTREAM_LOST:
-                _restart_ramp(serving, handed)
-            hold_ms = max(handed.slot_until_ms - now_ms, 0)
-            if reason is Reason.CANCELLED:
-                hold_ms = min(hold_ms, CANCELLED_HOLD_MS)
-            _release_later(serving, held, hold_ms)
-    if last:
-        _wake_drains(serving)
-
-
-def _restart_ramp(serving: Serving, handed: Handed) -> None:
-    if capacity.note_cold(handed.held, handed.handed_ms, serving.now_ms()):
-        serving.metrics.count("serving.ramp_restarted")
-
-
-def _release_later(serving: Serving, held: Capacity, hold_ms: int) -> None:
-    """Give a slot back once what took it has surely ended."""
-    loop = asyncio.get_running_loop()
-    loop.call_later(hold_ms / 1000, release_slot, serving, held)
-
-
-def _wake_drains(serving: Serving) -> None:
-    waiters, serving.drain_waiters = serving.drain_waiters, []
-    for waiter in waiters:
-        if not waiter.done():
-            waiter.set_result(None)
-
-
 def _refuse(run: Run, verdict: NotRun) -> Answered:
     return Answered(refusals.make_refusal(run.request.request_id, verdict), "", 0)
--- a/fuchsiamoor/daemon/serving_test.py
+++ b/fuchsiamoor/daemon/serving_test.py
@@ -9,7 +9,7 @@
 from fuchsiamoor.core.configuration import ColdStart, Limits
 from fuchsiamoor.core.messages import Answered, Forward
 from fuchsiamoor.core.verdicts import MayHaveRun, NotRun, Ran, Reason
-from fuchsiamoor.daemon import hand_over, serving, serving_runs
+from fuchsiamoor.daemon import serving, serving_runs, settling
 from fuchsiamoor.ownership.holder import MayServe, NotOwner, Wait
 from fuchsiamoor.testing import requests_data, virtual_time
 from fuchsiamoor.testing.requests_data import DOMAIN, make_request
@@ -21,6 +21,7 @@
 
     def __init__(self, service=None, member=None, warm=True):
         self.permission = MayServe(1, 10_000)
+        self.confirms = True
         self.configuration = requests_data.make_configuration(service)
         self.table = requests_data.make_table()
         self.upstream = ScriptedUpstream()
@@ -34,12 +35,16 @@
             metrics=self.upstream,
             now_ms=virtual_time.now_ms,
             unix_ms=virtual_time.now_ms,
+            cancel_run=self.cancel_run,
         )
         if warm:
             self.announce("first")
             ramp = self.serving.capacity.ramp._replace(started_ms=-1_000_000)
             self.serving.capacity.ramp = ramp
 
+    async def cancel_run(self, request_id):
+        return self.confirms and await self.upstream.cancel(request_id)
+
     def announce(self, incarnation):
         slots = self.member.slots
         serving.upstream_announced(self.serving, incarnation, slots, 130)
@@ -142,6 +147,7 @@
         await pass_ms(10)
         serving.upstream_gone(bench.serving)
         await asyncio.wait([first, second])
+        assert verdict_of(first) == Ran()
         assert verdict_of(second).reason is Reason.STARTING
         bench.announce("second")
         assert bench.serving.capacity.in_flight == 0
@@ -247,6 +253,28 @@
         )
         assert verdict_of(queued) == NotRun(Reason.CANCELLED, "cancelled before it ran")
         assert bench.upstream.cancelled == ["r1"]
+        await pass_ms(1)
+        assert bench.upstream.ordered == ["r1"]
+        assert bench.serving.capacity.in_flight == 0
+
+    virtual_time.run(main())
+
+
+def test_a_pause_while_clocks_are_read_lengthens_no_lease():
+    async def main():
+        bench = Bench()
+        paused_ms = 0
+
+        def pause_and_read_unix_ms():
+            nonlocal paused_ms
+            paused_ms += 5_000
+            return virtual_time.now_ms() + paused_ms
+
+        bench.serving.now_ms = lambda: virtual_time.now_ms() + paused_ms
+        bench.serving.unix_ms = pause_and_read_unix_ms
+        bench.permission = MayServe(1, 300)
+        await bench.start("r1", in_ms=20_000)
+        assert all(until_ms <= 300 for until_ms in bench.upstream.leases_until_ms)
 
     virtual_time.run(main())
 
@@ -340,8 +368,9 @@
                 case "cold":
                     bench.upstream.turn_cold()
                     bench.upstream.verdicts.append(NotRun(Reason.SHED))
-                    await bench.start(f"c{index}", in_ms=500)
-                    bench.upstream.verdicts.clear()
+                    while bench.upstream.verdicts:
+                        await bench.start(f"c{index}", in_ms=500, key=f"c{index}")
+                        await pass_ms(1)
         await pass_ms(2_000)
         assert bench.upstream.overfilled == []
         assert bench.serving.running == {}
@@ -361,7 +390,7 @@
         await pass_ms(1)
         earlier = bench.serving.capacity
         for _ in range(3):
-            hand_over.release_slot(bench.serving, earlier)
+            settling.release_slot(bench.serving, earlier)
         bench.upstream.restart()
         bench.announce("second")
         await asyncio.wait(tasks)
@@ -374,6 +403,7 @@
 def test_slot_stays_taken_while_a_run_may_go_on():
     async def main():
         bench = Bench(member=requests_data.make_member(slots=1))
+        bench.confirms = False
         bench.upstream.verdicts = [MayHaveRun(Reason.DEADLINE_PASSED)]
         await bench.start("r1")
         second = bench.start("r2")
--- a/fuchsiamoor/routing/capacity.py
+++ b/fuchsiamoor/routing/capacity.py
@@ -7,7 +7,7 @@
 from fuchsiamoor.core.requests import Request
 from fuchsiamoor.routing import admission, coldness, limits, ramp
 from fuchsiamoor.routing.coldness import Coldness
-from fuchsiamoor.routing.limits import AdaptiveLimit
+from fuchsiamoor.routing.limits import SlotLimit
 from fuchsiamoor.routing.ramp import Ramp
 
 
@@ -18,7 +18,7 @@
     Parameters
     ----------
     ramp : Ramp
-    limit : AdaptiveLimit
+    limit : SlotLimit
     coldness : Coldness
     in_flight : int
         Slots taken, those of runs with an unknown ending included.
@@ -27,7 +27,7 @@
     """
 
     ramp: Ramp
-    limit: AdaptiveLimit
+    limit: SlotLimit
     coldness: Coldness
     in_flight: int = 0
     waiting: OrderedDict[Hashable, int] = field(default_factory=OrderedDict)
@@ -42,7 +42,7 @@
 def compute_requests(capacity: Capacity, now_ms: int) -> int:
     """Return how many requests the upstream may run at a time."""
     ramped = ramp.compute_requests(capacity.ramp, now_ms)
-    return max(1, min(ramped, int(capacity.limit.requests)))
+    return max(1, min(ramped, capacity.limit.requests))
 
 
 def ask(
@@ -86,6 +86,13 @@
     return capacity.waiting.pop(ticket, None) is not None
 
 
+def clear_queue(capacity: Capacity) -> list[Hashable]:
+    """Empty the queue and return its tickets."""
+    tickets = list(capacity.waiting)
+    capacity.waiting.clear()
+    return tickets
+
+
 def grant(capacity: Capacity, now_ms: int) -> list[Hashable]:
     """Give free slots to the first in the queue and return their tickets."""
     if not capacity.waiting:
--- a/fuchsiamoor/testing/routing_upstream.py
+++ b/fuchsiamoor/testing/routing_upstream.py
@@ -21,15 +21,21 @@
         Endings of the next requests.
     started, cancelled : list of str
         Request ids.
+    ordered : list of str
+        Request ids that an order to cancel came for.
     overfilled : list of str
         Requests that came when more ran already than a cold upstream bears.
+    leases_until_ms : list of int
+        Ends of the leases, in Unix time, that the requests came under.
     """
 
     run_ms: int = 10
     verdicts: list[Verdict] = field(default_factory=list)
     started: list[str] = field(default_factory=list)
     cancelled: list[str] = field(default_factory=list)
+    ordered: list[str] = field(default_factory=list)
     overfilled: list[str] = field(default_factory=list)
+    leases_until_ms: list[int] = field(default_factory=list)
     counters: Counter[str] = field(default_factory=Counter)
     running: set[str] = field(default_factory=set)
     initial: int = 1_000
@@ -54,6 +60,11 @@
         """Add to a counter."""
         self.counters[name] += value
 
+    async def cancel(self, request_id: str) -> bool:
+        """Take an order to cancel a run, which ends it at once."""
+        self.ordered.append(request_id)
+        return True
+
     async def run(
         self,
         request: Request,
@@ -64,6 +75,7 @@
     ) -> Answer:
         """Run a request as told."""
         request_id = request.request_id
+        self.leases_until_ms.append(lease_until_unix_ms)
         if self.verdicts:
             self.started.append(request_id)
             return refusals.make_refusal(request_id, self.verdicts.pop(0))
