--- a/standins/store.py
+++ b/standins/store.py
@@ -203,7 +203,10 @@
             return programs.drop_connection(request)
         if state.mode == "unavailable":
             raise web.HTTPServiceUnavailable
-        body = await request.json()
+        try:
+            body = await request.json()
+        except ConnectionError:
+            return programs.drop_connection(request)
         sweep(state, programs.monotonic_ms())
         answer = await CALLS[kind](state, body)
         if state.mode == "down":
