--- a/fuchsiamoor/daemon/entry_serving_test.py
+++ b/fuchsiamoor/daemon/entry_serving_test.py
@@ -6,8 +6,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from fuchsiamoor.core.configuration import Limits
 from fuchsiamoor.core.verdicts import NotRun, Ran
 from fuchsiamoor.daemon import entry
+from fuchsiamoor.routing import budget
 from fuchsiamoor.testing import requests_data, routing_world, virtual_time
 from fuchsiamoor.testing.routing_world import LinkFault, UpstreamFault, World
 
@@ -34,6 +36,7 @@
 class Move(NamedTuple):
     at_ms: int
     owner_index: int
+    planned: bool
 
 
 CALLS = st.builds(
@@ -46,7 +49,15 @@
     deadline_in_ms=st.integers(1, 600),
     cancel_after_ms=st.none() | st.integers(0, 60),
 )
-MOVES = st.builds(Move, at_ms=st.integers(0, 500), owner_index=st.integers(0, 2))
+MOVES = st.builds(
+    Move,
+    at_ms=st.integers(0, 500),
+    owner_index=st.integers(0, 2),
+    planned=st.booleans(),
+)
+
+
+MOVE_WAYS = {True: routing_world.move_planned, False: routing_world.move_unplanned}
 
 
 async def play(world: World, calls: list[Call], moves: list[Move]) -> dict:
@@ -76,7 +87,7 @@
     async def move() -> None:
         for each in sorted(moves):
             await asyncio.sleep(max(each.at_ms - virtual_time.now_ms(), 0) / 1000)
-            await routing_world.move_planned(world, HOME_IDS[each.owner_index])
+            await MOVE_WAYS[each.planned](world, HOME_IDS[each.owner_index])
 
     await asyncio.gather(move(), *(place(i, call) for i, call in enumerate(calls)))
     await asyncio.sleep(10)
@@ -131,3 +142,43 @@
     answers = virtual_time.run(play(world, [call], []))
     assert isinstance(answers["r0"].verdict, NotRun)
     assert world.runs == []
+
+
+def test_members_that_are_gone_are_forgotten():
+    world = routing_world.make_world(MEMBERS)
+
+    async def main():
+        routing_world.announce(world)
+        node = world.nodes[HOME_IDS[0]]
+        for index in range(20):
+            request = requests_data.make_request(f"r{index}", key="")
+            await entry.handle(node.entry, request)
+        assert len(node.entry.measurements.members) > 1
+        for member_id in HOME_IDS[1:]:
+            del world.nodes[member_id]
+        entry.state_changed(node.entry)
+        assert set(node.entry.measurements.members) == {HOME_IDS[0]}
+
+    virtual_time.run(main())
+
+
+def test_planned_move_loses_no_request():
+    limits = Limits(body_bytes=100, queued_requests=2, parked_requests=100)
+    configuration = requests_data.make_configuration(
+        requests_data.make_service(limits=limits)
+    )
+    members = [member._replace(slots=2) for member in MEMBERS]
+    world = routing_world.make_world(members, configuration)
+    world.upstream_faults = [UpstreamFault.SLOW]
+    calls = [Call(10 * i, "chair-1", False, "", i % 3, 1_000, None) for i in range(40)]
+    answers = virtual_time.run(play(world, calls, [Move(5, 1, True)]))
+    assert [answer.verdict for answer in answers.values()] == [Ran()] * 40
+    assert {record.instance for record in world.runs} == {"a", "b"}
+
+
+def test_overload_is_not_multiplied_by_repeats_of_a_keyed_request():
+    world = routing_world.make_world(MEMBERS)
+    world.link_faults = [LinkFault.LOST_AFTER] * 1_000
+    calls = [Call(10 * i, "chair-1", True, "", 1, 500, None) for i in range(40)]
+    virtual_time.run(play(world, calls, []))
+    assert len(world.runs) <= 40 * 1.1 + budget.RESERVE_TOKENS
