--- a/fuchsiamoor/ownership/coordinator.py
+++ b/fuchsiamoor/ownership/coordinator.py
@@ -10,6 +10,7 @@
 from fuchsiamoor.ownership import (
     events,
     liveness,
+    outcomes,
     overrides,
     planning,
     pushes,
@@ -21,7 +22,6 @@
 
 Coordinator = state.Coordinator
 CUT_OFF_AFTER_MS = 3_000
-_REWRITE_AFTER_MS = 200
 
 
 def make_coordinator(
@@ -61,7 +61,7 @@
         liveness.Roster(domain, quiet_since_ms=now_ms),
         now_ms,
     )
-    _take_over(made, table, table_version)
+    outcomes.take_over(made, table, table_version)
     return made
 
 
@@ -100,15 +100,15 @@
             coordinator.lease_sent_ms = max(sent_ms, coordinator.lease_sent_ms or 0)
             actions = []
         case events.StoreLeaseLost():
-            return _resign(coordinator, "its store lease has lapsed")
+            return state.resign(coordinator, "its store lease has lapsed")
         case events.TableWritten(revision, version):
-            actions = _confirm(coordinator, revision, version, now_ms)
+            actions = outcomes.confirm(coordinator, revision, version, now_ms)
         case events.TableConflict(version, table):
-            actions = _resolve_conflict(coordinator, version, table, now_ms)
+            actions = outcomes.resolve_conflict(coordinator, version, table, now_ms)
         case events.TableNotWritten(revision):
-            actions = _record_not_written(coordinator, revision, now_ms)
+            actions = outcomes.record_not_written(coordinator, revision, now_ms)
         case events.TableOutcomeUnknown(revision):
-            actions = _record_unknown(coordinator, revision)
+            actions = outcomes.record_unknown(coordinator, revision)
         case events.TableAckReceived(member_id, revision):
             settlement.record_known(coordinator.settling, member_id, revision)
             actions = []
@@ -171,15 +171,10 @@
 
 def _notice_pause(coordinator: Coordinator, now_ms: int) -> None:
     if now_ms - coordinator.last_event_ms > coordinator.timing.renew_every_ms:
-        _excuse_silence(coordinator, now_ms)
+        state.excuse_silence(coordinator, now_ms)
     coordinator.last_event_ms = now_ms
 
 
-def _excuse_silence(coordinator: Coordinator, now_ms: int) -> None:
-    coordinator.roster.quiet_since_ms = now_ms - coordinator.timing.renew_every_ms
-    coordinator.cut_off_since_ms = None
-
-
 def _adopt_configuration(
     coordinator: Coordinator, configuration: configurations.Configuration
 ) -> list[events.Action]:
@@ -204,101 +199,6 @@
     return is_news
 
 
-def _confirm(
-    coordinator: Coordinator, revision: int, version: int, now_ms: int
-) -> list[events.Action]:
-    written = coordinator.in_flight
-    if written is None or written.revision != revision:
-        return []
-    before = coordinator.table
-    is_first = not coordinator.installed
-    _set_table(coordinator, written, version)
-    known = coordinator.transfers
-    for move_id in known.writing:
-        known.under_way.pop(move_id, None)
-    known.writing = frozenset()
-    coordinator.changed = True
-    if before is None or written.term > before.term:
-        coordinator.raises_term = False
-    if is_first:
-        coordinator.installed = True
-        coordinator.installed_ms = now_ms
-        coordinator.isolation_revision = revision
-        _excuse_silence(coordinator, now_ms)
-    elif written.isolated != before.isolated:
-        coordinator.isolation_revision = revision
-    settlement.refresh_waits(
-        coordinator.settling, written, coordinator.roster.ended, now_ms
-    )
-    return pushes.announce(coordinator, before, now_ms)
-
-
-def _set_table(
-    coordinator: Coordinator, table: tables.ShardTable, version: int
-) -> None:
-    coordinator.table = table
-    coordinator.table_version = version
-    coordinator.in_flight = None
-    coordinator.outcome_unknown = False
-    coordinator.rewrites = False
-    coordinator.has_unowned = tables.NO_OWNER in table.owners[: table.shard_count]
-    coordinator.owned = {}
-    for owner in table.owners:
-        if owner != tables.NO_OWNER:
-            coordinator.owned[owner] = coordinator.owned.get(owner, 0) + 1
-
-
-def _take_over(
-    coordinator: Coordinator, table: tables.ShardTable | None, version: int
-) -> None:
-    if table is None:
-        return
-    _set_table(coordinator, table, version)
-    if table.coordinator != coordinator.member_id:
-        coordinator.predecessor = table.coordinator
-
-
-def _resolve_conflict(
-    coordinator: Coordinator, version: int, table: tables.ShardTable | None, now_ms: int
-) -> list[events.Action]:
-    written = coordinator.in_flight
-    if written is None:
-        return []
-    if table == written:
-        return _confirm(coordinator, written.revision, version, now_ms)
-    if version == coordinator.table_version:
-        coordinator.rewrites = True
-        coordinator.retry_at_ms = now_ms + _REWRITE_AFTER_MS
-        return []
-    if coordinator.installed or table is None or table.term >= written.term:
-        return _resign(coordinator, "another coordinator has written the table")
-    coordinator.in_flight = None
-    _take_over(coordinator, table, version)
-    return []
-
-
-def _record_not_written(
-    coordinator: Coordinator, revision: int, now_ms: int
-) -> list[events.Action]:
-    written = coordinator.in_flight
-    if written is None or written.revision != revision:
-        return []
-    coordinator.retry_at_ms = now_ms + _REWRITE_AFTER_MS
-    if coordinator.outcome_unknown:
-        coordinator.rewrites = True
-        return []
-    coordinator.in_flight = None
-    coordinator.transfers.writing = frozenset()
-    return []
-
-
-def _record_unknown(coordinator: Coordinator, revision: int) -> list[events.Action]:
-    written = coordinator.in_flight
-    if written is not None and written.revision == revision:
-        coordinator.outcome_unknown = True
-    return []
-
-
 def _record_released(
     coordinator: Coordinator,
     member_id: str,
@@ -353,7 +253,9 @@
     actions = _expire_moves(coordinator, now_ms)
     if coordinator.in_flight is not None:
         return (
-            actions + _rewrite(coordinator, now_ms) + pushes.repeat(coordinator, now_ms)
+            actions
+            + outcomes.rewrite(coordinator, now_ms)
+            + pushes.repeat(coordinator, now_ms)
         )
     is_planning = now_ms >= coordinator.plan_due_ms or coordinator.changed
     if now_ms >= coordinator.retry_at_ms:
@@ -376,13 +278,6 @@
     return actions
 
 
-def _rewrite(coordinator: Coordinator, now_ms: int) -> list[events.Action]:
-    if not coordinator.rewrites or now_ms < coordinator.retry_at_ms:
-        return []
-    coordinator.rewrites = False
-    return [events.WriteTable(coordinator.in_flight, coordinator.table_version)]
-
-
 def _consider_resigning(coordinator: Coordinator, now_ms: int) -> list[events.Action]:
     if coordinator.in_flight is not None or not coordinator.installed:
         return []
@@ -394,12 +289,7 @@
     elif coordinator.cut_off_since_ms is None:
         coordinator.cut_off_since_ms = now_ms
     elif now_ms - coordinator.cut_off_since_ms > CUT_OFF_AFTER_MS:
-        return _resign(coordinator, "it reaches less than half of the votes")
+        return state.resign(coordinator, "it reaches less than half of the votes")
     if planning.is_done_here(coordinator, now_ms):
-        return _resign(coordinator, "its member leaves")
+        return state.resign(coordinator, "its member leaves")
     return []
-
-
-def _resign(coordinator: Coordinator, reason: str) -> list[events.Action]:
-    coordinator.resigned = True
-    return [events.Resign(reason)]
--- a/fuchsiamoor/ownership/interlock_test.py
+++ b/fuchsiamoor/ownership/interlock_test.py
@@ -13,10 +13,10 @@
 
 from fuchsiamoor.core import messages
 from fuchsiamoor.ownership import (
-    coordinator,
     drafts,
     holder,
     liveness,
+    outcomes,
     settlement,
     state,
     transfer,
@@ -287,7 +287,7 @@
             for action in transfer.give_up(known, machine.table, move_id, 0)
         ]
 
-    monkeypatch.setattr(coordinator, "_record_unknown", forget)
+    monkeypatch.setattr(outcomes, "record_unknown", forget)
     assert is_caught(lose_answers_while_owners_leave)
 
 
--- a/fuchsiamoor/ownership/state.py
+++ b/fuchsiamoor/ownership/state.py
@@ -7,6 +7,7 @@
 from fuchsiamoor.core import keys, settings, tables
 from fuchsiamoor.ownership import (
     drafts,
+    events,
     isolation,
     liveness,
     loads,
@@ -178,6 +179,18 @@
     )
 
 
+def excuse_silence(coordinator: Coordinator, now_ms: int) -> None:
+    """Give every member time to be heard, after a start or a pause."""
+    coordinator.roster.quiet_since_ms = now_ms - coordinator.timing.renew_every_ms
+    coordinator.cut_off_since_ms = None
+
+
+def resign(coordinator: Coordinator, reason: str) -> list[events.Action]:
+    """Take no part in anything from now on."""
+    coordinator.resigned = True
+    return [events.Resign(reason)]
+
+
 def _is_lost_predecessor(coordinator: Coordinator, owner: str, now_ms: int) -> bool:
     if owner != coordinator.predecessor or owner in coordinator.roster.heard_ms:
         return False
