--- a/bench/ownership_cost.py
+++ b/bench/ownership_cost.py
@@ -10,8 +10,8 @@
 from typing import NamedTuple
 
 from fuchsiamoor.core import members, messages, settings, tables
-from fuchsiamoor.ownership import coordinator as coordinators
 from fuchsiamoor.ownership import (
+    balance,
     events,
     holder,
     placement,
@@ -20,6 +20,7 @@
     votes,
     voucher,
 )
+from fuchsiamoor.ownership import coordinator as coordinators
 from fuchsiamoor.testing import tables as builders
 
 MEASURED_S = 0.2
@@ -147,7 +148,7 @@
     def plan() -> None:
         placement.plan_data_centres_out(layout, [own_id])
         placement.plan_overrides(layout)
-        placement.plan_balance(layout, 10)
+        balance.plan_balance(layout, 10)
 
     return Figures(
         measure_us(lambda: holder.check_serve(keeper, 1, 1)),
--- a/bench/ownership_moves.py
+++ b/bench/ownership_moves.py
@@ -11,7 +11,14 @@
 from typing import NamedTuple
 
 from fuchsiamoor.core import keys, settings
-from fuchsiamoor.ownership import drafts, isolation, loads, overrides, placement
+from fuchsiamoor.ownership import (
+    balance,
+    drafts,
+    isolation,
+    loads,
+    overrides,
+    placement,
+)
 from fuchsiamoor.testing import ownership_schedules as schedules
 from fuchsiamoor.testing import tables as builders
 
@@ -58,7 +65,7 @@
 
 def balance_fully(layout: placement.Layout) -> tuple[placement.Layout, int]:
     """Balance until nothing moves; return the moves as well."""
-    moves = placement.plan_balance(layout, 10 * SHARDS)
+    moves = balance.plan_balance(layout, 10 * SHARDS)
     return placement.apply_moves(layout, moves), len(moves)
 
 
@@ -162,7 +169,7 @@
             weights,
         )
         limit = MOVES_PER_MINUTE // PLANS_PER_MINUTE
-        for move in placement.plan_balance(layout, limit):
+        for move in balance.plan_balance(layout, limit):
             drafts.assign_shard(draft, move.shard, move.target)
             moved[step * 2 // (MINUTES * PLANS_PER_MINUTE)] += 1
         table = drafts.finish_draft(draft)
--- a/fuchsiamoor/ownership/placement.py
+++ b/fuchsiamoor/ownership/placement.py
@@ -12,7 +12,6 @@
 from fuchsiamoor.core import tables
 from fuchsiamoor.ownership import overrides
 
-_SLACK_RATIO = 0.05
 _ROUNDING = 1e-6
 
 
@@ -101,7 +100,7 @@
     list of Move
     """
     moving = sorted(set(shards))
-    loads = _measure_loads(layout, frozenset(moving))
+    loads = measure_loads(layout, frozenset(moving))
     heaps: dict[tuple, list] = {}
     moves = []
     for shard in moving:
@@ -111,7 +110,7 @@
             allowed = overrides.filter_places(held, layout.targets)
             heap = heaps[held] = [_rank(loads, target) for target in allowed]
             heapq.heapify(heap)
-        target_id = _take_least(heap, loads, _weigh(layout, shard))
+        target_id = _take_least(heap, loads, weigh_shard(layout, shard))
         moves.append(Move(shard, layout.owners[shard], target_id))
     return moves
 
@@ -190,41 +189,6 @@
     return place_shards(layout, misplaced)
 
 
-def plan_balance(
-    layout: Layout, limit: int, fixed: frozenset[int] = frozenset()
-) -> list[Move]:
-    """Even out loads by weight, with at most ``limit`` moves.
-
-    Parameters
-    ----------
-    layout : Layout
-    limit : int
-    fixed : frozenset of int
-        Shards that stay where they are.
-
-    Returns
-    -------
-    list of Move
-    """
-    targets = overrides.filter_places(layout.holds.shards, layout.targets)
-    if limit <= 0 or len(targets) < 2:
-        return []
-    loads = _measure_loads(layout, frozenset())
-    shares = _compute_shares(targets, loads)
-    movable = _list_movable(layout, fixed, {target.member_id for target in targets})
-    moves = []
-    while len(moves) < limit:
-        move = _find_balancing_move(layout, targets, loads, shares, movable)
-        if move is None:
-            break
-        weight = _weigh(layout, move.shard)
-        loads[move.source] -= weight
-        loads[move.target] += weight
-        movable[move.source].remove(move.shard)
-        moves.append(move)
-    return moves
-
-
 def apply_moves(layout: Layout, moves: Iterable[Move]) -> Layout:
     """Return the layout as it would be after moves."""
     owners = list(layout.owners)
@@ -233,17 +197,6 @@
     return layout._replace(owners=owners)
 
 
-def measure_imbalance(layout: Layout) -> float:
-    """Return the largest load of a target over its share; 1.0 is even."""
-    loads = _measure_loads(layout, frozenset())
-    shares = _compute_shares(layout.targets, loads)
-    return max(
-        (loads[target.member_id] / shares[target.member_id])
-        for target in layout.targets
-        if shares[target.member_id] > 0
-    )
-
-
 def _list_holds(layout: Layout, shard: int) -> tuple[configurations.Override, ...]:
     key_hash = layout.isolated_keys.get(shard)
     if key_hash is None:
@@ -251,26 +204,20 @@
     return layout.holds.keys.get(key_hash, ()) + layout.holds.shards
 
 
-def _weigh(layout: Layout, shard: int) -> float:
+def weigh_shard(layout: Layout, shard: int) -> float:
+    """Return the load of a shard."""
     return layout.shard_weights.get(shard, 1.0)
 
 
-def _measure_loads(layout: Layout, without: frozenset[int]) -> dict[str, float]:
+def measure_loads(layout: Layout, without: frozenset[int]) -> dict[str, float]:
+    """Return the load of each target, some shards left out."""
     loads = {target.member_id: 0.0 for target in layout.targets}
     for shard, owner in enumerate(layout.owners):
         if owner in loads and shard not in without:
-            loads[owner] += _weigh(layout, shard)
+            loads[owner] += weigh_shard(layout, shard)
     return loads
 
 
-def _compute_shares(
-    targets: Sequence[Target], loads: Mapping[str, float]
-) -> dict[str, float]:
-    total = sum(loads[target.member_id] for target in targets)
-    weights = sum(target.weight for target in targets) or 1.0
-    return {target.member_id: total * target.weight / weights for target in targets}
-
-
 def _rank(loads: Mapping[str, float], target: Target) -> tuple:
     load = loads[target.member_id]
     return ((load + 1.0) / max(target.weight, _ROUNDING), load, target)
@@ -286,54 +233,3 @@
         heapq.heapreplace(heap, _rank(loads, target))
         return target.member_id
     return tables.NO_OWNER
-
-
-def _list_movable(
-    layout: Layout, fixed: frozenset[int], sources: set[str]
-) -> dict[str, list[int]]:
-    movable: dict[str, list[int]] = {source: [] for source in sources}
-    for shard, owner in enumerate(layout.owners):
-        key_hash = layout.isolated_keys.get(shard)
-        if (
-            owner in movable
-            and shard not in fixed
-            and key_hash not in layout.holds.keys
-        ):
-            movable[owner].append(shard)
-    return movable
-
-
-def _find_balancing_move(
-    layout: Layout,
-    targets: Sequence[Target],
-    loads: Mapping[str, float],
-    shares: Mapping[str, float],
-    movable: Mapping[str, list[int]],
-) -> Move | None:
-    def excess(target: Target) -> float:
-        return loads[target.member_id] - shares[target.member_id]
-
-    sources = [target for target in targets if movable[target.member_id]]
-    if not sources:
-        return None
-    source = max(sources, key=excess)
-    receiver = min(targets, key=excess)
-    if not _is_worth_moving(source, receiver, excess, shares):
-        return None
-    gap = excess(source) - excess(receiver)
-    fitting = [
-        (weight, -shard)
-        for shard in movable[source.member_id]
-        if (weight := _weigh(layout, shard)) < gap - _ROUNDING
-    ]
-    if not fitting:
-        return None
-    best = min(fitting, key=lambda found: (abs(found[0] - gap / 2), found[1]))
-    return Move(-best[1], source.member_id, receiver.member_id)
-
-
-def _is_worth_moving(source, receiver, excess, shares) -> bool:
-    if excess(source) > max(1.0, _SLACK_RATIO * shares[source.member_id]) - _ROUNDING:
-        return True
-    slack = max(1.0, _SLACK_RATIO * shares[receiver.member_id])
-    return -excess(receiver) > slack - _ROUNDING
--- a/fuchsiamoor/ownership/placement_test.py
+++ b/fuchsiamoor/ownership/placement_test.py
@@ -5,7 +5,7 @@
 
 from fuchsiamoor.core import configuration as configurations
 from fuchsiamoor.core import tables
-from fuchsiamoor.ownership import overrides, placement
+from fuchsiamoor.ownership import balance, overrides, placement
 from fuchsiamoor.testing import tables as builders
 
 NAMES = ("a", "b", "c", "d", "e")
@@ -72,32 +72,32 @@
     owners, targets, weights, limit
 ):
     layout = make_layout(owners, targets, weights)
-    moves = placement.plan_balance(layout, limit)
+    moves = balance.plan_balance(layout, limit)
     assert len(moves) <= limit
     assert len({move.shard for move in moves}) == len(moves)
     if any(owner in targets for owner in owners):
         after = placement.apply_moves(layout, moves)
-        before = placement.measure_imbalance(layout)
-        assert placement.measure_imbalance(after) <= before + 1e-6
+        before = balance.measure_imbalance(layout)
+        assert balance.measure_imbalance(after) <= before + 1e-6
 
 
 @given(OWNERS, TARGETS, WEIGHTS)
 def test_balance_comes_to_rest(owners, targets, weights):
     layout = make_layout(owners, targets, weights)
-    moves = placement.plan_balance(layout, 1_000)
-    assert placement.plan_balance(placement.apply_moves(layout, moves), 1_000) == []
+    moves = balance.plan_balance(layout, 1_000)
+    assert balance.plan_balance(placement.apply_moves(layout, moves), 1_000) == []
 
 
 def test_a_return_moves_no_more_than_the_returned_members_share():
     layout = make_layout(("a", "b", "c", "d") * 25)
-    moves = placement.plan_balance(layout, 1_000)
+    moves = balance.plan_balance(layout, 1_000)
     assert {move.target for move in moves} == {"e"}
     assert 19 <= len(moves) <= 20
 
 
 def test_a_cold_member_gets_its_weight_only():
     layout = make_layout(("a", "b", "c", "d") * 25, weights=(20, 20, 20, 20, 2))
-    assert len(placement.plan_balance(layout, 1_000)) <= 3
+    assert len(balance.plan_balance(layout, 1_000)) <= 3
 
 
 def test_shards_leave_members_that_are_no_targets():
@@ -117,7 +117,7 @@
     after = placement.apply_moves(layout, moves)
     assert set(after.owners) == {"a", "e"}
     assert len(moves) == 10
-    assert placement.plan_balance(after, 100) == []
+    assert balance.plan_balance(after, 100) == []
     assert placement.plan_overrides(after) == []
 
 
--- a/fuchsiamoor/ownership/planning.py
+++ b/fuchsiamoor/ownership/planning.py
@@ -2,6 +2,7 @@
 
 from fuchsiamoor.core import tables
 from fuchsiamoor.ownership import (
+    balance,
     events,
     liveness,
     loads,
@@ -112,7 +113,7 @@
     cooled = writes.plan_isolation(coordinator, now_ms).moves[: max(0, room)]
     if cooled:
         return list(cooled)
-    return placement.plan_balance(layout, room)
+    return balance.plan_balance(layout, room)
 
 
 def _count_balancing(
