--- a/bench/ownership_moves.py
+++ b/bench/ownership_moves.py
@@ -19,6 +19,7 @@
     overrides,
     placement,
 )
+from fuchsiamoor.testing import ownership_faults as faults
 from fuchsiamoor.testing import ownership_schedules as schedules
 from fuchsiamoor.testing import tables as builders
 
@@ -31,7 +32,7 @@
 PLANS_PER_MINUTE = 30
 MOVES_PER_MINUTE = 60
 RUNS = 20
-PLACES = schedules.PLACES[:4]
+PLACES = faults.PLACES[:4]
 STRUCK_MS = 3_000
 WATCHED_MS = 9_000
 
@@ -226,24 +227,22 @@
     print(f"\nlongest time that a shard is not served, ms, {RUNS} runs, 8 members")
     print(f"{'event':34}{'mean':>8}{'worst':>8}")
     cases = {
-        "kill of a member": lambda c: schedules.Kill(frozenset({(c + 1) % 8}), 60_000),
-        "kill of the coordinator": lambda c: schedules.Kill(frozenset({c}), 60_000),
-        "freeze of a member": lambda c: schedules.Pause(
-            frozenset({(c + 1) % 8}), 60_000
-        ),
-        "cut of a member from all": lambda c: schedules.Cut(
+        "kill of a member": lambda c: faults.Kill(frozenset({(c + 1) % 8}), 60_000),
+        "kill of the coordinator": lambda c: faults.Kill(frozenset({c}), 60_000),
+        "freeze of a member": lambda c: faults.Pause(frozenset({(c + 1) % 8}), 60_000),
+        "cut of a member from all": lambda c: faults.Cut(
             frozenset({(c + 1) % 8}), True, 60_000
         ),
-        "loss of a data centre": lambda c: schedules.Kill(
+        "loss of a data centre": lambda c: faults.Kill(
             frozenset({(c + 1) % 4, (c + 1) % 4 + 4}), 60_000
         ),
-        "loss of the coordinator's": lambda c: schedules.Kill(
+        "loss of the coordinator's": lambda c: faults.Kill(
             frozenset({c % 4, c % 4 + 4}), 60_000
         ),
-        "data centre taken out (drain 0-150)": lambda c: schedules.TakeOut(
+        "data centre taken out (drain 0-150)": lambda c: faults.TakeOut(
             PLACES[(c + 1) % 4], 60_000
         ),
-        "store outage": lambda c: schedules.StoreDown(60_000),
+        "store outage": lambda c: faults.StoreDown(60_000),
     }
     for name, make_fault in cases.items():
         found = []
--- a/fuchsiamoor/ownership/interlock_test.py
+++ b/fuchsiamoor/ownership/interlock_test.py
@@ -23,6 +23,7 @@
     votes,
     voucher,
 )
+from fuchsiamoor.testing import ownership_faults as faults
 from fuchsiamoor.testing import ownership_schedules as schedules
 
 SIZE = 5
@@ -36,17 +37,17 @@
 DURATIONS_MS = st.sampled_from((300, 700, 1_200, 2_500, 4_000))
 RESTARTS_MS = st.sampled_from((0, 300, 2_000, 5_000))
 FAULTS = st.one_of(
-    st.builds(schedules.Kill, SLOT_SETS, RESTARTS_MS),
-    st.builds(schedules.Claim, SLOTS, SLOTS),
-    st.builds(schedules.Pause, SLOT_SETS, DURATIONS_MS),
-    st.builds(schedules.Cut, SLOT_SETS, st.booleans(), DURATIONS_MS),
-    st.builds(schedules.StoreDown, DURATIONS_MS),
-    st.builds(schedules.StoreMute, DURATIONS_MS),
-    st.builds(schedules.Lossy, DURATIONS_MS),
-    st.builds(schedules.Leave, SLOTS, DURATIONS_MS),
-    st.builds(schedules.TakeOut, st.sampled_from(schedules.PLACES[:4]), DURATIONS_MS),
-    st.builds(schedules.Hold, SLOTS, DURATIONS_MS),
-    st.builds(schedules.Heat, st.integers(0, (1 << 64) - 1), DURATIONS_MS),
+    st.builds(faults.Kill, SLOT_SETS, RESTARTS_MS),
+    st.builds(faults.Claim, SLOTS, SLOTS),
+    st.builds(faults.Pause, SLOT_SETS, DURATIONS_MS),
+    st.builds(faults.Cut, SLOT_SETS, st.booleans(), DURATIONS_MS),
+    st.builds(faults.StoreDown, DURATIONS_MS),
+    st.builds(faults.StoreMute, DURATIONS_MS),
+    st.builds(faults.Lossy, DURATIONS_MS),
+    st.builds(faults.Leave, SLOTS, DURATIONS_MS),
+    st.builds(faults.TakeOut, st.sampled_from(faults.PLACES[:4]), DURATIONS_MS),
+    st.builds(faults.Hold, SLOTS, DURATIONS_MS),
+    st.builds(faults.Heat, st.integers(0, (1 << 64) - 1), DURATIONS_MS),
 )
 SCHEDULES = st.lists(
     st.tuples(st.integers(0, STRIKES_UNTIL_MS), FAULTS), min_size=1, max_size=6
@@ -72,8 +73,8 @@
 
 def test_a_domain_recovers_when_its_only_voter_is_superseded():
     world = schedules.make_world(1, 3)
-    everyone = schedules.Kill(frozenset({0, 1, 2}), 5_000)
-    schedule = [(600, everyone), (1_000, schedules.Claim(2, 1))]
+    everyone = faults.Kill(frozenset({0, 1, 2}), 5_000)
+    schedule = [(600, everyone), (1_000, faults.Claim(2, 1))]
     schedules.run_schedule(world, schedule, 20_000)
     assert_all_served(world)
 
@@ -91,66 +92,66 @@
     others: tuple[int, ...]
 
 
-def cut_owner_from_coordinator(case: Case) -> schedules.Schedule:
+def cut_owner_from_coordinator(case: Case) -> faults.Schedule:
     owner, coordinator_slot = frozenset(case.others[:1]), frozenset({case.coordinator})
-    return [(3_000, schedules.Cut(owner, False, 5_000, coordinator_slot))]
+    return [(3_000, faults.Cut(owner, False, 5_000, coordinator_slot))]
 
 
-def cut_owner_off_step_by_step(case: Case) -> schedules.Schedule:
-    alone = schedules.Cut(frozenset(case.others[:1]), False, 5_000)
+def cut_owner_off_step_by_step(case: Case) -> faults.Schedule:
+    alone = faults.Cut(frozenset(case.others[:1]), False, 5_000)
     return [*cut_owner_from_coordinator(case), (3_600, alone)]
 
 
-def cut_owner_whose_answers_are_late(case: Case) -> schedules.Schedule:
-    alone = schedules.Cut(frozenset(case.others[:1]), False, 5_000)
-    return [(2_500, schedules.Slow(case.others[0], 2_000, 6_000)), (4_500, alone)]
+def cut_owner_whose_answers_are_late(case: Case) -> faults.Schedule:
+    alone = faults.Cut(frozenset(case.others[:1]), False, 5_000)
+    return [(2_500, faults.Slow(case.others[0], 2_000, 6_000)), (4_500, alone)]
 
 
-def cut_coordinator_from_all(case: Case) -> schedules.Schedule:
+def cut_coordinator_from_all(case: Case) -> faults.Schedule:
     slots = frozenset({case.coordinator})
-    return [(3_000, schedules.Cut(slots, False, 5_000))]
+    return [(3_000, faults.Cut(slots, False, 5_000))]
 
 
-def split_in_halves(case: Case) -> schedules.Schedule:
-    return [(3_000, schedules.Cut(frozenset(case.others[:2]), False, 5_000))]
+def split_in_halves(case: Case) -> faults.Schedule:
+    return [(3_000, faults.Cut(frozenset(case.others[:2]), False, 5_000))]
 
 
-def cut_coordinator_and_owner(case: Case) -> schedules.Schedule:
+def cut_coordinator_and_owner(case: Case) -> faults.Schedule:
     slots = frozenset({case.coordinator, case.others[0]})
-    return [(3_000, schedules.Cut(slots, True, 5_000))]
+    return [(3_000, faults.Cut(slots, True, 5_000))]
 
 
-def cut_owner_while_voters_change(case: Case) -> schedules.Schedule:
+def cut_owner_while_voters_change(case: Case) -> faults.Schedule:
     owner = frozenset(case.others[-1:])
     return [
-        (2_800, schedules.Leave(case.others[1], 8_000)),
-        (3_150, schedules.Cut(owner, False, 2_000)),
-        (3_150, schedules.Cut(owner, False, 6_000, frozenset({case.coordinator}))),
+        (2_800, faults.Leave(case.others[1], 8_000)),
+        (3_150, faults.Cut(owner, False, 2_000)),
+        (3_150, faults.Cut(owner, False, 6_000, frozenset({case.coordinator}))),
     ]
 
 
-def leave_in_turn(case: Case) -> schedules.Schedule:
+def leave_in_turn(case: Case) -> faults.Schedule:
     return [
-        (at_ms + 20 * position, schedules.Leave(slot, 700))
+        (at_ms + 20 * position, faults.Leave(slot, 700))
         for at_ms in (3_000, 4_500, 6_000)
         for position, slot in enumerate(case.others)
     ]
 
 
-def lose_answers_while_owners_leave(case: Case) -> schedules.Schedule:
+def lose_answers_while_owners_leave(case: Case) -> faults.Schedule:
     return [
-        (3_000, schedules.Leave(case.others[0], 4_000)),
-        (3_020, schedules.Leave(case.others[1], 4_000)),
-        (3_200, schedules.StoreMute(600)),
+        (3_000, faults.Leave(case.others[0], 4_000)),
+        (3_020, faults.Leave(case.others[1], 4_000)),
+        (3_200, faults.StoreMute(600)),
     ]
 
 
-def cut_voters_whose_instances_are_claimed(case: Case) -> schedules.Schedule:
+def cut_voters_whose_instances_are_claimed(case: Case) -> faults.Schedule:
     apart = frozenset(case.others)
     return [
-        (3_000, schedules.Cut(apart, False, 5_000, frozenset({case.coordinator}))),
-        (3_050, schedules.Claim(case.others[1], case.coordinator)),
-        (3_100, schedules.Claim(case.others[2], case.coordinator)),
+        (3_000, faults.Cut(apart, False, 5_000, frozenset({case.coordinator}))),
+        (3_050, faults.Claim(case.others[1], case.coordinator)),
+        (3_100, faults.Claim(case.others[2], case.coordinator)),
     ]
 
 
--- a/fuchsiamoor/testing/ownership_schedules.py
+++ b/fuchsiamoor/testing/ownership_schedules.py
@@ -17,117 +17,13 @@
 from fuchsiamoor.ownership import coordinator as coordinators
 from fuchsiamoor.ownership import events, holder, voucher
 from fuchsiamoor.store import port
+from fuchsiamoor.testing import ownership_faults as faults
 from fuchsiamoor.testing import tables as builders
 
 TICK_MS = 50
 CALL_TIMEOUT_MS = 300
 RUN_MS = 1_500
 TIMING = settings.Timing(drift_ratio=0.2)
-PLACES = ("almaty-1", "almaty-2", "astana-1", "astana-2") * 2
-
-
-class Kill(NamedTuple):
-    """The daemons on some slots end; others start there later."""
-
-    slots: frozenset[int]
-    restart_after_ms: int
-
-
-class Claim(NamedTuple):
-    """A second daemon, on another slot, takes a slot's instance for its own."""
-
-    slot: int
-    runs_on: int
-
-
-class Pause(NamedTuple):
-    """The daemons on some slots stand still, their clocks do not."""
-
-    slots: frozenset[int]
-    duration_ms: int
-
-
-class Cut(NamedTuple):
-    """Slots in ``slots`` do not reach ``others``; with ``store`` they lose it, too.
-
-    Without ``others`` they reach nobody outside.
-    """
-
-    slots: frozenset[int]
-    store: bool
-    duration_ms: int
-    others: frozenset[int] = frozenset()
-
-
-class StoreDown(NamedTuple):
-    """The store refuses every call."""
-
-    duration_ms: int
-
-
-class StoreMute(NamedTuple):
-    """The store carries calls out, late, and its answers are lost."""
-
-    duration_ms: int
-
-
-class Lossy(NamedTuple):
-    """Messages are lost, delayed and duplicated."""
-
-    duration_ms: int
-
-
-class Slow(NamedTuple):
-    """Messages to a slot arrive late."""
-
-    slot: int
-    delay_ms: int
-    duration_ms: int
-
-
-class Leave(NamedTuple):
-    """The member on a slot wants to hand everything over, then stays again."""
-
-    slot: int
-    duration_ms: int
-
-
-class TakeOut(NamedTuple):
-    """Operators take a data centre out and bring it back."""
-
-    data_centre: str
-    duration_ms: int
-
-
-class Hold(NamedTuple):
-    """An override holds everything to one instance, then is taken back."""
-
-    slot: int
-    duration_ms: int
-
-
-class Heat(NamedTuple):
-    """One key becomes hot, then cools."""
-
-    key_hash: int
-    duration_ms: int
-
-
-Fault = (
-    Kill
-    | Claim
-    | Pause
-    | Cut
-    | StoreDown
-    | StoreMute
-    | Lossy
-    | Slow
-    | Leave
-    | TakeOut
-    | Hold
-    | Heat
-)
-Schedule = list[tuple[int, Fault]]
 
 
 class OverlapError(AssertionError):
@@ -183,7 +79,7 @@
     lease: tuple[int, str, int] = (0, "", -1)
     registered: dict[str, members_.Member] = field(default_factory=dict)
     configuration: configurations.Configuration = builders.make_configuration()
-    faults: list[tuple[int, Fault]] = field(default_factory=list)
+    struck: list[tuple[int, faults.Fault]] = field(default_factory=list)
     runs: dict[int, dict[str, int]] = field(default_factory=dict)
     stamps_from_receipt: bool = False
     observe: Callable[[int, str, object], None] | None = None
@@ -207,7 +103,7 @@
 
 
 def run_schedule(
-    world: World, schedule: Schedule, until_ms: int, checks: bool = True
+    world: World, schedule: faults.Schedule, until_ms: int, checks: bool = True
 ) -> World:
     """Run a schedule of faults; raise if two members can serve one shard."""
     for at_ms, fault in schedule:
@@ -247,38 +143,6 @@
     return served
 
 
-def draw_schedule(source: random.Random, size: int, until_ms: int) -> Schedule:
-    """Draw a few faults from a random source."""
-    schedule = []
-    for _ in range(source.randint(1, 6)):
-        at_ms = source.randint(0, until_ms)
-        slot = source.randrange(size)
-        duration_ms = source.choice((300, 700, 1_200, 2_500, 4_000))
-        slots = frozenset(
-            source.sample(range(size), source.choice((1, 1, 1, size // 2, size)))
-        )
-        fault = source.choice(
-            (
-                Kill(slots, source.choice((0, 300, 2_000, 5_000))),
-                Kill(frozenset({slot}), source.choice((0, 300, 2_000, 5_000))),
-                Pause(slots, duration_ms),
-                Claim(slot, source.randrange(size)),
-                Cut(slots, source.random() < 0.5, duration_ms),
-                Cut(slots, False, duration_ms, frozenset({source.randrange(size)})),
-                StoreDown(duration_ms),
-                StoreMute(duration_ms),
-                Lossy(duration_ms),
-                Slow(slot, source.choice((200, 1_000, 2_000)), duration_ms),
-                Leave(slot, duration_ms),
-                TakeOut(source.choice(PLACES), duration_ms),
-                Hold(slot, duration_ms),
-                Heat(source.randrange(1 << 64), duration_ms),
-            )
-        )
-        schedule.append((at_ms, fault))
-    return sorted(schedule, key=lambda pair: pair[0])
-
-
 def _at(world: World, at_ms: int, action: Callable[[], None]) -> None:
     world.sequence += 1
     heapq.heappush(world.queue, (at_ms, world.sequence, action))
@@ -313,7 +177,7 @@
     world.version += 1
     member = builders.make_member(
         instance,
-        PLACES[slot],
+        faults.PLACES[slot],
         nonce=str(world.version),
         registered_version=world.version,
         checks_grants=checks_grants,
@@ -377,10 +241,10 @@
 
 
 def _make_load(world: World, node: Node) -> messages.MemberLoad:
-    hot = {f.key_hash: 100 for f in _list_active(world, Heat)}
+    hot = {f.key_hash: 100 for f in _list_active(world, faults.Heat)}
     owned = node.holder.owns_any
     return builders.make_load(
-        leaving=any(f.slot == node.slot for f in _list_active(world, Leave)),
+        leaving=any(f.slot == node.slot for f in _list_active(world, faults.Leave)),
         shard_rates={0: 100} if owned and hot else {},
         hot_keys=hot if owned else {},
     )
@@ -389,7 +253,7 @@
 def _list_active(world: World, kind: type) -> list:
     return [
         fault
-        for at_ms, fault in world.faults
+        for at_ms, fault in world.struck
         if isinstance(fault, kind) and world.now_ms < at_ms + fault.duration_ms
     ]
 
@@ -397,11 +261,11 @@
 def _is_cut(world: World, first: int, second: int) -> bool:
     return any(
         _separates(fault, first, second) or _separates(fault, second, first)
-        for fault in _list_active(world, Cut)
+        for fault in _list_active(world, faults.Cut)
     )
 
 
-def _separates(fault: Cut, first: int, second: int) -> bool:
+def _separates(fault: faults.Cut, first: int, second: int) -> bool:
     if first not in fault.slots or second in fault.slots:
         return False
     return not fault.others or second in fault.others
@@ -411,12 +275,12 @@
     if source.slot != target.slot and _is_cut(world, source.slot, target.slot):
         return
     copies, longest_ms = 1, 12
-    if _list_active(world, Lossy) and source.slot != target.slot:
+    if _list_active(world, faults.Lossy) and source.slot != target.slot:
         copies = world.source.choice((0, 1, 1, 1, 2))
         longest_ms = world.source.choice((12, 100, 700, 1_500))
     late_ms = sum(
         fault.delay_ms
-        for fault in _list_active(world, Slow)
+        for fault in _list_active(world, faults.Slow)
         if fault.slot == target.slot
     )
     for _ in range(copies):
@@ -496,10 +360,11 @@
 
 
 def _reaches_store(world: World, node: Node) -> bool:
-    if _list_active(world, StoreDown):
+    if _list_active(world, faults.StoreDown):
         return False
     return not any(
-        fault.store and node.slot in fault.slots for fault in _list_active(world, Cut)
+        fault.store and node.slot in fault.slots
+        for fault in _list_active(world, faults.Cut)
     )
 
 
@@ -515,7 +380,7 @@
     if not _reaches_store(world, node):
         _at(world, world.now_ms + 2, lambda: _on_node(world, node, refused))
         return
-    is_mute = bool(_list_active(world, StoreMute))
+    is_mute = bool(_list_active(world, faults.StoreMute))
     delay_ms = world.source.randint(1, 900 if is_mute else 5)
     has_timed_out = []
 
@@ -729,23 +594,23 @@
     _at(world, world.now_ms + timeout_ms, lambda: _on_node(world, node, fail))
 
 
-def _strike(world: World, fault: Fault) -> None:
-    world.faults.append((world.now_ms, fault))
+def _strike(world: World, fault: faults.Fault) -> None:
+    world.struck.append((world.now_ms, fault))
     if world.observe is not None:
         world.observe(world.now_ms, "", fault)
     match fault:
-        case Kill(slots, restart_after_ms):
+        case faults.Kill(slots, restart_after_ms):
             for slot in slots:
                 _kill(world, slot, restart_after_ms)
-        case Claim(slot, runs_on):
+        case faults.Claim(slot, runs_on):
             if not _is_taken(world, slot, runs_on):
                 checks = world.slots[slot].member.checks_grants
                 _start(world, slot, checks, runs_on)
-        case Pause(slots, duration_ms):
+        case faults.Pause(slots, duration_ms):
             for node in world.nodes:
                 if node.slot in slots:
                     _pause(world, node, duration_ms)
-        case TakeOut() | Hold():
+        case faults.TakeOut() | faults.Hold():
             _configure(world)
             _at(world, world.now_ms + fault.duration_ms, lambda: _configure(world))
 
@@ -782,12 +647,12 @@
 
 
 def _configure(world: World) -> None:
-    out = frozenset(fault.data_centre for fault in _list_active(world, TakeOut))
+    out = frozenset(fault.data_centre for fault in _list_active(world, faults.TakeOut))
     held = tuple(
         configurations.Override(
             "stock", "", "", configurations.HoldToInstance(f"i{fault.slot}")
         )
-        for fault in _list_active(world, Hold)
+        for fault in _list_active(world, faults.Hold)
     )
     world.configuration = world.configuration._replace(
         revision=world.configuration.revision + 1,
--- a/fuchsiamoor/testing/ownership_sessions.py
+++ b/fuchsiamoor/testing/ownership_sessions.py
@@ -6,6 +6,7 @@
 
 from fuchsiamoor.core import tables
 from fuchsiamoor.ownership import events
+from fuchsiamoor.testing import ownership_faults as faults
 from fuchsiamoor.testing import ownership_schedules as schedules
 
 _UNWRITTEN = (
@@ -17,7 +18,7 @@
 
 
 def write_session(
-    schedule: schedules.Schedule,
+    schedule: faults.Schedule,
     until_ms: int,
     size: int = 4,
     checks_grants: bool = True,
@@ -85,12 +86,12 @@
         case events.ReleasedReceived(member_id, released):
             shards = _join(released.shards)
             return f"ReleasedReceived {member_id}, move {released.move_id}: {shards}"
-        case schedules.Cut(slots, store, duration_ms):
+        case faults.Cut(slots, store, duration_ms):
             reach = " and the store" if store else ""
             return f"Cut i{_join(sorted(slots))}{reach} for {duration_ms} ms"
-        case schedules.Kill(slots, restart_after_ms):
+        case faults.Kill(slots, restart_after_ms):
             return f"Kill i{_join(sorted(slots))}, restart after {restart_after_ms} ms"
-        case schedules.Pause(slots, duration_ms):
+        case faults.Pause(slots, duration_ms):
             return f"Pause i{_join(sorted(slots))} for {duration_ms} ms"
     return str(seen)
 
