Order overrides by how specific they are when a document is read

Change: reading sorts them from the widest to the most specific; a property test reads every order of five overrides as the same configuration.

--- a/fuchsiamoor/documents/reader.py
+++ b/fuchsiamoor/documents/reader.py
@@ -86,7 +86,9 @@
             name: frozenset(fields["home_regions"])
             for name, fields in document["tenants"].items()
         },
-        overrides=tuple(_make_override(fields) for fields in document["overrides"]),
+        overrides=tuple(
+            sorted(map(_make_override, document["overrides"]), key=_rank_override)
+        ),
         moves_per_minute=document["moves_per_minute"],
     )
 
@@ -129,6 +131,12 @@
     )
 
 
+def _rank_override(override: configuration.Override) -> tuple:
+    """Order overrides from the widest to the most specific, however they were given."""
+    specific = (bool(override.key), bool(override.tenant))
+    return (*specific, override.service, override.tenant, override.key)
+
+
 def _make_hold(fields: model.HoldFields) -> configuration.Hold:
     match fields:
         case {"instance": instance}:
--- a/fuchsiamoor/documents/reader_test.py
+++ b/fuchsiamoor/documents/reader_test.py
@@ -83,6 +83,22 @@
     }
 
 
+@given(
+    st.permutations(
+        [
+            make_override("instance", "a"),
+            make_override("instance", "b", service="booking"),
+            make_override("instance", "c", tenant="clinics"),
+            make_override("instance", "d", key="k"),
+            make_override("instance", "e", tenant="clinics", key="k"),
+        ]
+    )
+)
+def test_the_order_of_overrides_in_a_file_has_no_meaning(overrides):
+    held = [found.hold.instance for found in _read(overrides=overrides).overrides]
+    assert held == ["b", "a", "c", "d", "e"]
+
+
 def test_a_data_centre_is_in_one_region():
     found = _faults_of(
         regions={"astana": {"data_centres": ["x"]}, "almaty": {"data_centres": ["x"]}},
