--- a/fuchsiamoor/cli/pages_test.py
+++ b/fuchsiamoor/cli/pages_test.py
@@ -10,7 +10,7 @@
 from fuchsiamoor.daemon import settings_file
 from fuchsiamoor.documents import model, page, reader
 from fuchsiamoor.reports import metric_names
-from fuchsiamoor.testing import tool_shell
+from fuchsiamoor.testing import generated, tool_shell
 
 ROOT = pathlib.Path(__file__).parents[2]
 PAGES = ["README.md", "docs/OPERATING.md", "docs/CONFIGURATION.md", "docs/METRICS.md"]
@@ -68,6 +68,11 @@
     reader.read_value(example["configuration"])
 
 
+@pytest.mark.parametrize("name", sorted(generated.generate()))
+def test_generated_parts_are_up_to_date(name):
+    assert _read(f"docs/{name}") == generated.generate()[name]
+
+
 def test_the_field_tables_equal_the_models():
     text = _read("docs/CONFIGURATION.md")
     assert page.format_fields(model.ADAPTER) in text
--- /dev/null
+++ b/fuchsiamoor/testing/generated.py
@@ -0,0 +1,42 @@
+"""Generated parts of docs/; ``python -m fuchsiamoor.testing.generated`` writes them."""
+
+import pathlib
+import re
+
+from fuchsiamoor.daemon import settings_file
+from fuchsiamoor.documents import model, page
+from fuchsiamoor.reports import metric_names
+
+DOCS = pathlib.Path(__file__).parents[2] / "docs"
+
+
+def generate() -> dict[str, str]:
+    """Return the text of every page that has a generated part."""
+    configuration = (DOCS / "CONFIGURATION.md").read_text()
+    fields = {
+        "Configuration": page.format_fields(model.ADAPTER),
+        "Settings": page.format_fields(settings_file.ADAPTER),
+    }
+    for title, text in fields.items():
+        pattern = rf"### {title}\n.*?(?=\n## |\Z)"
+        configuration = re.sub(
+            pattern, lambda _, text=text: text, configuration, flags=re.DOTALL
+        )
+    metrics = (DOCS / "METRICS.md").read_text()
+    head, _, _ = metrics.partition("| Name |")
+    return {
+        "CONFIGURATION.md": configuration,
+        "METRICS.md": head + metric_names.format_table(),
+        "configuration.schema.json": model.make_schema(),
+        "settings.schema.json": settings_file.make_schema(),
+    }
+
+
+def main() -> None:
+    """Write the pages."""
+    for name, text in generate().items():
+        (DOCS / name).write_text(text)
+
+
+if __name__ == "__main__":
+    main()
