--- a/bench/routing_model.py
+++ b/bench/routing_model.py
@@ -419,10 +419,11 @@
         _conclude(model, pending, "refused")
         return
     pending.permit = retry.permit_next(pending.permit, verdict)
-    model.counts["retried"] += 1
     _send(model, pending)
     if not pending.running:
         _conclude(model, pending, "refused")
+        return
+    model.counts["retried"] += 1
 
 
 def _expire(model: Model, pending: Pending) -> None:
--- a/bench/routing_policy.py
+++ b/bench/routing_policy.py
@@ -227,6 +227,9 @@
             ("load 2, in use", double, IN_USE),
             ("load 2, random", double, CHOICES[0]),
             ("load 2, no bounds", double, unbounded),
+            ("load 1, by key", at_capacity, KEYED),
+            ("load 2, by key", double, KEYED),
+            ("load 2, key, no bounds", double, KEYED._replace(bounded=False)),
         ):
             print_row(deployment, name, routing_model.run_model(scenario, policy))
 
