--- a/fuchsiamoor/testing/ownership_schedules.py
+++ b/fuchsiamoor/testing/ownership_schedules.py
@@ -81,6 +81,7 @@
     configuration: configurations.Configuration = builders.make_configuration()
     struck: list[tuple[int, faults.Fault]] = field(default_factory=list)
     runs: dict[int, dict[str, int]] = field(default_factory=dict)
+    servable: list[tuple[Node, list[int]]] = field(default_factory=list)
     stamps_from_receipt: bool = False
     observe: Callable[[int, str, object], None] | None = None
 
@@ -670,44 +671,46 @@
 
 
 def _note_runs(world: World, until_ms: int) -> None:
-    for node in world.nodes:
-        known = node.holder
-        if known.lease_until_ms <= _clock(world, node) or known.table is None:
-            continue
-        lease_end_ms = int((known.lease_until_ms - node.offset_ms) / node.rate)
-        end_ms = min(until_ms, lease_end_ms)
+    """Note what may have run since the last check, which changed nothing since."""
+    for node, shards in world.servable:
+        lease_until_ms = node.holder.lease_until_ms
+        lease_end_ms = int((lease_until_ms - node.offset_ms) / node.rate)
         run_ms = 0 if node.member.checks_grants else RUN_MS
-        for shard in _list_servable(world, node):
+        end_ms = min(until_ms, lease_end_ms) + run_ms
+        member_id = node.member.member_id
+        for shard in shards:
             runs = world.runs.setdefault(shard, {})
-            member_id = node.member.member_id
-            runs[member_id] = max(runs.get(member_id, 0), end_ms + run_ms)
+            runs[member_id] = max(runs.get(member_id, 0), end_ms)
 
 
 def _check_runs(world: World) -> None:
-    for node in world.nodes:
-        for shard in _list_servable(world, node):
-            for member_id, until_ms in world.runs.get(shard, {}).items():
-                if member_id != node.member.member_id and until_ms > world.now_ms:
-                    raise OverlapError(
-                        f"{world.now_ms} ms: shard {shard} is served by"
-                        f" {node.member.member_id} while {member_id} may serve it"
-                        f" until {until_ms} ms"
-                    )
+    world.servable = [
+        (node, shards)
+        for node in world.nodes
+        if (shards := _list_servable(world, node))
+    ]
     serving: dict[int, str] = {}
-    for node in world.nodes:
-        for shard in _list_servable(world, node):
-            other = serving.setdefault(shard, node.member.member_id)
-            if other != node.member.member_id:
+    for node, shards in world.servable:
+        own_id = node.member.member_id
+        for shard in shards:
+            other = serving.setdefault(shard, own_id)
+            if other != own_id:
                 raise OverlapError(
-                    f"{world.now_ms} ms: shard {shard} is served by"
-                    f" {node.member.member_id} and {other}"
+                    f"{world.now_ms} ms: shard {shard} is served by {own_id}"
+                    f" and {other}"
                 )
+            for member_id, until_ms in world.runs.get(shard, {}).items():
+                if member_id != own_id and until_ms > world.now_ms:
+                    raise OverlapError(
+                        f"{world.now_ms} ms: shard {shard} is served by {own_id}"
+                        f" while {member_id} may serve it until {until_ms} ms"
+                    )
 
 
 def _list_servable(world: World, node: Node) -> list[int]:
     known = node.holder
     now_ms = _clock(world, node)
-    if known.table is None or now_ms >= known.lease_until_ms:
+    if not known.owns_any or now_ms >= known.lease_until_ms:
         return []
     return [
         shard
