Turn to the voters as soon as the coordinator refuses

Cause: with leases of 600 ms and voters asked after two renewals without a grant, 200 ms were left for the vouches; a coordinator whose store lease has lapsed refuses long before. Change: record_refused, which the shell has to call, makes the vouches due at once.

--- a/fuchsiamoor/ownership/holder.py
+++ b/fuchsiamoor/ownership/holder.py
@@ -89,6 +89,8 @@
         For each voter, sending time of the newest `Vouch` that it granted.
     lease_until_ms : int
         End of the present lease, `NO_LEASE_MS` for none.
+    refused : bool
+        Whether the newest `Renew` answered was refused.
     owns_any : bool
     renew_due_ms, vouch_due_ms : int
         Next time to ask.
@@ -106,6 +108,7 @@
     renewed_sent_ms: int | None = None
     vouched_sent_ms: dict[str, int] = field(default_factory=dict)
     lease_until_ms: int = NO_LEASE_MS
+    refused: bool = False
     owns_any: bool = False
     renew_due_ms: int = 0
     vouch_due_ms: int = 0
@@ -164,10 +167,17 @@
     if renewed.domain != holder.domain:
         return
     if holder.renewed_sent_ms is None or sent_ms > holder.renewed_sent_ms:
+        holder.refused = False
         holder.renewed_sent_ms = sent_ms
         _refresh_lease(holder)
 
 
+def record_refused(holder: Holder, refused: messages.RenewRefused) -> None:
+    """Turn to the voters at once: the member asked grants nothing at present."""
+    if refused.domain == holder.domain:
+        holder.refused = True
+
+
 def record_vouched(
     holder: Holder, voter_id: str, vouched: messages.Vouched, sent_ms: int
 ) -> None:
@@ -187,7 +197,8 @@
 ) -> list[Ask]:
     """Return the questions that are due.
 
-    Voters are asked only when the coordinator has left two renewals without a grant. A
+    Voters are asked only when the coordinator refused, or left two renewals without a
+    grant. A
     retired member that is still a voter goes on to tell which revision it knows, and
     that it leaves.
 
@@ -391,7 +402,7 @@
 
 
 def _patience_end_ms(holder: Holder) -> int:
-    if holder.renewed_sent_ms is None:
+    if holder.refused or holder.renewed_sent_ms is None:
         return NO_LEASE_MS
     patience_ms = _VOUCH_AFTER_RENEWALS * holder.timing.renew_every_ms
     return holder.renewed_sent_ms + patience_ms
--- a/fuchsiamoor/ownership/holder_test.py
+++ b/fuchsiamoor/ownership/holder_test.py
@@ -52,6 +52,18 @@
     assert asked == {"b#1", "c#1"}
 
 
+def test_a_refusal_turns_to_the_voters_at_once():
+    holder = make_holder(coordinator="b#1")
+    renew(holder, sent_ms=0)
+    refused = messages.RenewRefused(builders.DOMAIN, "", 1)
+    holders.record_refused(holder, refused)
+    assert holders.next_ask_ms(holder) == 0
+    asks = holders.list_renewals(holder, 100, builders.make_load(), 1)
+    assert {ask.member_id for ask in asks} == {"b#1", "c#1"}
+    renew(holder, sent_ms=100)
+    assert holders.next_ask_ms(holder) == 350
+
+
 def test_a_released_shard_waits_until_the_move_is_aborted():
     holder = make_holder()
     renew(holder)
