Name the runs that a registration replaces; keep a voter's registration at its stop

Cause: after a restart of every daemon no key was served: the voters of each table were runs that nobody could know to be over, as registrations named no earlier runs. Ruled out: new voters by the coordinator alone, which would need half of the old ones. Change: a run that listens at its predecessor's peer address names it in its registration; at a planned stop the registration of a voter stays in the store. Also: cancelled runs are told to the upstream, an abort wakes what was parked, and an apply to a store that has lost its data is refused.

--- a/fuchsiamoor/daemon/dispatch.py
+++ b/fuchsiamoor/daemon/dispatch.py
@@ -81,4 +81,5 @@
     holder = node.holders.get(abort.domain)
     if holder is not None:
         holders.abort_release(holder, abort)
+        servings.state_changed(node.serving)
     return messages.Done()
--- a/fuchsiamoor/daemon/operating.py
+++ b/fuchsiamoor/daemon/operating.py
@@ -52,7 +52,13 @@
     async def apply_document(
         based_on: int, apply_id: str, document: object
     ) -> apply.ApplyResult:
-        result = await apply.apply_document(node.store, based_on, apply_id, document)
+        result = await apply.apply_document(
+            node.store,
+            based_on,
+            apply_id,
+            document,
+            in_force_revision=node.knowledge.configuration.revision,
+        )
         if isinstance(result, apply.Applied):
             await exchange.read_configuration(node)
         return result
--- a/fuchsiamoor/daemon/registration.py
+++ b/fuchsiamoor/daemon/registration.py
@@ -8,7 +8,7 @@
 
 from loguru import logger
 
-from fuchsiamoor.core import errors
+from fuchsiamoor.core import errors, members
 from fuchsiamoor.daemon import exchange
 from fuchsiamoor.daemon import knowledge as knowledges
 from fuchsiamoor.daemon import node as nodes
@@ -19,6 +19,7 @@
 
 FIRST_DELAY_MS = 100
 LARGEST_DELAY_MS = 2_000
+MAX_REPLACED = 16
 
 
 async def run_registration(node: nodes.Node) -> None:
@@ -54,11 +55,14 @@
     if current is not None and current.value == value:
         _confirm(node, current.version)
         return
-    if current is not None and member.registered_version:
+    if current is not None:
         registered = codec.decode_member(current.value)
         if registered.member_id != member.member_id:
-            give_up_instance(node)
-            return
+            if member.registered_version:
+                give_up_instance(node)
+                return
+            node.member = member._replace(replaces=list_replaced(member, registered))
+            value = codec.encode_member(node.member)
     expected = current.version if current is not None else port.ABSENT
     match await node.store.swap(key, expected, value):
         case port.Swapped(version):
@@ -67,14 +71,35 @@
             node.metrics.count("registration.raced")
 
 
+def list_replaced(
+    member: members.Member, registered: members.Member
+) -> tuple[str, ...]:
+    """Return the earlier runs that are over because this one listens where they did.
+
+    Parameters
+    ----------
+    member : Member
+        This run, whose peer server is open.
+    registered : Member
+        The registration that it replaces.
+    """
+    if registered.peer_address != member.peer_address:
+        return ()
+    return (registered.member_id, *registered.replaces)[:MAX_REPLACED]
+
+
 def _confirm(node: nodes.Node, version: int) -> None:
     node.member = node.member._replace(registered_version=version)
     knowledges.adopt_members(node.knowledge, [node.member])
 
 
 async def deregister(node: nodes.Node) -> None:
-    """Take this run's registration out of the store at a planned stop."""
-    if node.member.registered_version == 0:
+    """Take this run's registration out of the store at a planned stop.
+
+    The registration of a voter stays, so that its successor at the same address can
+    tell that it is over.
+    """
+    if node.member.registered_version == 0 or _is_voter(node):
         return
     key = exchange.MEMBERS_PREFIX + node.member.instance
     try:
@@ -83,6 +108,14 @@
         node.metrics.count("registration.failed")
 
 
+def _is_voter(node: nodes.Node) -> bool:
+    return any(
+        voter.member_id == node.member.member_id
+        for table in node.knowledge.tables.values()
+        for voter in (*table.voters, *table.previous_voters)
+    )
+
+
 def check_superseded(node: nodes.Node) -> None:
     """Give up the instance if a later registration holds it."""
     if node.superseded:
--- /dev/null
+++ b/fuchsiamoor/daemon/registration_test.py
@@ -0,0 +1,80 @@
+import asyncio
+
+from fuchsiamoor.core import errors, settings
+from fuchsiamoor.core.addresses import Address
+from fuchsiamoor.daemon import metrics, registration, store_metrics
+from fuchsiamoor.daemon import node as nodes
+from fuchsiamoor.peers import codec
+from fuchsiamoor.testing import fake_store, tables
+
+
+def make_settings(port=1):
+    address = Address("127.0.0.1", port)
+    return settings.Settings(
+        "a-1", "stock", "a", "a-1", *[address] * 5, "", None, (), (), tables.TIMING
+    )
+
+
+def make_node(store, port=1):
+    counted = metrics.make_metrics(None)
+    return nodes.make_node(
+        make_settings(port), store_metrics.make_counted_store(store, counted), counted
+    )
+
+
+def read_registered(store):
+    entry = asyncio.run(store.get("members/a-1"))
+    return codec.decode_member(entry.value) if entry else None
+
+
+def test_a_successor_at_the_same_address_names_the_runs_that_are_over():
+    store = fake_store.FakeStore(fake_store.VirtualClock())
+    runs = [make_node(store) for _ in range(3)]
+    for run in runs:
+        asyncio.run(registration.register(run))
+    first, second, third = (run.member.member_id for run in runs)
+    assert read_registered(store).member_id == third
+    assert read_registered(store).replaces == (second, first)
+
+
+def test_a_successor_at_another_address_proves_no_end():
+    store = fake_store.FakeStore(fake_store.VirtualClock())
+    asyncio.run(registration.register(make_node(store, port=1)))
+    asyncio.run(registration.register(make_node(store, port=2)))
+    assert read_registered(store).replaces == ()
+
+
+def test_the_earlier_run_gives_the_instance_up_and_takes_it_never_back():
+    store = fake_store.FakeStore(fake_store.VirtualClock())
+    first, second = make_node(store), make_node(store)
+    for run in (first, second, first):
+        asyncio.run(registration.register(run))
+    assert first.superseded and not second.superseded
+    assert read_registered(store).member_id == second.member.member_id
+
+
+def test_a_registration_whose_answer_was_lost_is_found_again():
+    store = fake_store.FakeStore(fake_store.VirtualClock())
+    run = make_node(store)
+    store.lost_answers = 1
+    try:
+        asyncio.run(registration.register(run))
+    except errors.StoreOutcomeUnknownError:
+        pass
+    asyncio.run(registration.register(run))
+    assert (
+        run.member.registered_version == asyncio.run(store.get("members/a-1")).version
+    )
+
+
+def test_a_voter_leaves_its_registration_to_its_successor():
+    store = fake_store.FakeStore(fake_store.VirtualClock())
+    run = make_node(store)
+    asyncio.run(registration.register(run))
+    table = tables.make_table(("",), voters=(run.member.member_id,))
+    run.knowledge.tables[table.domain] = table
+    asyncio.run(registration.deregister(run))
+    assert read_registered(store) is not None
+    run.knowledge.tables.clear()
+    asyncio.run(registration.deregister(run))
+    assert read_registered(store) is None
--- a/fuchsiamoor/daemon/starting.py
+++ b/fuchsiamoor/daemon/starting.py
@@ -88,6 +88,7 @@
         metrics=node.metrics,
         now_ms=node.now_ms,
         unix_ms=lambda: time.time_ns() // 1_000_000,
+        cancel_run=lambda request_id: node.client.cancel(request_id),
     )
     node.entry = entries.make_entry(
         get_configuration=get_configuration,
