--- a/standins/whole_path_test.py
+++ b/standins/whole_path_test.py
@@ -221,13 +221,20 @@
 
 
 async def choose_victim(started, role):
-    """Return the stock domain's coordinator, or another owner."""
-    _, status = await deployment.ask_operator(started, "GET", "/v1/status")
+    """Return the stock domain's coordinator, or another owner once there is one."""
     domain = keys.make_domain_id(SERVICE, frozenset(HOME_REGIONS["default"]))
-    [view] = [view for view in status["domains"] if view["domain"] == domain]
-    coordinator = members.instance_of(view["coordinator"])
-    others = [name for name in view["shards_by_instance"] if name != coordinator]
-    return coordinator if role == "coordinator" else others[0]
+    victims = []
+
+    async def is_found():
+        _, status = await deployment.ask_operator(started, "GET", "/v1/status")
+        [view] = [view for view in status["domains"] if view["domain"] == domain]
+        coordinator = members.instance_of(view["coordinator"])
+        others = view["shards_by_instance"].keys() - {coordinator}
+        victims[:] = [coordinator] if role == "coordinator" else sorted(others)
+        return bool(victims)
+
+    await deployment.wait_until(is_found, f"{role} found")
+    return victims[0]
 
 
 @pytest.mark.parametrize(
