--- a/fuchsiamoor/core/messages.py
+++ b/fuchsiamoor/core/messages.py
@@ -269,6 +269,10 @@
     members: tuple[bytes, ...]
 
 
+class Ping(NamedTuple):
+    """Asks whether the receiver can be called; answered with `Done`."""
+
+
 class Done(NamedTuple):
     """Acknowledges a message that has no answer of its own."""
 
@@ -295,6 +299,7 @@
     | DigestReply
     | StatePush
     | Done
+    | Ping
 )
 
 KINDS: dict[int, type] = {
@@ -319,4 +324,5 @@
     19: DigestReply,
     20: StatePush,
     21: Done,
+    22: Ping,
 }
--- a/fuchsiamoor/daemon/dispatch.py
+++ b/fuchsiamoor/daemon/dispatch.py
@@ -40,6 +40,8 @@
         case messages.Digest():
             node.last_exchange_ms = node.now_ms()
             return knowledges.reply_to_digest(node.knowledge, message)
+        case messages.Ping():
+            return messages.Done()
         case messages.StatePush():
             exchange.take_state(node, message)
             return messages.Done()
