--- a/fuchsiamoor/daemon/coordinating.py
+++ b/fuchsiamoor/daemon/coordinating.py
@@ -16,6 +16,7 @@
 from fuchsiamoor.daemon import calls, exchange
 from fuchsiamoor.daemon import knowledge as knowledges
 from fuchsiamoor.daemon import node as nodes
+from fuchsiamoor.membership import reach
 from fuchsiamoor.ownership import coordinator as coordinators
 from fuchsiamoor.ownership import events, tables_codec
 from fuchsiamoor.ownership import holder as holders
@@ -25,6 +26,7 @@
 CANDIDATE_CHECK_MS = 50
 FIRST_RETRY_MS = 100
 LARGEST_RETRY_MS = 10_000
+RESIGNED_REST_MS = 10_000
 RANK_DELAY_MS = 150
 LARGEST_RANK_DELAY_MS = 5_000
 READ_BACK_DELAY_MS = 50
@@ -40,6 +42,8 @@
     machine : Coordinator
     lease_id : str
         The store lease under which the role is held.
+    reach : Reach
+        Which members answer calls.
     ended : asyncio.Event
         Set once the role is lost or given up.
     """
@@ -47,6 +51,7 @@
     domain: str
     machine: coordinators.Coordinator
     lease_id: str
+    reach: reach.Reach = field(default_factory=reach.make_reach)
     ended: asyncio.Event = field(default_factory=asyncio.Event)
 
 
@@ -79,7 +84,13 @@
     node: nodes.Node, coordination: Coordination, renew: messages.Renew
 ) -> messages.Message:
     """Answer a renewal and take note of the sign of life."""
-    reply = coordinators.answer_renew(coordination.machine, renew, node.now_ms())
+    now_ms = node.now_ms()
+    if reach.note_due(coordination.reach, renew.member_id, now_ms):
+        nodes.spawn(node, _ping(node, coordination, renew.member_id), "ping")
+    if not reach.is_reached(coordination.reach, renew.member_id, now_ms):
+        node.metrics.count("coordinator.member_unreached")
+        return messages.RenewRefused(renew.domain, node.member.member_id, 0)
+    reply = coordinators.answer_renew(coordination.machine, renew, now_ms)
     feed(node, coordination, events.RenewReceived(renew))
     if isinstance(reply, messages.Renewed):
         return reply._replace(
@@ -88,6 +99,16 @@
     return reply
 
 
+async def _ping(node, coordination: Coordination, member_id: str) -> None:
+    try:
+        await calls.call_member(
+            node, member_id, messages.Ping(), node.settings.timing.lease_ms
+        )
+    except errors.PeerError:
+        return
+    reach.note_answer(coordination.reach, member_id, node.now_ms())
+
+
 def feed(node: nodes.Node, coordination: Coordination, event) -> None:
     """Give the machine one event and start its actions."""
     if coordination.ended.is_set():
@@ -146,6 +167,9 @@
         return False
     if node.member.registered_version == 0 or _is_out(node):
         return False
+    resigned_ms = node.resigned_ms.get(domain)
+    if resigned_ms is not None and node.now_ms() - resigned_ms < RESIGNED_REST_MS:
+        return False
     renewed_ms = holder.renewed_sent_ms
     return (
         renewed_ms is None
@@ -283,7 +307,9 @@
             await _ask_release(node, coordination, action)
         case events.SendAbort():
             await _send_abort(node, action)
-        case events.Resign():
+        case events.Resign(reason):
+            logger.bind(domain=coordination.domain).info(f"resigning: {reason}")
+            node.resigned_ms[coordination.domain] = node.now_ms()
             await resign(node, coordination)
 
 
--- a/fuchsiamoor/daemon/dispatch.py
+++ b/fuchsiamoor/daemon/dispatch.py
@@ -40,6 +40,8 @@
         case messages.Digest():
             node.last_exchange_ms = node.now_ms()
             return knowledges.reply_to_digest(node.knowledge, message)
+        case messages.Ping():
+            return messages.Done()
         case messages.StatePush():
             exchange.take_state(node, message)
             return messages.Done()
@@ -81,4 +83,5 @@
     holder = node.holders.get(abort.domain)
     if holder is not None:
         holders.abort_release(holder, abort)
+        servings.state_changed(node.serving)
     return messages.Done()
--- a/fuchsiamoor/daemon/node.py
+++ b/fuchsiamoor/daemon/node.py
@@ -64,6 +64,8 @@
         One for each domain that this daemon coordinates.
     coordinator_hints : dict of str to str
         Last coordinator read from the store or told by a peer, by domain.
+    resigned_ms : dict of str to int
+        When this daemon last gave up coordinating a domain.
     upstream : UpstreamState
     serving, entry, client : object
         Owner's side, entry side, and client of the upstream; set while starting.
@@ -102,6 +104,7 @@
     holders: dict[str, Holder] = field(default_factory=dict)
     coordinating: dict[str, Any] = field(default_factory=dict)
     coordinator_hints: dict[str, str] = field(default_factory=dict)
+    resigned_ms: dict[str, int] = field(default_factory=dict)
     upstream: UpstreamState = field(default_factory=UpstreamState)
     serving: Any = None
     entry: Any = None
--- a/fuchsiamoor/reports/metric_names.py
+++ b/fuchsiamoor/reports/metric_names.py
@@ -74,6 +74,7 @@
     SHARDS_MOVED_UNPLANNED: "Shards moved after the loss of their owner.",
     "coordinator.acquired": "Terms that this daemon began as a coordinator.",
     "coordinator.acquire_failed": "Terms not begun because the store failed.",
+    "coordinator.member_unreached": "Renewals refused to members that answer no call.",
     "coordinator.ended": "Terms that this daemon ended.",
     "coordinator.renew_failed": "Failed renewals of the coordinator's store lease.",
     "coordinator.resign_failed": "Roles given up without the store's answer.",
