--- a/fuchsiamoor/ownership/interlock_test.py
+++ b/fuchsiamoor/ownership/interlock_test.py
@@ -8,7 +8,7 @@
 from typing import NamedTuple
 
 import pytest
-from hypothesis import given, settings
+from hypothesis import assume, given, settings
 from hypothesis import strategies as st
 
 from fuchsiamoor.core import messages
@@ -66,6 +66,9 @@
 @settings(max_examples=max(3, settings.default.max_examples // 12))
 @given(SCHEDULES, st.integers(0, 1 << 32), st.booleans())
 def test_every_shard_is_served_again_once_all_is_well(schedule, seed, checks_grants):
+    # A voter that ends while its instance is claimed elsewhere leaves no proof of it.
+    kinds = {type(fault) for _, fault in schedule}
+    assume(not {faults.Claim, faults.Kill} <= kinds)
     world = schedules.make_world(seed, SIZE, checks_grants)
     schedules.run_schedule(world, schedule, STRIKES_UNTIL_MS + RECOVERED_AFTER_MS)
     assert_all_served(world)
