Name the domain of a shard to the upstream

Cause: epochs belong to one domain's table, but runs named only the shard, so that the stand-in kept epochs by tenant and no explicit grant raised the epoch of a run. Change: Fuchsiamoor-Domain beside the shard and epoch.

--- a/fuchsiamoor/daemon/coordinating.py
+++ b/fuchsiamoor/daemon/coordinating.py
@@ -16,7 +16,7 @@
 from fuchsiamoor.daemon import calls, exchange
 from fuchsiamoor.daemon import knowledge as knowledges
 from fuchsiamoor.daemon import node as nodes
-from fuchsiamoor.membership import reach
+from fuchsiamoor.membership import reach as reaches
 from fuchsiamoor.ownership import coordinator as coordinators
 from fuchsiamoor.ownership import events, tables_codec
 from fuchsiamoor.ownership import holder as holders
@@ -51,7 +51,7 @@
     domain: str
     machine: coordinators.Coordinator
     lease_id: str
-    reach: reach.Reach = field(default_factory=reach.make_reach)
+    reach: reaches.Reach = field(default_factory=reaches.make_reach)
     ended: asyncio.Event = field(default_factory=asyncio.Event)
 
 
@@ -85,9 +85,9 @@
 ) -> messages.Message:
     """Answer a renewal and take note of the sign of life."""
     now_ms = node.now_ms()
-    if reach.note_due(coordination.reach, renew.member_id, now_ms):
+    if reaches.note_due(coordination.reach, renew.member_id, now_ms):
         nodes.spawn(node, _ping(node, coordination, renew.member_id), "ping")
-    if not reach.is_reached(coordination.reach, renew.member_id, now_ms):
+    if not reaches.is_reached(coordination.reach, renew.member_id, now_ms):
         node.metrics.count("coordinator.member_unreached")
         return messages.RenewRefused(renew.domain, node.member.member_id, 0)
     reply = coordinators.answer_renew(coordination.machine, renew, now_ms)
@@ -106,7 +106,7 @@
         )
     except errors.PeerError:
         return
-    reach.note_answer(coordination.reach, member_id, node.now_ms())
+    reaches.note_answer(coordination.reach, member_id, node.now_ms())
 
 
 def feed(node: nodes.Node, coordination: Coordination, event) -> None:
--- a/fuchsiamoor/daemon/hand_over.py
+++ b/fuchsiamoor/daemon/hand_over.py
@@ -171,6 +171,7 @@
             grant.epoch,
             lease_until_unix_ms,
             request.deadline_ms + to_unix_ms,
+            run.domain,
         )
         if answer.request_id != request.request_id:
             verdict = MayHaveRun(Reason.TRUNCATED, "answer to another request")
--- a/fuchsiamoor/daemon/ports.py
+++ b/fuchsiamoor/daemon/ports.py
@@ -19,6 +19,7 @@
         epoch: int,
         lease_until_unix_ms: int,
         deadline_at_unix_ms: int,
+        domain: str = "",
     ) -> requests.Answer:
         """Run a request; a refused connection shows that the upstream is gone."""
         began_ns = time.monotonic_ns()
@@ -28,6 +29,7 @@
             epoch,
             lease_until_unix_ms,
             deadline_at_unix_ms,
+            domain,
         )
         match answer.verdict:
             case verdicts.Ran():
--- a/fuchsiamoor/daemon/serving_state.py
+++ b/fuchsiamoor/daemon/serving_state.py
@@ -33,6 +33,7 @@
         epoch: int,
         lease_until_unix_ms: int,
         deadline_at_unix_ms: int,
+        domain: str = "",
     ) -> Answer:
         """Run a request; raises nothing but `asyncio.CancelledError`.
 
--- a/fuchsiamoor/daemon/upstream_client.py
+++ b/fuchsiamoor/daemon/upstream_client.py
@@ -70,6 +70,7 @@
         epoch: int,
         lease_until_unix_ms: int,
         deadline_at_unix_ms: int,
+        domain: str = "",
     ) -> Answer:
         """Run a request at the upstream; raises nothing but `asyncio.CancelledError`.
 
@@ -84,6 +85,8 @@
             The upstream may start nothing after it.
         deadline_at_unix_ms : int
             Nor after this; no answer is waited for after it.
+        domain : str
+            Whose shard it is.
 
         Returns
         -------
@@ -95,7 +98,7 @@
             payload = _encode_request(
                 self.pool.address,
                 request,
-                (shard, epoch, lease_until_unix_ms),
+                (domain, shard, epoch, lease_until_unix_ms),
                 deadline_at_unix_ms,
             )
         except ValueError as error:
@@ -219,7 +222,7 @@
 def _encode_request(
     address: Address,
     request: Request,
-    fence: tuple[int, int, int],
+    fence: tuple[str, int, int, int],
     deadline_at_unix_ms: int,
 ) -> bytes:
     """Return a request as HTTP/1.1.
@@ -237,7 +240,7 @@
         f"Fuchsiamoor-Request-Id: {request.request_id}",
         f"Fuchsiamoor-Tenant: {request.tenant}",
     ]
-    shard, epoch, lease_until_unix_ms = fence
+    domain, shard, epoch, lease_until_unix_ms = fence
     start_by_unix_ms = deadline_at_unix_ms
     if shard >= 0:
         start_by_unix_ms = min(deadline_at_unix_ms, lease_until_unix_ms)
@@ -245,6 +248,7 @@
     if request.key:
         lines.append(f"Fuchsiamoor-Key: {request.key}")
     if shard >= 0:
+        lines.append(f"Fuchsiamoor-Domain: {domain}")
         lines.append(f"Fuchsiamoor-Shard: {shard}")
         lines.append(f"Fuchsiamoor-Epoch: {epoch}")
         lines.append(f"Fuchsiamoor-Lease-Until-Ms: {lease_until_unix_ms}")
--- a/fuchsiamoor/daemon/upstream_client_test.py
+++ b/fuchsiamoor/daemon/upstream_client_test.py
@@ -25,7 +25,7 @@
 async def run_request(client, timeout_ms=2000, **changes):
     request = wire.make_request(**changes)
     deadline_ms = unix_ms() + timeout_ms
-    return await client.run(request, 3, 42, deadline_ms + 500, deadline_ms)
+    return await client.run(request, 3, 42, deadline_ms + 500, deadline_ms, "booking@a")
 
 
 def run(steps, scenario, connections=5, limit_bytes=1000):
@@ -83,6 +83,7 @@
         "Fuchsiamoor-Request-Id": "r-1",
         "Fuchsiamoor-Tenant": "dala",
         "Fuchsiamoor-Key": "chair-1",
+        "Fuchsiamoor-Domain": "booking@a",
         "Fuchsiamoor-Shard": "3",
         "Fuchsiamoor-Epoch": "42",
         "Idempotency-Key": "i",
--- a/fuchsiamoor/testing/routing_upstream.py
+++ b/fuchsiamoor/testing/routing_upstream.py
@@ -72,6 +72,7 @@
         epoch: int,
         lease_until_unix_ms: int,
         deadline_at_unix_ms: int,
+        domain: str = "",
     ) -> Answer:
         """Run a request as told."""
         request_id = request.request_id
--- a/fuchsiamoor/testing/routing_world.py
+++ b/fuchsiamoor/testing/routing_world.py
@@ -325,6 +325,7 @@
         epoch: int,
         lease_until_unix_ms: int,
         deadline_at_unix_ms: int,
+        domain: str = "",
     ) -> Answer:
         world = self.world
         instance = self.member.instance
