Renew leases when they are due, count the store lease from its asking

Cause: the renewal loop slept a whole interval and could wake one millisecond before a renewal was due, which then waited for the next interval: half of a 600 ms lease was gone at times. The first freshness of a coordinator counted from the answer of the store, too late by the call. A refused renewal did not turn to the voters. Change: the loop sleeps until the next question is due; a refusal is recorded; the store lease counts from before it is asked for; all deadlines and leases are read from one clock, which goes on while a machine sleeps. Not measured yet.

--- a/fuchsiamoor/daemon/callers.py
+++ b/fuchsiamoor/daemon/callers.py
@@ -7,13 +7,12 @@
 import asyncio
 import http
 import itertools
-import time
 import uuid
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
+from fuchsiamoor.core import clock, verdicts
 from fuchsiamoor.core import configuration as configurations
-from fuchsiamoor.core import verdicts
 from fuchsiamoor.core.requests import Answer, Request
 from fuchsiamoor.core.verdicts import MayHaveRun, NotRun, Reason
 from fuchsiamoor.daemon import caller_requests, http_limits
@@ -69,7 +68,7 @@
             scope["method"], scope["raw_path"], scope["query_string"], scope["headers"]
         )
         parsed = caller_requests.parse_head(
-            get_configuration(), head, request_id, _now_ms()
+            get_configuration(), head, request_id, clock.read_clock_ms()
         )
         if isinstance(parsed, NotRun):
             await _refuse(send, request_id, parsed)
@@ -95,10 +94,6 @@
     return app
 
 
-def _now_ms() -> int:
-    return time.monotonic_ns() // 1_000_000
-
-
 async def _read_body(
     receive: Callable, parsed: caller_requests.Parsed
 ) -> bytes | NotRun | Gone:
@@ -111,7 +106,7 @@
         is_late = True
         reading.cancel()
 
-    remaining_ms = parsed.request.deadline_ms - _now_ms()
+    remaining_ms = parsed.request.deadline_ms - clock.read_clock_ms()
     loop = asyncio.get_running_loop()
     timer = loop.call_later(max(remaining_ms, 0) / 1000, expire)
     try:
--- a/fuchsiamoor/daemon/callers_test.py
+++ b/fuchsiamoor/daemon/callers_test.py
@@ -4,6 +4,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from fuchsiamoor.core import clock
 from fuchsiamoor.core.verdicts import MayHaveRun, NotRun, Reason
 from fuchsiamoor.daemon import caller_requests, callers, http_limits
 from fuchsiamoor.testing import http_surface, wire
@@ -74,7 +75,7 @@
         X_Hop="1",
         Fuchsiamoor_Epoch="9",
     )
-    before_ms = callers._now_ms()
+    before_ms = clock.read_clock_ms()
     surface, status, headers, body = ask(payload)
     [request] = surface.requests
     assert 0 <= request.deadline_ms - before_ms - 700 < 600
--- a/fuchsiamoor/daemon/coordinating.py
+++ b/fuchsiamoor/daemon/coordinating.py
@@ -203,8 +203,8 @@
         if holder is not None:
             node.coordinator_hints[domain] = holder.value.decode()
             return
-        lease_id = await node.store.grant_lease(timing.store_lease_ms)
         sent_ms = node.now_ms()
+        lease_id = await node.store.grant_lease(timing.store_lease_ms)
         taken = await _take_role(node, domain, lease_id)
         if not taken:
             await node.store.revoke_lease(lease_id)
--- a/fuchsiamoor/daemon/holding.py
+++ b/fuchsiamoor/daemon/holding.py
@@ -10,6 +10,8 @@
 from fuchsiamoor.ownership import holder as holders
 from fuchsiamoor.ownership import voucher
 
+SHORTEST_PAUSE_MS = 5
+
 
 def refresh_holders(node: nodes.Node) -> None:
     """Make a holder for every domain of this daemon's service and region."""
@@ -56,19 +58,28 @@
 
 
 async def run_renewals(node: nodes.Node) -> None:
-    """Renew all leases at the pace of the settings, and at once on a new table."""
-    interval_s = node.settings.timing.renew_every_ms / 1000
+    """Renew all leases when they are due, and at once on a new table."""
     while True:
         if node.member.registered_version:
             for holder in list(node.holders.values()):
                 _renew(node, holder)
         try:
-            await asyncio.wait_for(node.renew_now.wait(), interval_s)
+            await asyncio.wait_for(node.renew_now.wait(), _pause_ms(node) / 1000)
         except TimeoutError:
             pass
         node.renew_now.clear()
 
 
+def _pause_ms(node: nodes.Node) -> int:
+    """Return the time until a lease is due, in milliseconds."""
+    longest_ms = node.settings.timing.renew_every_ms
+    dues_ms = [holders.next_ask_ms(holder) for holder in node.holders.values()]
+    next_ms = min((due_ms for due_ms in dues_ms if due_ms is not None), default=None)
+    if next_ms is None:
+        return longest_ms
+    return max(SHORTEST_PAUSE_MS, min(next_ms - node.now_ms(), longest_ms))
+
+
 def _renew(node: nodes.Node, holder: holders.Holder) -> None:
     asks = holders.list_renewals(
         holder,
@@ -98,7 +109,12 @@
         case messages.Vouched():
             holders.record_vouched(holder, ask.member_id, reply, sent_ms)
             servings.state_changed(node.serving)
-        case messages.RenewRefused() | messages.VouchRefused():
+        case messages.RenewRefused():
+            node.metrics.count("lease.refused")
+            holders.record_refused(holder, reply)
+            node.renew_now.set()
+            await _follow_refusal(node, ask.member_id, reply)
+        case messages.VouchRefused():
             node.metrics.count("lease.refused")
             await _follow_refusal(node, ask.member_id, reply)
 
--- a/fuchsiamoor/daemon/http_servers.py
+++ b/fuchsiamoor/daemon/http_servers.py
@@ -43,6 +43,7 @@
         timeout_keep_alive=KEEP_ALIVE_S,
         timeout_graceful_shutdown=GRACEFUL_STOP_S,
         server_header=False,
+        proxy_headers=False,
         backlog=2048,
     )
     return _QuietServer(config)
--- a/fuchsiamoor/daemon/node.py
+++ b/fuchsiamoor/daemon/node.py
@@ -7,12 +7,11 @@
 import asyncio
 import random
 import secrets
-import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
-from fuchsiamoor.core import members, messages, settings, tables
+from fuchsiamoor.core import clock, members, messages, settings, tables
 from fuchsiamoor.daemon import knowledge as knowledges
 from fuchsiamoor.daemon import metrics as metrics_module
 from fuchsiamoor.daemon import serving as servings
@@ -121,7 +120,7 @@
     register_now: asyncio.Event = field(default_factory=asyncio.Event)
     last_exchange_ms: int = 0
     rng: random.Random = field(default_factory=random.Random)
-    now_ms: Callable[[], int] = lambda: time.monotonic_ns() // 1_000_000
+    now_ms: Callable[[], int] = clock.read_clock_ms
     tasks: set[asyncio.Task] = field(default_factory=set)
 
 
