--- a/fuchsiamoor/daemon/coordinating.py
+++ b/fuchsiamoor/daemon/coordinating.py
@@ -275,11 +275,32 @@
     try:
         while not coordination.ended.is_set():
             feed(node, coordination, events.Tick())
+            await _check_hearing(node, coordination)
             await asyncio.sleep(TICK_MS / 1000)
     finally:
         renewing.cancel()
 
 
+async def _check_hearing(node: nodes.Node, coordination: Coordination) -> None:
+    """Call members that have gone silent; resign if they answer and none is heard."""
+    now_ms = node.now_ms()
+    own_id = node.member.member_id
+    heard_ms = coordination.machine.roster.heard_ms
+    for member_id in reaches.list_silent(heard_ms, own_id, now_ms):
+        if reaches.note_due(
+            coordination.reach, member_id, now_ms, reaches.ASK_SILENT_EVERY_MS
+        ):
+            nodes.spawn(node, _ping(node, coordination, member_id), "ping")
+    if reaches.is_deaf(coordination.reach, heard_ms, own_id, now_ms):
+        await _step_down(node, coordination, "nothing that is sent to it arrives")
+
+
+async def _step_down(node, coordination: Coordination, reason: str) -> None:
+    logger.bind(domain=coordination.domain).info(f"resigning: {reason}")
+    node.resigned_ms[coordination.domain] = node.now_ms()
+    await resign(node, coordination)
+
+
 async def _keep_store_lease(node: nodes.Node, coordination: Coordination) -> None:
     interval_s = node.settings.timing.store_lease_ms / 3000
     while True:
@@ -308,9 +329,7 @@
         case events.SendAbort():
             await _send_abort(node, action)
         case events.Resign(reason):
-            logger.bind(domain=coordination.domain).info(f"resigning: {reason}")
-            node.resigned_ms[coordination.domain] = node.now_ms()
-            await resign(node, coordination)
+            await _step_down(node, coordination, reason)
 
 
 async def _write_table(node, coordination, action: events.WriteTable) -> None:
--- a/fuchsiamoor/membership/reach.py
+++ b/fuchsiamoor/membership/reach.py
@@ -4,9 +4,12 @@
 cannot be called serves nobody, so its coordinator calls it now and then.
 """
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 ASK_EVERY_MS = 500
+ASK_SILENT_EVERY_MS = 100
+SILENT_MS = 350
 PATIENCE_MS = 1_000
 
 
@@ -31,10 +34,12 @@
     return Reach()
 
 
-def note_due(reach: Reach, member_id: str, now_ms: int) -> bool:
+def note_due(
+    reach: Reach, member_id: str, now_ms: int, every_ms: int = ASK_EVERY_MS
+) -> bool:
     """Return whether a member is to be called now, and count that as done."""
     asked_ms = reach.asked_ms.get(member_id)
-    if asked_ms is not None and now_ms - asked_ms < ASK_EVERY_MS:
+    if asked_ms is not None and now_ms - asked_ms < every_ms:
         return False
     reach.asked_ms[member_id] = now_ms
     reach.answered_ms.setdefault(member_id, now_ms)
@@ -66,3 +71,47 @@
     for table in (reach.asked_ms, reach.answered_ms):
         for member_id in table.keys() - member_ids:
             del table[member_id]
+
+
+def list_silent(heard_ms: Mapping[str, int], own_id: str, now_ms: int) -> list[str]:
+    """Return the other members that were heard once, but not of late.
+
+    Parameters
+    ----------
+    heard_ms : mapping of str to int
+        Time of each member's newest sign of life.
+    own_id : str
+    now_ms : int
+    """
+    return [
+        member_id
+        for member_id, at_ms in heard_ms.items()
+        if member_id != own_id and now_ms - at_ms > SILENT_MS
+    ]
+
+
+def is_deaf(
+    reach: Reach, heard_ms: Mapping[str, int], own_id: str, now_ms: int
+) -> bool:
+    """Return whether nobody is heard although somebody answers calls.
+
+    Then it is not the others that are lost: nothing sent to this one arrives.
+
+    Examples
+    --------
+    >>> reach = make_reach()
+    >>> note_answer(reach, "b#1", 990)
+    >>> is_deaf(reach, {"a#1": 1_000, "b#1": 100}, "a#1", 1_000)
+    True
+    >>> is_deaf(reach, {"a#1": 1_000, "b#1": 900}, "a#1", 1_000)
+    False
+    """
+    others = heard_ms.keys() - {own_id}
+    silent = list_silent(heard_ms, own_id, now_ms)
+    if not others or len(silent) < len(others):
+        return False
+    return any(
+        now_ms - reach.answered_ms.get(member_id, 0) <= SILENT_MS
+        and reach.answered_ms.get(member_id, 0) > heard_ms[member_id]
+        for member_id in silent
+    )
