--- a/fuchsiamoor/daemon/tree.py
+++ b/fuchsiamoor/daemon/tree.py
@@ -16,7 +16,7 @@
 from loguru import logger
 
 from fuchsiamoor.daemon import (
-    coordinating,
+    candidacy,
     exchange,
     holding,
     http_servers,
@@ -84,7 +84,7 @@
 def _ownership(node: nodes.Node) -> list[supervisor.Child]:
     return [
         supervisor.Child("renewals", lambda: holding.run_renewals(node)),
-        supervisor.Child("candidacies", lambda: coordinating.run_candidacies(node)),
+        supervisor.Child("candidacies", lambda: candidacy.run_candidacies(node)),
     ]
 
 
