--- /dev/null
+++ b/bench/state_size.py
@@ -0,0 +1,75 @@
+"""Memory that a daemon's knowledge of the whole deployment takes at the target's size.
+
+``python -m bench.state_size`` builds directory, tables and heat for 510 daemons in 14
+domains of 4,096 shards and prints one table. Nothing is kept for each key.
+"""
+
+import os
+import platform
+import tracemalloc
+from collections.abc import Callable
+
+from fuchsiamoor.daemon import knowledge as knowledges
+from fuchsiamoor.ownership import tables_codec
+from fuchsiamoor.routing import heat
+from fuchsiamoor.testing import members_data, tables
+
+DAEMONS = 510
+DOMAINS = 14
+SHARDS = 4_096
+MEMBERS_OF_A_DOMAIN = 250
+OWN_DOMAINS = 4
+
+
+def _fill_directory(knowledge: knowledges.Knowledge) -> None:
+    found = [
+        members_data.build_member(f"instance-{number}", str(number), number + 1)
+        for number in range(DAEMONS)
+    ]
+    knowledges.adopt_members(knowledge, found)
+
+
+def _fill_tables(knowledge: knowledges.Knowledge) -> None:
+    owners = tuple(
+        f"instance-{shard % MEMBERS_OF_A_DOMAIN}#{shard % MEMBERS_OF_A_DOMAIN}"
+        for shard in range(SHARDS)
+    )
+    for number in range(DOMAINS):
+        table = tables.make_table(owners, voters=owners[:18])._replace(
+            domain=f"service-{number}@a+b+c", epochs=tuple(range(10_000, 14_096))
+        )
+        knowledges.adopt_table(knowledge, tables_codec.encode_table(table))
+
+
+def _fill_heat(kept: list[heat.Heat]) -> None:
+    for _ in range(OWN_DOMAINS):
+        counted = heat.make_heat(0)
+        for number in range(4 * heat.MAX_KEYS):
+            heat.note_request(counted, number % SHARDS, number * 2**40)
+        kept.append(counted)
+
+
+def _measure_kb(fill: Callable[[object], None], kept: object) -> float:
+    tracemalloc.start()
+    fill(kept)
+    size_bytes, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return size_bytes / 1000
+
+
+def main() -> None:
+    """Print the table."""
+    print(f"{os.cpu_count()} cores, Python {platform.python_version()}")
+    knowledge = knowledges.make_knowledge()
+    rows = [
+        (f"directory of {DAEMONS} members", _measure_kb(_fill_directory, knowledge)),
+        (f"{DOMAINS} tables of {SHARDS} shards", _measure_kb(_fill_tables, knowledge)),
+        (f"heat of {OWN_DOMAINS} domains, full", _measure_kb(_fill_heat, [])),
+    ]
+    for name, size_kb in rows:
+        print(f"{name:<36}{size_kb:>10.0f} KB")
+    print(f"{'in all':<36}{sum(size_kb for _, size_kb in rows):>10.0f} KB")
+
+
+if __name__ == "__main__":
+    main()
