--- a/fuchsiamoor/daemon/coordinating.py
+++ b/fuchsiamoor/daemon/coordinating.py
@@ -32,6 +32,8 @@
     machine : Coordinator
     lease_id : str
         The store lease under which the role is held.
+    started_ms : int
+        Monotonic time at which the role was taken.
     reach : Reach
         Which members answer calls.
     ended : asyncio.Event
@@ -41,6 +43,7 @@
     domain: str
     machine: coordinators.Coordinator
     lease_id: str
+    started_ms: int
     reach: reaches.Reach = field(default_factory=reaches.make_reach)
     ended: asyncio.Event = field(default_factory=asyncio.Event)
 
@@ -135,7 +138,7 @@
         version,
         node.now_ms(),
     )
-    coordination = Coordination(domain, machine, lease_id)
+    coordination = Coordination(domain, machine, lease_id, node.now_ms())
     node.coordinating[domain] = coordination
     node.coordinator_hints[domain] = node.member.member_id
     node.metrics.count("coordinator.acquired")
@@ -177,7 +180,12 @@
     """Call members that have gone silent; resign if they answer and none is heard."""
     now_ms = node.now_ms()
     own_id = node.member.member_id
-    heard_ms = coordination.machine.roster.heard_ms
+    roster = coordination.machine.roster
+    unheard_ms = coordination.started_ms + reaches.FIRST_PATIENCE_MS
+    heard_ms = {
+        member_id: roster.heard_ms.get(member_id, unheard_ms)
+        for member_id in roster.members
+    }
     for member_id in reaches.list_silent(heard_ms, own_id, now_ms):
         if reaches.note_due(
             coordination.reach, member_id, now_ms, reaches.ASK_SILENT_EVERY_MS
--- a/fuchsiamoor/membership/reach.py
+++ b/fuchsiamoor/membership/reach.py
@@ -10,6 +10,7 @@
 ASK_EVERY_MS = 500
 ASK_SILENT_EVERY_MS = 100
 SILENT_MS = 350
+FIRST_PATIENCE_MS = 1_150
 PATIENCE_MS = 1_000
 
 
@@ -74,12 +75,12 @@
 
 
 def list_silent(heard_ms: Mapping[str, int], own_id: str, now_ms: int) -> list[str]:
-    """Return the other members that were heard once, but not of late.
+    """Return the other members that were not heard of late.
 
     Parameters
     ----------
     heard_ms : mapping of str to int
-        Time of each member's newest sign of life.
+        Time of each member's newest sign of life, or until which it need not give one.
     own_id : str
     now_ms : int
     """
