--- a/fuchsiamoor/core/keys.py
+++ b/fuchsiamoor/core/keys.py
@@ -39,8 +39,3 @@
 def hash_key(key_id: KeyId) -> int:
     """Return the 64-bit hash of a key."""
     return xxhash.xxh3_64_intdigest(f"{key_id.tenant}\0{key_id.key}".encode())
-
-
-def compute_shard(key_hash: int, shard_count: int) -> int:
-    """Return the shard of a key hash among ``shard_count`` hashed shards."""
-    return key_hash % shard_count
--- a/fuchsiamoor/core/messages.py
+++ b/fuchsiamoor/core/messages.py
@@ -9,12 +9,6 @@
 from fuchsiamoor.core.requests import Answer, Request
 
 
-class Hello(NamedTuple):
-    """First message on a link, each way."""
-
-    member_id: str
-
-
 class Forward(NamedTuple):
     """A request on its way to the owner of its key.
 
@@ -278,8 +272,7 @@
 
 
 Message = (
-    Hello
-    | Forward
+    Forward
     | Answered
     | Cancel
     | Renew
@@ -303,7 +296,6 @@
 )
 
 KINDS: dict[int, type] = {
-    1: Hello,
     2: Forward,
     3: Answered,
     4: Cancel,
--- a/fuchsiamoor/daemon/upstream_client.py
+++ b/fuchsiamoor/daemon/upstream_client.py
@@ -156,9 +156,6 @@
         upstream_pool.close(self.control_pool)
 
 
-run = UpstreamClient.run
-
-
 def make_upstream_client(
     address: Address, connections: int, answer_limit_bytes: int, instance: str = ""
 ) -> UpstreamClient:
