Wait at a stop only for shards that another member could take

Ruled out: a hanging drain (the log shows all moves made within 0.2 s). Change: a stop, and an upstream's leave, wait for domains that have another member in their regions and in a data centre in service.

--- a/fuchsiamoor/daemon/node.py
+++ b/fuchsiamoor/daemon/node.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from fuchsiamoor.core import clock, members, messages, settings, tables
+from fuchsiamoor.core import clock, keys, members, messages, settings, tables
 from fuchsiamoor.daemon import knowledge as knowledges
 from fuchsiamoor.daemon import metrics as metrics_module
 from fuchsiamoor.daemon import serving as servings
@@ -186,6 +186,17 @@
     ]
 
 
+def list_candidates(node: Node, domain: str) -> list[members.Member]:
+    """Return the registered members that could own shards of a domain."""
+    service, regions = keys.split_domain_id(domain)
+    out = node.knowledge.configuration.data_centres_out
+    return [
+        member
+        for member in list_members(node, service)
+        if member.region in regions and member.data_centre not in out
+    ]
+
+
 def find_table(node: Node, domain: str) -> tables.ShardTable | None:
     """Return the newest table known of a domain."""
     return node.knowledge.tables.get(domain)
--- a/fuchsiamoor/daemon/operating.py
+++ b/fuchsiamoor/daemon/operating.py
@@ -189,7 +189,13 @@
             lambda member_id: nodes.find_member(node, member_id),
         ),
         loss_wait_ms=_loss_wait_ms(node, key_id.service, owner),
-        candidates=_list_candidates(node, domain, owner_id),
+        candidates=tuple(
+            sorted(
+                member.instance
+                for member in nodes.list_candidates(node, domain)
+                if member.member_id != owner_id
+            )
+        ),
     )
 
 
@@ -199,17 +205,3 @@
         return timing.lease_ms
     services = node.knowledge.configuration.services
     return timing.lease_ms + services[service].longest_run_ms
-
-
-def _list_candidates(node: nodes.Node, domain: str, owner_id: str) -> tuple[str, ...]:
-    service, regions = keys.split_domain_id(domain)
-    out = node.knowledge.configuration.data_centres_out
-    return tuple(
-        sorted(
-            member.instance
-            for member in nodes.list_members(node, service)
-            if member.region in regions
-            and member.data_centre not in out
-            and member.member_id != owner_id
-        )
-    )
--- a/fuchsiamoor/daemon/stopping.py
+++ b/fuchsiamoor/daemon/stopping.py
@@ -32,7 +32,7 @@
 
 async def _wait_until_drained(node: nodes.Node) -> None:
     end_ms = node.now_ms() + HAND_OVER_LIMIT_MS
-    while node.now_ms() < end_ms and upstream_watch.owns_any(node):
+    while node.now_ms() < end_ms and upstream_watch.has_shards_to_hand_over(node):
         await asyncio.sleep(CHECK_MS / 1000)
     try:
         await asyncio.wait_for(servings.drain(node.serving), HAND_OVER_LIMIT_MS / 1000)
--- a/fuchsiamoor/daemon/upstream_watch.py
+++ b/fuchsiamoor/daemon/upstream_watch.py
@@ -100,14 +100,24 @@
     node.upstream.leaving = True
     servings.leave(node.serving)
     node.renew_now.set()
-    while owns_any(node):
+    while has_shards_to_hand_over(node):
         await asyncio.sleep(DRAIN_CHECK_MS / 1000)
     await servings.drain(node.serving)
 
 
-def owns_any(node: nodes.Node) -> bool:
-    """Return whether a table that this daemon knows gives it any shard."""
-    return any(owned_shards(node, domain) for domain in node.holders)
+def has_shards_to_hand_over(node: nodes.Node) -> bool:
+    """Return whether this daemon owns shards that another member could take."""
+    return any(
+        owned_shards(node, domain) and _has_successor(node, domain)
+        for domain in node.holders
+    )
+
+
+def _has_successor(node: nodes.Node, domain: str) -> bool:
+    return any(
+        member.instance != node.member.instance
+        for member in nodes.list_candidates(node, domain)
+    )
 
 
 def owned_shards(node: nodes.Node, domain: str) -> list[int]:
