Use the stored configuration's key where it is named; drop an unused function

Found in the last read: the exchange named the store key of the configuration a second time, and membership/reach.py kept a function that nothing called. Behaviour is the same. Run after the change: format, lint, and 279 tests of daemon, membership, documents and the operators' end-to-end tests; not the whole suite.

--- a/fuchsiamoor/daemon/exchange.py
+++ b/fuchsiamoor/daemon/exchange.py
@@ -6,6 +6,7 @@
 from fuchsiamoor.daemon import calls
 from fuchsiamoor.daemon import knowledge as knowledges
 from fuchsiamoor.daemon import node as nodes
+from fuchsiamoor.documents import stored
 from fuchsiamoor.membership import directory as directories
 from fuchsiamoor.membership import partners
 from fuchsiamoor.peers import codec
@@ -14,7 +15,6 @@
 STORE_READ_EVERY_MS = 300_000
 STORE_READ_ALONE_MS = 3_000
 STORE_READ_UNCONFIGURED_MS = 500
-CONFIGURATION_KEY = "configuration"
 MEMBERS_PREFIX = "members/"
 TABLES_PREFIX = "domains/"
 TABLE_SUFFIX = "/table"
@@ -98,7 +98,7 @@
     ------
     StoreError
     """
-    entry = await node.store.get(CONFIGURATION_KEY)
+    entry = await node.store.get(stored.CONFIGURATION_KEY)
     if entry is not None:
         knowledges.adopt_configuration(node.knowledge, entry.value)
 
--- a/fuchsiamoor/daemon/watching.py
+++ b/fuchsiamoor/daemon/watching.py
@@ -10,6 +10,7 @@
 from fuchsiamoor.daemon import exchange
 from fuchsiamoor.daemon import knowledge as knowledges
 from fuchsiamoor.daemon import node as nodes
+from fuchsiamoor.documents import stored
 from fuchsiamoor.membership import directory as directories
 from fuchsiamoor.peers import codec
 from fuchsiamoor.store import port
@@ -21,7 +22,7 @@
 
 async def watch_configuration(node: nodes.Node) -> None:
     """Adopt every configuration that the store accepts."""
-    await _watch(node, exchange.CONFIGURATION_KEY, _take_configuration)
+    await _watch(node, stored.CONFIGURATION_KEY, _take_configuration)
 
 
 async def watch_members(node: nodes.Node) -> None:
@@ -60,7 +61,7 @@
 
 
 def _take_configuration(node: nodes.Node, change: port.Change, version: int) -> None:
-    if change.entry is not None and change.key == exchange.CONFIGURATION_KEY:
+    if change.entry is not None and change.key == stored.CONFIGURATION_KEY:
         knowledges.adopt_configuration(node.knowledge, change.entry.value)
 
 
--- a/fuchsiamoor/membership/reach.py
+++ b/fuchsiamoor/membership/reach.py
@@ -67,13 +67,6 @@
     return now_ms - answered_ms <= PATIENCE_MS
 
 
-def forget_others(reach: Reach, member_ids: set[str]) -> None:
-    """Drop members that are no more."""
-    for table in (reach.asked_ms, reach.answered_ms):
-        for member_id in table.keys() - member_ids:
-            del table[member_id]
-
-
 def list_silent(heard_ms: Mapping[str, int], own_id: str, now_ms: int) -> list[str]:
     """Return the other members that were not heard of late.
 
