--- /dev/null
+++ b/fuchsiamoor/agent/beside.py
@@ -0,0 +1,238 @@
+"""The upstream beside this daemon: its reports, its coldness and its end."""
+
+import asyncio
+
+from loguru import logger
+
+from fuchsiamoor.agent import owning, state
+from fuchsiamoor.core.verdicts import NotRun, Reason
+from fuchsiamoor.daemon import upstream_pool
+from fuchsiamoor.daemon.upstream_connection import WholeAnswer
+from fuchsiamoor.ranges import granting
+from fuchsiamoor.ranges import table as tables
+from fuchsiamoor.traffic import gate as gates
+from fuchsiamoor.traffic import upstreams
+
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+CONNECTIONS_DEFAULT = 64
+# Connections left to the upstream's own needs.
+CONNECTIONS_SPARE = 4
+PROBE_TIMEOUT_MS = 400
+# A heartbeat this many intervals late has the upstream looked at.
+OVERDUE_HEARTBEATS = 2.5
+LOOK_EVERY_MS = 200
+# Requests are no longer sent this long before the end of the drain.
+DRAIN_MARGIN_MS = 250
+
+
+def take_heartbeat(
+    agent: state.Agent, heartbeat: upstreams.UpstreamHeartbeat
+) -> granting.Grants | None:
+    """Take a report in and return what the upstream may hold.
+
+    A report of an earlier life, or one that was overtaken, renews nothing.
+    """
+    beside = agent.beside
+    if upstreams.is_stale(heartbeat, beside.incarnation, beside.sequence):
+        agent.metrics.count("heartbeat.stale")
+        return None
+    now_ms = agent.now_ms()
+    if heartbeat.incarnation != beside.incarnation:
+        _start_incarnation(agent, heartbeat)
+    beside.sequence = heartbeat.sequence
+    beside.heard_ms = now_ms
+    if beside.is_gone:
+        beside.is_gone = False
+        agent.standing.due.set()
+    gates.note_cold(beside.gate, now_ms + heartbeat.cold_for_ms)
+    if heartbeat.is_draining:
+        start_leaving(agent)
+    elif beside.slots != heartbeat.slots:
+        beside.slots = beside.gate.slots = max(heartbeat.slots, 1)
+        agent.standing.due.set()
+    table = agent.known.tables.get(heartbeat.service)
+    if not state.is_keyed(agent, heartbeat.service):
+        return None
+    grants = granting.answer_heartbeat(
+        beside.granting,
+        table,
+        heartbeat,
+        agent.standing.evidence_until_ms,
+        agent.settings.bounds.hold_max_ms,
+        now_ms,
+    )
+    if table is not None and any(
+        row.owner == beside.owner and row.moving_to for row in table.rows
+    ):
+        state.spawn(agent, owning.write_releases(agent, heartbeat), "releases")
+    return grants
+
+
+def _start_incarnation(
+    agent: state.Agent, heartbeat: upstreams.UpstreamHeartbeat
+) -> None:
+    """Start anew with another life of the upstream."""
+    beside, settings = agent.beside, agent.settings
+    end_incarnation(agent, "another incarnation reports")
+    beside.incarnation = heartbeat.incarnation
+    beside.sequence = 0
+    beside.owner = tables.make_owner(settings.instance, heartbeat.incarnation)
+    beside.service = heartbeat.service
+    beside.slots = max(heartbeat.slots, 1)
+    beside.leaving_ms = None
+    beside.is_gone = False
+    beside.granting = granting.make_granting(beside.owner)
+    terms = state.find_terms(agent, heartbeat.service)
+    connections = terms.connections_max if terms else CONNECTIONS_DEFAULT
+    beside.pool = upstream_pool.Pool(
+        settings.upstream_address,
+        max(1, connections - CONNECTIONS_SPARE),
+        MAX_ANSWER_BYTES,
+    )
+    beside.gate = gates.make_gate(beside.slots, compute_cold_rate(agent), 0)
+    agent.standing.due.set()
+    logger.bind(
+        owner=beside.owner,
+        slots=beside.slots,
+        cold_for_ms=heartbeat.cold_for_ms,
+    ).info("upstream started")
+
+
+def compute_cold_rate(agent: state.Agent) -> float:
+    """Return the requests a second that a cold upstream here is given."""
+    service = agent.beside.service or agent.settings.service
+    terms = state.find_terms(agent, service)
+    if terms is None or terms.cold_per_s <= 0:
+        return 0.0
+    return terms.cold_per_s * agent.settings.bounds.cold_ratio
+
+
+def refresh_terms(agent: state.Agent) -> None:
+    """Take in what operators say now of the service beside."""
+    if agent.beside.gate is not None:
+        agent.beside.gate.cold_per_s = compute_cold_rate(agent)
+
+
+def end_incarnation(agent: state.Agent, cause: str) -> None:
+    """Refuse all that waits for an upstream that is no more, and say so to others."""
+    beside = agent.beside
+    if beside.incarnation is None or beside.ended == beside.owner:
+        return
+    beside.ended = beside.owner
+    if beside.gate is not None:
+        refuse_waiting(agent, NotRun(Reason.NO_UPSTREAM, cause))
+    if beside.granting is not None:
+        beside.granting.served = ()
+        beside.granting.served_until_ms = 0
+    if beside.pool is not None:
+        upstream_pool.close(beside.pool)
+    logger.bind(owner=beside.owner, cause=cause).warning("upstream ended")
+    agent.metrics.count("upstream.ended")
+
+
+def refuse_waiting(agent: state.Agent, verdict: NotRun) -> None:
+    """Refuse every request that waits at the gate."""
+    for entrant in gates.clear(agent.beside.gate):
+        waiter = agent.beside.waiters.pop(entrant.ticket, None)
+        if waiter is not None and not waiter.done():
+            waiter.set_result(gates.Refuse(verdict, 0))
+
+
+def start_leaving(agent: state.Agent) -> None:
+    """Take in that the upstream leaves; from now on the drain counts."""
+    beside = agent.beside
+    if beside.leaving_ms is not None:
+        return
+    beside.leaving_ms = agent.now_ms()
+    agent.standing.due.set()
+    logger.bind(owner=beside.owner).info("upstream leaves")
+
+
+def take_farewell(agent: state.Agent, upstream_id: str) -> None:
+    """Take in that an upstream leaves without more reports."""
+    incarnation = agent.beside.incarnation
+    if incarnation is not None and incarnation.upstream_id == upstream_id:
+        start_leaving(agent)
+
+
+def may_send(agent: state.Agent) -> bool:
+    """Return whether the upstream may still be sent requests."""
+    beside = agent.beside
+    if beside.incarnation is None or beside.is_gone or beside.gate is None:
+        return False
+    if agent.settings.data_centre in agent.known.evacuated:
+        return False
+    if beside.leaving_ms is None:
+        return True
+    drained_ms = agent.settings.bounds.drain_ms - DRAIN_MARGIN_MS
+    return agent.now_ms() < beside.leaving_ms + drained_ms
+
+
+async def look(agent: state.Agent) -> None:
+    """Ask an upstream for its health that has been silent for long, or was refused."""
+    beside = agent.beside
+    interval_ms = agent.settings.heartbeat_ms
+    while not agent.stopped.is_set():
+        await asyncio.sleep(LOOK_EVERY_MS / 1000)
+        if beside.incarnation is None or beside.is_gone:
+            continue
+        if agent.now_ms() - beside.heard_ms > OVERDUE_HEARTBEATS * interval_ms:
+            await probe(agent)
+
+
+async def probe(agent: state.Agent) -> None:
+    """Find out whether the upstream's process is there, and how cold it is."""
+    beside = agent.beside
+    owner, pool = beside.owner, beside.pool
+    if pool is None:
+        return
+    terms = state.find_terms(agent, beside.service)
+    host = f"{pool.address.host}:{pool.address.port}"
+    path = terms.health_path if terms else "/"
+    payload = agent.dialect.write_health_check(path, host)
+    agent.metrics.count("upstream.probed")
+    received = await upstream_pool.exchange(pool, payload, False, PROBE_TIMEOUT_MS)
+    if beside.owner != owner:
+        return
+    match received:
+        case NotRun(Reason.CONNECT_FAILED, detail) if "refused" in detail.lower():
+            note_gone(agent)
+        case WholeAnswer():
+            _take_health(agent, received)
+        case _:
+            _note_silence(agent)
+
+
+def note_gone(agent: state.Agent) -> None:
+    """Take in that nobody listens at the upstream's address."""
+    beside = agent.beside
+    if beside.is_gone:
+        return
+    beside.is_gone = True
+    end_incarnation(agent, "nobody listens at its address")
+    agent.standing.due.set()
+
+
+def _take_health(agent: state.Agent, whole: WholeAnswer) -> None:
+    beside, now_ms = agent.beside, agent.now_ms()
+    health = agent.dialect.read_health(whole)
+    known_id = beside.incarnation.upstream_id
+    if health.upstream_id and health.upstream_id != known_id:
+        note_gone(agent)
+        return
+    beside.heard_ms = now_ms
+    gates.note_cold(beside.gate, now_ms + health.cold_for_ms)
+    if health.load is not None:
+        beside.gate.work_percent = health.load.work_percent
+
+
+def _note_silence(agent: state.Agent) -> None:
+    """Once every hold granted here has run out, a silent upstream holds nothing."""
+    beside = agent.beside
+    until_ms = beside.granting.granted_until_ms
+    slack_ms = agent.settings.bounds.hold_max_ms * granting.CLOCK_SLOWNESS
+    silent_ms = agent.now_ms() - beside.heard_ms
+    if agent.now_ms() > until_ms + slack_ms and silent_ms > 2_000:
+        beside.is_gone = True
+        end_incarnation(agent, "silent for longer than its hold")
+        agent.standing.due.set()
--- /dev/null
+++ b/fuchsiamoor/agent/running.py
@@ -0,0 +1,188 @@
+"""One daemon from its start to its stop, with its supervisor tree.
+
+    daemon
+      store        registration, watch
+      ownership    range tables
+      upstream     looks at a silent upstream
+    surfaces       callers, readiness, upstream's reports, metrics, peers
+
+The surfaces are opened before the tree and closed after it.
+"""
+
+import asyncio
+import functools
+
+from loguru import logger
+
+from fuchsiamoor.agent import (
+    beside,
+    dialect,
+    entering,
+    executing,
+    http_server,
+    metrics,
+    owning,
+    state,
+    surfaces,
+    syncing,
+)
+from fuchsiamoor.core import agent_settings, messages
+from fuchsiamoor.core.carried import CarriedRequest
+from fuchsiamoor.daemon import supervisor
+from fuchsiamoor.peers import links as peer_links
+from fuchsiamoor.ranges import table as tables
+from fuchsiamoor.store import port
+from fuchsiamoor.traffic.catalog import CallerLimits
+
+# The network between the daemons is the deployment's own; the key only tells daemons
+# of this program from others.
+PEER_KEYS = ("fuchsiamoor",)
+# Callers notice within two questions for readiness that the daemon leaves.
+STOP_NOTICE_MS = 2_100
+# Kept between the last answer and the end that the deployment sets.
+STOP_MARGIN_MS = 600
+CLOSE_GRACE_MS = 200
+
+
+def make_agent(
+    settings: agent_settings.AgentSettings,
+    spoken: dialect.Dialect,
+    store: port.TransactionalStore,
+) -> state.Agent:
+    """Return a daemon that listens nowhere yet."""
+    agent = state.Agent(settings, spoken, store, metrics.Metrics())
+
+    async def handle(sender_id: str, message: messages.Message) -> messages.Message:
+        return await handle_message(agent, sender_id, message)
+
+    own_id = f"{settings.instance}#{agent.run}"
+    agent.links = peer_links.make_links(own_id, PEER_KEYS, handle, agent.metrics)
+    return agent
+
+
+async def handle_message(
+    agent: state.Agent, sender_id: str, message: messages.Message
+) -> messages.Message:
+    """Answer a message of another daemon."""
+    match message:
+        case CarriedRequest():
+            return await _execute(agent, message)
+        case messages.Cancel(request_id):
+            task = agent.running.get(request_id)
+            if task is not None:
+                task.cancel()
+            return messages.Done()
+        case _:
+            raise ValueError(f"{type(message).__name__}: not expected here")
+
+
+async def _execute(agent: state.Agent, request: CarriedRequest) -> messages.Message:
+    """Run a carried request so that its sender can cancel it."""
+    if request.catalog_version > agent.known.catalog.version:
+        agent.refresh_due.set()
+    task = asyncio.ensure_future(executing.execute(agent, request))
+    agent.running[request.request_id] = task
+    try:
+        return await task
+    except asyncio.CancelledError:
+        if not task.cancelled():
+            task.cancel()
+            raise
+        return messages.Done()
+    finally:
+        if agent.running.get(request.request_id) is task:
+            del agent.running[request.request_id]
+
+
+async def run(agent: state.Agent) -> None:
+    """Listen, run the tree until the daemon is told to stop, and close."""
+    settings = agent.settings
+    await peer_links.serve(agent.links, settings.peer_address)
+    callers = _make_surface(agent, entering.handle)
+    others = [
+        (_make_surface(agent, surfaces.answer_ready), settings.ready_address),
+        (_make_surface(agent, surfaces.answer_upstream), settings.control_address),
+        (_make_surface(agent, surfaces.answer_metrics), settings.metrics_address),
+    ]
+    await callers.listen(settings.caller_address)
+    for surface, address in others:
+        if address is not None:
+            await surface.listen(address)
+    logger.bind(run=agent.run, service=settings.service).info("started")
+    tree = asyncio.create_task(_run_tree(agent))
+    stop = asyncio.create_task(_stop_when_told(agent, callers))
+    done, _ = await asyncio.wait((tree, stop), return_when=asyncio.FIRST_COMPLETED)
+    for task in done:
+        task.result()
+    tree.cancel()
+    for surface, _ in others:
+        surface.close()
+    await agent.links.close(CLOSE_GRACE_MS)
+    logger.bind(run=agent.run).info("stopped")
+
+
+def _make_surface(agent: state.Agent, handle) -> http_server.Surface:
+    def get_limits() -> CallerLimits:
+        return agent.known.catalog.limits
+
+    return http_server.Surface(functools.partial(handle, agent), get_limits)
+
+
+async def _run_tree(agent: state.Agent) -> None:
+    """Run every part, each started again when it fails."""
+    children = [
+        supervisor.Child(
+            "registration", functools.partial(syncing.keep_registered, agent)
+        ),
+        supervisor.Child("watch", functools.partial(syncing.follow, agent)),
+        supervisor.Child("range tables", functools.partial(owning.keep_owned, agent)),
+        supervisor.Child("upstream", functools.partial(beside.look, agent)),
+    ]
+    await supervisor.supervise(children, agent.metrics.task_failed, agent.now_ms)
+
+
+def request_stop(agent: state.Agent) -> None:
+    """Begin a planned stop, once."""
+    if agent.stopping_ms is None:
+        agent.stopping_ms = agent.now_ms()
+        agent.standing.due.set()
+        state.note_change(agent)
+        logger.bind(run=agent.run).info("stopping")
+
+
+async def _stop_when_told(agent: state.Agent, callers: http_server.Surface) -> None:
+    """Wait for the request to stop, then end what runs and hand keys over."""
+    while agent.stopping_ms is None:
+        await asyncio.sleep(0.05)
+    callers.announce_close()
+    last_ms = agent.stopping_ms + agent.settings.bounds.grace_ms - STOP_MARGIN_MS
+    noticed_ms = agent.stopping_ms + STOP_NOTICE_MS
+    while agent.now_ms() < last_ms:
+        is_done = callers.is_idle() and not agent.running and not _owns_any(agent)
+        if is_done and agent.now_ms() >= noticed_ms:
+            break
+        await asyncio.sleep(0.02)
+    callers.close()
+    agent.stopped.set()
+    lease_id = agent.standing.lease_id
+    if lease_id:
+        await _end_lease(agent, lease_id)
+
+
+def _owns_any(agent: state.Agent) -> bool:
+    """Return whether the upstream beside may still hold keys."""
+    table = agent.known.tables.get(agent.settings.service)
+    owner = agent.beside.owner
+    if table is None or not owner or agent.beside.is_gone:
+        return False
+    if agent.now_ms() >= agent.beside.granting.served_until_ms:
+        return False
+    return owner in tables.list_owners(table)
+
+
+async def _end_lease(agent: state.Agent, lease_id: str) -> None:
+    try:
+        async with asyncio.timeout(CLOSE_GRACE_MS / 1000):
+            await agent.store.revoke_lease(lease_id)
+    except Exception as error:
+        logger.bind(error=repr(error)).warning("registration not withdrawn")
--- /dev/null
+++ b/fuchsiamoor/agent/state.py
@@ -0,0 +1,231 @@
+"""The state of one daemon that serves by routes; each part is functions over it."""
+
+import asyncio
+import random
+import secrets
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from fuchsiamoor.agent import dialect as dialects
+from fuchsiamoor.agent import registrations
+from fuchsiamoor.core import agent_settings, clock
+from fuchsiamoor.daemon import upstream_pool
+from fuchsiamoor.ranges import granting as grantings
+from fuchsiamoor.ranges import table as range_tables
+from fuchsiamoor.routing import budget
+from fuchsiamoor.store import port
+from fuchsiamoor.traffic import catalog as catalogs
+from fuchsiamoor.traffic import gate as gates
+from fuchsiamoor.traffic import spread, upstreams
+
+
+@dataclass(slots=True)
+class Beside:
+    """The upstream beside this daemon.
+
+    Parameters
+    ----------
+    incarnation : Incarnation or None
+        Latest heard of.
+    sequence : int
+        Of its latest heartbeat.
+    owner : str
+        Its name as an owner of keys.
+    ended : str
+        Owner here that is known to hold nothing any more.
+    service : str
+    slots : int
+    heard_ms : int
+        When it last gave a sign of life.
+    leaving_ms : int or None
+        When its leaving was acknowledged.
+    is_gone : bool
+        Whether nobody listens at its address.
+    gate : Gate or None
+    granting : Granting or None
+    pool : Pool or None
+    waiters : dict
+        Futures of the requests that wait at the gate, by ticket.
+    """
+
+    incarnation: upstreams.Incarnation | None = None
+    sequence: int = 0
+    owner: str = ""
+    ended: str = ""
+    service: str = ""
+    slots: int = 0
+    heard_ms: int = 0
+    leaving_ms: int | None = None
+    is_gone: bool = False
+    gate: gates.Gate | None = None
+    granting: grantings.Granting | None = None
+    pool: upstream_pool.Pool | None = None
+    waiters: dict[int, asyncio.Future] = field(default_factory=dict)
+    last_ticket: int = 0
+    room_timer: asyncio.TimerHandle | None = None
+
+
+@dataclass(slots=True)
+class Known:
+    """What this daemon has learnt from the store.
+
+    Parameters
+    ----------
+    catalog : Catalog
+    evacuated : set of str
+        Data centres out of service.
+    directory : Directory
+    tables : dict of str to RangeTable
+        By service.
+    table_versions : dict of str to int
+        Store version of each.
+    absent_since_ms : dict of str to int
+        Owners in tables that no registration names, since when.
+    changed : asyncio.Event
+        Set and cleared with every change, for those who wait for one.
+    """
+
+    catalog: catalogs.Catalog = field(default_factory=catalogs.make_empty_catalog)
+    evacuated: set[str] = field(default_factory=set)
+    directory: registrations.Directory = field(default_factory=registrations.Directory)
+    tables: dict[str, range_tables.RangeTable] = field(default_factory=dict)
+    table_versions: dict[str, int] = field(default_factory=dict)
+    absent_since_ms: dict[str, int] = field(default_factory=dict)
+    is_listed: bool = False
+    waiting: set[asyncio.Future] = field(default_factory=set)
+
+
+@dataclass(slots=True)
+class Standing:
+    """This run's registration.
+
+    Parameters
+    ----------
+    lease_id : str
+        Empty without one.
+    written : Registration or None
+        As the store last confirmed it.
+    evidence_until_ms : int
+        Up to when the registration certainly stands.
+    due : asyncio.Event
+        Set when it has to be written or renewed before its next turn.
+    """
+
+    lease_id: str = ""
+    written: registrations.Registration | None = None
+    evidence_until_ms: int = 0
+    due: asyncio.Event = field(default_factory=asyncio.Event)
+
+
+@dataclass(slots=True)
+class Agent:
+    """One daemon.
+
+    Parameters
+    ----------
+    settings : AgentSettings
+    dialect : Dialect
+    store : TransactionalStore
+    run : str
+        Nonce of this run.
+    links : Links
+        Set once the peer server is made.
+    metrics : Metrics
+    stopping_ms : int or None
+        When the daemon was told to stop.
+    running : dict of str to Task
+        Carried requests that run here, by request id.
+    """
+
+    settings: agent_settings.AgentSettings
+    dialect: dialects.Dialect
+    store: port.TransactionalStore
+    metrics: Any
+    run: str = field(default_factory=lambda: secrets.token_hex(4))
+    links: Any = None
+    beside: Beside = field(default_factory=Beside)
+    known: Known = field(default_factory=Known)
+    standing: Standing = field(default_factory=Standing)
+    views: spread.Views = field(default_factory=spread.make_views)
+    budgets: dict[str, budget.Budget] = field(default_factory=dict)
+    running: dict[str, asyncio.Task] = field(default_factory=dict)
+    stopping_ms: int | None = None
+    stopped: asyncio.Event = field(default_factory=asyncio.Event)
+    table_lock: asyncio.Lock = field(default_factory=asyncio.Lock)
+    refresh_due: asyncio.Event = field(default_factory=asyncio.Event)
+    tasks: set[asyncio.Task] = field(default_factory=set)
+    rng: random.Random = field(default_factory=random.Random)
+    now_ms: Callable[[], int] = clock.read_clock_ms
+
+
+def spawn(agent: Agent, coroutine, name: str) -> asyncio.Task:
+    """Run a coroutine in the background; its failure is counted and logged."""
+    task = asyncio.create_task(coroutine, name=name)
+    agent.tasks.add(task)
+    task.add_done_callback(lambda done: _forget(agent, done))
+    return task
+
+
+def _forget(agent: Agent, task: asyncio.Task) -> None:
+    agent.tasks.discard(task)
+    if not task.cancelled() and task.exception() is not None:
+        agent.metrics.task_failed(task.get_name(), task.exception())
+
+
+def make_place(registration: registrations.Registration) -> spread.Place:
+    """Return where a registered instance is."""
+    return spread.Place(
+        registration.instance, registration.region, registration.data_centre
+    )
+
+
+def own_place(agent: Agent) -> spread.Place:
+    """Return where this daemon is."""
+    settings = agent.settings
+    return spread.Place(settings.instance, settings.region, settings.data_centre)
+
+
+def note_change(agent: Agent) -> None:
+    """Wake everybody who waits for a change of what is known."""
+    for waiter in agent.known.waiting:
+        if not waiter.done():
+            waiter.set_result(None)
+    agent.known.waiting.clear()
+
+
+async def wait_for_change(agent: Agent, timeout_ms: int) -> bool:
+    """Wait until something known has changed; False if the time was over first."""
+    waiter = asyncio.get_running_loop().create_future()
+    agent.known.waiting.add(waiter)
+    try:
+        async with asyncio.timeout(max(timeout_ms, 1) / 1000):
+            await waiter
+    except TimeoutError:
+        return False
+    finally:
+        agent.known.waiting.discard(waiter)
+    return True
+
+
+def is_open(agent: Agent) -> bool:
+    """Return whether the upstream beside this daemon takes new work."""
+    beside = agent.beside
+    return (
+        beside.incarnation is not None
+        and not beside.is_gone
+        and beside.leaving_ms is None
+        and agent.stopping_ms is None
+        and agent.settings.data_centre not in agent.known.evacuated
+    )
+
+
+def find_terms(agent: Agent, service: str) -> catalogs.ServiceTerms | None:
+    """Return what operators say of a service, None if it is unknown."""
+    return agent.known.catalog.services.get(service)
+
+
+def is_keyed(agent: Agent, service: str) -> bool:
+    """Return whether a service's upstreams hold key ranges."""
+    terms = find_terms(agent, service)
+    return terms is not None and terms.is_keyed
--- a/fuchsiamoor/core/messages.py
+++ b/fuchsiamoor/core/messages.py
@@ -6,6 +6,7 @@
 
 from typing import NamedTuple
 
+from fuchsiamoor.core.carried import CarriedAnswer, CarriedRequest
 from fuchsiamoor.core.requests import Answer, Request
 
 
@@ -293,6 +294,8 @@
     | StatePush
     | Done
     | Ping
+    | CarriedRequest
+    | CarriedAnswer
 )
 
 KINDS: dict[int, type] = {
@@ -317,4 +320,6 @@
     20: StatePush,
     21: Done,
     22: Ping,
+    23: CarriedRequest,
+    24: CarriedAnswer,
 }
--- a/fuchsiamoor/daemon/upstream_client.py
+++ b/fuchsiamoor/daemon/upstream_client.py
@@ -4,7 +4,6 @@
 carries a verdict that is true: see `UpstreamClient.run`.
 """
 
-import asyncio
 import json
 import re
 import time
@@ -104,7 +103,7 @@
         except ValueError as error:
             return _refuse(request, NotRun(Reason.BAD_REQUEST, str(error)))
         remaining_ms = deadline_at_unix_ms - time.time_ns() // 1_000_000
-        received = await _exchange(
+        received = await upstream_pool.exchange(
             self.pool, payload, request.method == "HEAD", remaining_ms
         )
         match received:
@@ -183,39 +182,6 @@
     )
 
 
-async def _exchange(
-    pool: upstream_pool.Pool, payload: bytes, is_head: bool, timeout_ms: int
-) -> Received | NotRun:
-    """Write a request once and wait for its ending."""
-    loop = asyncio.get_running_loop()
-    deadline_s = loop.time() + timeout_ms / 1000
-    if timeout_ms <= 0:
-        return NotRun(Reason.DEADLINE_PASSED, "before it was written")
-    connection = await upstream_pool.acquire(pool, deadline_s)
-    if isinstance(connection, NotRun):
-        return connection
-    future = loop.create_future()
-    timer = loop.call_at(deadline_s, _expire, future)
-    try:
-        connection.exchange(payload, is_head, future)
-        received = await future
-    except BaseException:
-        connection.abort()
-        raise
-    finally:
-        timer.cancel()
-    if isinstance(received, Lost):
-        connection.abort()
-    else:
-        upstream_pool.release(pool, connection)
-    return received
-
-
-def _expire(future: asyncio.Future) -> None:
-    if not future.done():
-        future.set_result(Lost(Reason.DEADLINE_PASSED, "no whole answer in time"))
-
-
 def _encode_request(
     address: Address,
     request: Request,
@@ -316,4 +282,4 @@
         f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n"
     )
     payload = head.encode() + body
-    return await _exchange(client.control_pool, payload, False, timeout_ms)
+    return await upstream_pool.exchange(client.control_pool, payload, False, timeout_ms)
--- a/fuchsiamoor/daemon/upstream_connection.py
+++ b/fuchsiamoor/daemon/upstream_connection.py
@@ -10,6 +10,8 @@
 
 MAX_HEAD_BYTES = 64 * 1024
 
+_FRAMING = frozenset((b"content-length", b"transfer-encoding"))
+
 
 class WholeAnswer(NamedTuple):
     """An answer of which every byte has arrived."""
@@ -51,6 +53,8 @@
         "_answer_limit_bytes",
         "_body",
         "_body_bytes",
+        "_ends_with_connection",
+        "_expects",
         "_future",
         "_has_begun",
         "_head_bytes",
@@ -73,11 +77,16 @@
         self._parser = httptools.HttpResponseParser(self)
         self._transport: asyncio.Transport | None = None
         self._future: asyncio.Future[Received] | None = None
+        self._ends_with_connection = False
         self.is_reusable = True
         self.idle_since_s = 0.0
 
     def exchange(
-        self, payload: bytes, is_head: bool, future: "asyncio.Future[Received]"
+        self,
+        payload: bytes,
+        is_head: bool,
+        future: "asyncio.Future[Received]",
+        expects: Callable[[list[tuple[bytes, bytes]]], bool] | None = None,
     ) -> None:
         """Write one request; ``future`` gets its ending.
 
@@ -88,8 +97,12 @@
         is_head : bool
             Whether its answer has no body whatever its headers say.
         future : Future
+        expects : callable, optional
+            Whether an answer with these headers belongs to the request. Others are
+            dropped, and the connection is not used again.
         """
         self._future = future
+        self._expects = expects
         self._is_head = is_head
         self._has_begun = False
         self._head_bytes = 0
@@ -114,6 +127,12 @@
         self._parser = None
         self._on_lost(self)
 
+    def eof_received(self) -> None:
+        """End an answer that has no length of its own."""
+        if self._future is not None and self._ends_with_connection:
+            self.is_reusable = False
+            self._finish()
+
     def data_received(self, data: bytes) -> None:
         """Read what the upstream sent."""
         if self._future is None:
@@ -130,6 +149,7 @@
         """Start an answer; a second one to the same request is not reusable."""
         if self._future is None:
             self.is_reusable = False
+        self._ends_with_connection = False
         self._headers: list[tuple[bytes, bytes]] = []
         self._body: list[bytes] = []
         self._body_bytes = 0
@@ -143,7 +163,13 @@
 
     def on_headers_complete(self) -> None:
         """End the answer here if it has no body."""
-        self._has_begun = self._parser.get_status_code() >= 200
+        status = self._parser.get_status_code()
+        self._has_begun = status >= 200
+        self._ends_with_connection = (
+            self._has_begun
+            and status not in (204, 304)
+            and not any(name in _FRAMING for name, _ in self._headers)
+        )
         if self._is_head and self._has_begun:
             self.is_reusable = False
             self._finish()
@@ -165,6 +191,13 @@
         self._finish()
 
     def _finish(self) -> None:
+        if self._transport is not None and self._transport.get_write_buffer_size() > 0:
+            # The rest of the request would be read as the next one.
+            self.is_reusable = False
+        if self._future is not None and not self._is_expected():
+            self.is_reusable = False
+            self._has_begun = False
+            return
         future, self._future = self._future, None
         if future is None or future.done():
             self.is_reusable = False
@@ -172,6 +205,9 @@
         status = self._parser.get_status_code()
         future.set_result(WholeAnswer(status, self._headers, b"".join(self._body)))
 
+    def _is_expected(self) -> bool:
+        return self._expects is None or self._expects(self._headers)
+
     def _lose(self, detail: str) -> None:
         future, self._future = self._future, None
         if future.done():
--- a/fuchsiamoor/daemon/upstream_pool.py
+++ b/fuchsiamoor/daemon/upstream_pool.py
@@ -2,11 +2,16 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from fuchsiamoor.core.addresses import Address
 from fuchsiamoor.core.verdicts import NotRun, Reason
-from fuchsiamoor.daemon.upstream_connection import UpstreamConnection
+from fuchsiamoor.daemon.upstream_connection import (
+    Lost,
+    Received,
+    UpstreamConnection,
+)
 
 CONNECT_TIMEOUT_S = 1.0
 MAX_IDLE_S = 3.0
@@ -60,6 +65,62 @@
             return NotRun(Reason.DEADLINE_PASSED, "no connection was free in time")
 
 
+async def exchange(
+    pool: Pool,
+    payload: bytes,
+    is_head: bool,
+    timeout_ms: int,
+    expects: Callable[[list[tuple[bytes, bytes]]], bool] | None = None,
+    connection: UpstreamConnection | None = None,
+) -> Received | NotRun:
+    """Write a request once and wait for its ending.
+
+    Parameters
+    ----------
+    pool : Pool
+    payload : bytes
+        Head and body.
+    is_head : bool
+        Whether the answer has no body whatever its headers say.
+    timeout_ms : int
+        Longest time, connecting included.
+    expects : callable, optional
+        Whether an answer with these headers belongs to the request.
+    connection : UpstreamConnection, optional
+        Acquired before; otherwise one is taken from the pool.
+    """
+    loop = asyncio.get_running_loop()
+    deadline_s = loop.time() + timeout_ms / 1000
+    if timeout_ms <= 0:
+        if connection is not None:
+            release(pool, connection)
+        return NotRun(Reason.DEADLINE_PASSED, "before it was written")
+    if connection is None:
+        connection = await acquire(pool, deadline_s)
+    if isinstance(connection, NotRun):
+        return connection
+    future = loop.create_future()
+    timer = loop.call_at(deadline_s, _expire, future)
+    try:
+        connection.exchange(payload, is_head, future, expects)
+        received = await future
+    except BaseException:
+        connection.abort()
+        raise
+    finally:
+        timer.cancel()
+    if isinstance(received, Lost):
+        connection.abort()
+    else:
+        release(pool, connection)
+    return received
+
+
+def _expire(future: asyncio.Future) -> None:
+    if not future.done():
+        future.set_result(Lost(Reason.DEADLINE_PASSED, "no whole answer in time"))
+
+
 def release(pool: Pool, connection: UpstreamConnection) -> None:
     """Take a connection back whose request has ended."""
     if not connection.is_reusable:
--- /dev/null
+++ b/fuchsiamoor/platform/heartbeats.py
@@ -0,0 +1,91 @@
+"""Heartbeats of upstreams: `POST /api/instances/ID/heartbeat` and its answer."""
+
+import json
+import re
+
+from fuchsiamoor.agent import dialect
+from fuchsiamoor.platform import scalars
+from fuchsiamoor.ranges import granting
+from fuchsiamoor.traffic import catalog, upstreams
+
+READY_PATH = "/api/ready"
+_CALL = re.compile(r"/api/instances/([^/?]+)/(heartbeat|deregister)")
+_STATES = ("ready", "draining")
+
+
+def read_call(method: str, path: str) -> dialect.Report | dialect.Farewell | None:
+    """Return which call of an upstream this is, None for others.
+
+    Examples
+    --------
+    >>> read_call("POST", "/api/instances/i-1/heartbeat")
+    Report(upstream_id='i-1')
+    """
+    found = _CALL.fullmatch(path) if method == "POST" else None
+    if found is None:
+        return None
+    if found[2] == "heartbeat":
+        return dialect.Report(found[1])
+    return dialect.Farewell(found[1])
+
+
+def read_heartbeat(upstream_id: str, body: bytes) -> upstreams.UpstreamHeartbeat:
+    """Decode a heartbeat.
+
+    Raises
+    ------
+    ValueError
+        If a field is missing or of another type: the report names no upstream.
+    """
+    try:
+        document = json.loads(body)
+        if document["state"] not in _STATES:
+            raise ValueError(f"state: found {document['state']!r:.40}")
+        return upstreams.UpstreamHeartbeat(
+            incarnation=upstreams.Incarnation(
+                upstream_id, scalars.read_int(document["born"], "born")
+            ),
+            service=scalars.read_text(document["service"], "service"),
+            sequence=scalars.read_int(document["sequence"], "sequence"),
+            slots=scalars.read_int(document["capacity"], "capacity"),
+            is_draining=document["state"] == "draining",
+            cold_for_ms=scalars.read_duration_ms(document["cold_left"]),
+            held=tuple(_read_held(row) for row in document.get("holds") or ()),
+            released=tuple(
+                _read_released(row) for row in document.get("released") or ()
+            ),
+        )
+    except (LookupError, TypeError, AttributeError, RecursionError) as error:
+        raise ValueError(f"heartbeat: malformed: {error!r:.200}") from error
+
+
+def _read_held(row: list) -> upstreams.HeldRange:
+    first, last, fence = row
+    _check_keys(first, last)
+    return upstreams.HeldRange(first, last, scalars.read_int(fence, "fence"))
+
+
+def _read_released(row: list) -> upstreams.ReleasedRange:
+    first, last, handover = row
+    _check_keys(first, last)
+    if not isinstance(handover, str):
+        raise ValueError(f"handover: found {handover!r:.40}, expected a text")
+    return upstreams.ReleasedRange(first, last, handover)
+
+
+def _check_keys(first: object, last: object) -> None:
+    scalars.read_int(first, "first key")
+    scalars.read_int(last, "last key")
+    if not first <= last < catalog.KEY_COUNT:
+        raise ValueError(f"keys: found {first} to {last}, expected a range of keys")
+
+
+def write_answer(grants: granting.Grants | None) -> bytes:
+    """Encode the answer to a heartbeat; without grants it renews nothing."""
+    if grants is None:
+        return b"{}"
+    document = {
+        "holds": [list(grant) for grant in grants.rows],
+        "hold_timeout": f"{grants.hold_ms}ms",
+    }
+    return json.dumps(document, separators=(",", ":")).encode()
--- /dev/null
+++ b/fuchsiamoor/platform/publications.py
@@ -0,0 +1,105 @@
+"""What operators write into the platform's store: configurations and evacuations."""
+
+import json
+
+from fuchsiamoor.platform import scalars
+from fuchsiamoor.traffic import catalog
+
+CATALOG_KEY = "op/config"
+EVACUATE_PREFIX = "op/evacuate/"
+OPERATOR_PREFIX = "op/"
+
+_DEFAULT_TIMEOUT_MS = 60_000
+
+
+def read_evacuated(key: str) -> str | None:
+    """Return the data centre that a key takes out of service, None for other keys.
+
+    Examples
+    --------
+    >>> read_evacuated("op/evacuate/bog-a")
+    'bog-a'
+    """
+    if not key.startswith(EVACUATE_PREFIX):
+        return None
+    return key.removeprefix(EVACUATE_PREFIX)
+
+
+def read_catalog(content: bytes) -> catalog.Catalog:
+    """Decode a configuration.
+
+    Raises
+    ------
+    ValueError
+        If it cannot be read; the version in force then stays.
+    """
+    try:
+        document = json.loads(content)
+        limits = document["limits"]
+        return catalog.make_catalog(
+            scalars.read_version(document["version"]),
+            [_read_route(row) for row in _list_rows(document["routes"])],
+            [_read_service(row) for row in _list_rows(document["services"])],
+            catalog.CallerLimits(
+                header_bytes=scalars.read_int(
+                    limits["max_header_bytes"], "max_header_bytes"
+                ),
+                body_bytes=scalars.read_int(limits["max_body_bytes"], "max_body_bytes"),
+                header_timeout_ms=scalars.read_duration_ms(limits["header_timeout"]),
+                idle_timeout_ms=scalars.read_duration_ms(limits["idle_timeout"]),
+            ),
+        )
+    except (LookupError, TypeError, AttributeError) as error:
+        raise ValueError(f"configuration: malformed: {error!r}") from error
+
+
+def _list_rows(table: dict) -> list[dict]:
+    """Return the rows of a table of columns, each as a dict without its nulls."""
+    columns = table["columns"]
+    return [
+        {
+            name: value
+            for name, value in zip(columns, row, strict=True)
+            if value is not None
+        }
+        for row in table["rows"]
+    ]
+
+
+def _read_route(row: dict) -> catalog.Route:
+    shares = row.get("weighted_services") or [{"service": row["service"], "weight": 1}]
+    target_ms = scalars.read_duration_ms(row["target_latency"])
+    timeout = row.get("timeout")
+    return catalog.Route(
+        name=scalars.read_text(row["name"], "route"),
+        host=scalars.read_text(row["host"], "host").lower(),
+        path_prefix=scalars.read_text(row["path_prefix"], "path_prefix"),
+        shares=tuple(
+            catalog.ServiceShare(
+                scalars.read_text(share["service"], "service"), float(share["weight"])
+            )
+            for share in shares
+        ),
+        is_idempotent=row["route_kind"] == "idempotent",
+        timeout_ms=(
+            scalars.read_duration_ms(timeout) if timeout else _DEFAULT_TIMEOUT_MS
+        ),
+        target_latency_ms=target_ms,
+        rank=scalars.read_int(row.get("priority", 0), "priority"),
+        attempts_max=max(1, scalars.read_int(row.get("max_attempts", 1), "attempts")),
+        home_regions=frozenset(row.get("allowed_regions", ())),
+    )
+
+
+def _read_service(row: dict) -> catalog.ServiceTerms:
+    cold_start = row.get("cold_start")
+    return catalog.ServiceTerms(
+        name=scalars.read_text(row["name"], "service"),
+        health_path=row.get("health_path", "/health"),
+        connections_max=scalars.read_int(
+            row.get("max_connections", 64), "max_connections"
+        ),
+        cold_start_ms=scalars.read_duration_ms(cold_start) if cold_start else 0,
+        cold_per_s=float(row.get("cold_per_s", 0.0)),
+        is_keyed=bool(row.get("sharded", False)),
+    )
--- /dev/null
+++ b/fuchsiamoor/platform/settings.py
@@ -0,0 +1,75 @@
+"""The settings file, as the template `deploy/settings.json` has the platform fill it."""
+
+import json
+import os
+from pathlib import Path
+
+from fuchsiamoor.core import addresses, agent_settings, errors, faults
+from fuchsiamoor.platform import scalars
+
+PATH_VARIABLE = "FUCHSIAMOOR_BOOT"
+
+
+def load_settings() -> agent_settings.AgentSettings:
+    """Read the settings file that the platform names in the environment.
+
+    Raises
+    ------
+    InvalidDocumentError
+        With the fault found.
+    """
+    path = os.environ.get(PATH_VARIABLE, "")
+    try:
+        return read_settings(Path(path).read_bytes())
+    except (OSError, ValueError, LookupError, TypeError) as error:
+        fault = faults.Fault(
+            f"{PATH_VARIABLE}={path}",
+            repr(error)[:200],
+            "settings as the template in deploy/ has them",
+        )
+        raise errors.InvalidDocumentError([fault]) from error
+
+
+def read_settings(content: bytes) -> agent_settings.AgentSettings:
+    """Decode the settings; raises `ValueError`, `LookupError` or `TypeError`."""
+    document = json.loads(content)
+    fields = document["fields"]
+    host = scalars.read_text(fields["ip_addr"], "ip_addr")
+    listen = fields["listen"]
+    store = fields["platform"]
+    metrics_port = document.get("metrics_port")
+    return agent_settings.AgentSettings(
+        instance=host,
+        service=scalars.read_text(fields["service"], "service"),
+        region=scalars.read_text(fields["region"], "region"),
+        data_centre=scalars.read_text(fields["zone"], "zone"),
+        caller_address=scalars.read_address(listen["outbound"]),
+        upstream_address=scalars.read_address(fields["app_addr"]),
+        control_address=scalars.read_address(listen["control"]),
+        ready_address=scalars.read_address(listen["ready"]),
+        peer_address=addresses.Address(
+            host, scalars.read_int(fields["port_range"][0], "port_range")
+        ),
+        metrics_address=(
+            addresses.Address(host, scalars.read_int(metrics_port, "metrics_port"))
+            if metrics_port
+            else None
+        ),
+        store_address=scalars.read_address(store["address"]),
+        heartbeat_ms=scalars.read_duration_ms(fields["heartbeat"]),
+        lease_min_ms=scalars.read_duration_ms(store["ttl_min"]),
+        bounds=_read_bounds(fields["bounds"]),
+    )
+
+
+def _read_bounds(bounds: dict) -> agent_settings.Bounds:
+    return agent_settings.Bounds(
+        drain_ms=scalars.read_duration_ms(bounds["drain"]),
+        grace_ms=scalars.read_duration_ms(bounds["grace"]),
+        hold_max_ms=scalars.read_duration_ms(bounds.get("hold_max", "10s")),
+        cold_ratio=float(bounds["cold_over"]),
+        cold_spare=float(bounds["cold_slack"]),
+        retry_ratio=float(bounds["budget_ratio"]),
+        retry_spare=float(bounds["budget_slack"]),
+        evacuate_ms=scalars.read_duration_ms(bounds.get("evac", "5s")),
+    )
--- /dev/null
+++ b/fuchsiamoor/platform/wire.py
@@ -0,0 +1,203 @@
+"""Headers of requests and answers, between the platform's names and our types."""
+
+from collections.abc import Iterable
+
+from fuchsiamoor.agent import dialect
+from fuchsiamoor.core import carried
+from fuchsiamoor.core.requests import Headers
+from fuchsiamoor.daemon.upstream_connection import WholeAnswer
+from fuchsiamoor.traffic import catalog, requests, upstreams
+
+_REQUEST_ID = b"fuchsiamoor-request-id"
+# Milliseconds that the caller still waits, counted from the sending.
+_DEADLINE = b"fuchsiamoor-deadline-ms"
+_KEY = b"fuchsiamoor-shard-key"
+_CALLER_SERVICE = b"fuchsiamoor-caller-service"
+_EXPECTED_UPSTREAM = b"fuchsiamoor-expect-instance"
+# Signature of an upstream's answer; it travels to the caller as it came.
+_STAMP = b"fuchsiamoor-server-stamp"
+_LOAD = b"fuchsiamoor-server-load"
+_NOT_RUN = b"fuchsiamoor-not-executed"
+_UPSTREAM_ID = b"fuchsiamoor-instance-id"
+# Remaining time of a cold start, in milliseconds.
+_COLD_FOR = b"fuchsiamoor-cold-start-ms"
+
+_HOP_HEADERS = frozenset(
+    (
+        b"connection",
+        b"content-length",
+        b"expect",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    )
+)
+_SET_BY_US = frozenset((_DEADLINE, _CALLER_SERVICE, _EXPECTED_UPSTREAM))
+# Read here and of no use to the caller.
+_KEPT_FROM_CALLERS = frozenset((_LOAD, _NOT_RUN, _UPSTREAM_ID, _COLD_FOR))
+_MISDIRECTED = 421
+_WAIT_MAX_MS = 10 * 60 * 1000
+_WAIT_DEFAULT_MS = 10_000
+
+
+def read_request(
+    method: str, target: str, headers: Headers, body: bytes
+) -> requests.CallerRequest:
+    """Decode a caller's request.
+
+    Parameters
+    ----------
+    method, target : str
+    headers : Headers
+        Names in lower case.
+    body : bytes
+
+    Raises
+    ------
+    ValueError
+        If a header that the system needs is missing or cannot be read.
+    """
+    own: dict[bytes, bytes] = {}
+    passed, hosts = [], []
+    dropped = _list_connection_headers(headers)
+    for name, value in headers:
+        if name == b"host":
+            hosts.append(value)
+        if name in (_REQUEST_ID, _DEADLINE, _KEY):
+            if name in own:
+                raise ValueError(f"{name.decode()}: found twice")
+            own[name] = value
+        if name in _HOP_HEADERS or name in _SET_BY_US or name in dropped:
+            continue
+        passed.append((name, value))
+    if len(hosts) != 1:
+        raise ValueError(f"Host: found {len(hosts)} of them, expected one")
+    request_id = own.get(_REQUEST_ID, b"").decode("latin-1")
+    if not request_id:
+        raise ValueError("the request has no id")
+    return requests.CallerRequest(
+        request_id=request_id,
+        method=method,
+        host=hosts[0].decode("latin-1"),
+        target=target,
+        headers=tuple(passed),
+        body=body,
+        wait_ms=_read_wait_ms(own.get(_DEADLINE)),
+        key=_read_key(own.get(_KEY)),
+        # An upstream appends a dot and a suffix to the id of the request that it runs.
+        is_call="." in request_id,
+    )
+
+
+def _list_connection_headers(headers: Headers) -> frozenset[bytes]:
+    return frozenset(
+        token.strip().lower()
+        for name, value in headers
+        if name == b"connection"
+        for token in value.split(b",")
+    )
+
+
+def _read_wait_ms(value: bytes | None) -> int:
+    if value is None:
+        return _WAIT_DEFAULT_MS
+    if not value.isdigit():
+        raise ValueError(f"deadline: found {value!r:.40}, expected milliseconds")
+    return min(int(value), _WAIT_MAX_MS)
+
+
+def _read_key(value: bytes | None) -> int:
+    if value is None:
+        return carried.NO_KEY
+    if not value.isdigit() or int(value) >= catalog.KEY_COUNT:
+        raise ValueError(f"key: found {value!r:.40}, expected a number up to 65535")
+    return int(value)
+
+
+def write_request(
+    request: carried.CarriedRequest, upstream_id: str, remaining_ms: int
+) -> bytes:
+    """Encode a request for the upstream that is expected to have an id.
+
+    Raises
+    ------
+    ValueError
+        If a part of it would be read as something else.
+    """
+    lines = [
+        f"{request.method} {request.target} HTTP/1.1".encode("latin-1"),
+        *(b"%b: %b" % header for header in request.headers),
+        b"%b: %d" % (_DEADLINE, max(remaining_ms, 1)),
+        b"%b: %b" % (_CALLER_SERVICE, request.caller_service.encode("latin-1")),
+        b"%b: %b" % (_EXPECTED_UPSTREAM, upstream_id.encode("latin-1")),
+    ]
+    if request.body or request.method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
+        lines.append(b"content-length: %d" % len(request.body))
+    head = b"\r\n".join(lines)
+    if head.count(b"\n") != len(lines) - 1 or head.count(b"\r") != len(lines) - 1:
+        raise ValueError("line breaks within the head of a request")
+    return head + b"\r\n\r\n" + request.body
+
+
+def is_answer_to(request_id: str, headers: Iterable[tuple[bytes, bytes]]) -> bool:
+    """Return whether an upstream's answer names this request, or none."""
+    expected = request_id.encode("latin-1")
+    return all(value == expected for name, value in headers if name == _REQUEST_ID)
+
+
+def read_answer(whole: WholeAnswer) -> requests.UpstreamAnswer:
+    """Decode an upstream's whole answer."""
+    found = dict(whole.headers)
+    is_stamped = _STAMP in found
+    is_success = 200 <= whole.status < 300
+    not_run = _NOT_RUN in found or whole.status == _MISDIRECTED
+    # What is encoded, or a success without signature, is not what the upstream made.
+    is_spoiled = b"content-encoding" in found or (is_success and not is_stamped)
+    return requests.UpstreamAnswer(
+        status=whole.status,
+        headers=tuple(
+            header
+            for header in whole.headers
+            if header[0] not in _HOP_HEADERS and header[0] not in _KEPT_FROM_CALLERS
+        ),
+        body=whole.body,
+        has_run=not not_run,
+        is_other_upstream=whole.status == _MISDIRECTED and not_run,
+        is_spoiled=is_spoiled and not not_run,
+        load=_read_load(found.get(_LOAD)),
+        leaves=b"close" in found.get(b"connection", b"").lower(),
+    )
+
+
+def write_health_check(path: str, host: str) -> bytes:
+    """Encode a health check."""
+    return f"GET {path} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode("latin-1")
+
+
+def read_health(whole: WholeAnswer) -> dialect.Health:
+    """Decode an upstream's answer to a health check."""
+    found = dict(whole.headers)
+    cold_for = found.get(_COLD_FOR, b"0").strip()
+    return dialect.Health(
+        upstream_id=found.get(_UPSTREAM_ID, b"").decode("latin-1"),
+        cold_for_ms=int(cold_for) if cold_for.isdigit() else 0,
+        load=_read_load(found.get(_LOAD)),
+    )
+
+
+def _read_load(value: bytes | None) -> upstreams.ReportedLoad | None:
+    figures = (value or b"").replace(b" ", b"").split(b",")
+    if not all(figure.isdigit() for figure in figures) or len(figures) < 3:
+        return None
+    running, waiting, slots, *rest = (int(figure) for figure in figures)
+    return upstreams.ReportedLoad(running, waiting, slots, rest[0] if rest else 100)
+
+
+def write_request_id(request_id: str) -> tuple[bytes, bytes]:
+    """Return the header that names the request in an answer of our own."""
+    return (b"Fuchsiamoor-Request-Id", request_id.encode("latin-1"))
--- /dev/null
+++ b/fuchsiamoor/ranges/granting.py
@@ -0,0 +1,214 @@
+"""A daemon's side of range ownership: what the upstream beside it may hold now.
+
+The daemon grants the rows that the table gives to the upstream's incarnation, for as
+long as it has evidence that its registration stands, and writes the table itself when
+the upstream has let go of a row that is to move.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from fuchsiamoor.ranges import table as tables
+from fuchsiamoor.traffic import upstreams
+
+# Time for which a confirmed registration counts, from the sending of the question. A
+# lost owner's keys are unowned for about as long; a store that is away is borne as long.
+EVIDENCE_MS = 4_000
+# An upstream's clock may run this much slow.
+CLOCK_SLOWNESS = 0.02
+# Margin for the daemon's own rounding of times, in milliseconds.
+MARGIN_MS = 20
+# Shorter holds than this are not worth granting, in milliseconds.
+HOLD_MIN_MS = 100
+
+
+class Grant(NamedTuple):
+    """A row granted to the upstream."""
+
+    first: int
+    last: int
+    fence: int
+    handover: str
+
+
+class Grants(NamedTuple):
+    """The answer to a heartbeat: everything that the upstream is to hold.
+
+    Parameters
+    ----------
+    rows : tuple of Grant
+    hold_ms : int
+        From the sending of the heartbeat.
+    """
+
+    rows: tuple[Grant, ...]
+    hold_ms: int
+
+
+@dataclass(slots=True)
+class Granting:
+    """State of one run beside one incarnation.
+
+    Parameters
+    ----------
+    owner : str
+    granted_until_ms : int
+        Latest end of any hold granted by this run, on its own clock.
+    left_out_at : dict of (int, int) to int
+        For each moving row, the sequence of the first heartbeat answered without it.
+    granted_at : int
+        Sequence of the last heartbeat answered with grants.
+    tokens : list of ReleasedRange
+        Handed in by the upstream and not yet written.
+    served : tuple of Grant
+        Rows of the last answer.
+    served_until_ms : int
+        End of the last answer's hold.
+    """
+
+    owner: str
+    granted_until_ms: int = 0
+    left_out_at: dict[tuple[int, int], int] = field(default_factory=dict)
+    tokens: list[upstreams.ReleasedRange] = field(default_factory=list)
+    served: tuple[Grant, ...] = ()
+    served_until_ms: int = 0
+
+
+def make_granting(owner: str) -> Granting:
+    """Return the state of a run that has granted nothing."""
+    return Granting(owner)
+
+
+def compute_hold_ms(evidence_until_ms: int, hold_max_ms: int, now_ms: int) -> int:
+    """Return how long an upstream may hold keys that are granted now.
+
+    Parameters
+    ----------
+    evidence_until_ms : int
+        Monotonic time up to which the registration certainly stands.
+    hold_max_ms : int
+        Longest hold that the upstream accepts.
+    now_ms : int
+
+    Examples
+    --------
+    >>> compute_hold_ms(5_000, 10_000, 1_000)
+    3901
+    """
+    left_ms = (evidence_until_ms - now_ms - MARGIN_MS) / (1 + CLOCK_SLOWNESS)
+    return min(int(left_ms), hold_max_ms)
+
+
+def answer_heartbeat(
+    granting: Granting,
+    table: tables.RangeTable | None,
+    heartbeat: upstreams.UpstreamHeartbeat,
+    evidence_until_ms: int,
+    hold_max_ms: int,
+    now_ms: int,
+) -> Grants | None:
+    """Decide what the upstream holds after this heartbeat; None renews nothing."""
+    granting.tokens += heartbeat.released
+    if table is None:
+        return None
+    rows = [row for row in table.rows if row.owner == granting.owner]
+    moving = {(row.first, row.last) for row in rows if row.moving_to}
+    for keys in moving:
+        granting.left_out_at.setdefault(keys, heartbeat.sequence)
+    for keys in set(granting.left_out_at) - moving:
+        del granting.left_out_at[keys]
+    hold_ms = compute_hold_ms(evidence_until_ms, hold_max_ms, now_ms)
+    if hold_ms < HOLD_MIN_MS:
+        return None
+    held = {(item.first, item.last, item.fence) for item in heartbeat.held}
+    grants = tuple(
+        Grant(
+            row.first,
+            row.last,
+            row.fence,
+            "" if (row.first, row.last, row.fence) in held else row.handover,
+        )
+        for row in rows
+        if not row.moving_to
+    )
+    granting.served = grants
+    granting.served_until_ms = now_ms + hold_ms
+    granting.granted_until_ms = max(granting.granted_until_ms, now_ms + hold_ms)
+    return Grants(grants, hold_ms)
+
+
+def find_grant(granting: Granting, key: int, now_ms: int) -> Grant | None:
+    """Return the grant under which the upstream holds a key now, None if it does not."""
+    if now_ms >= granting.served_until_ms:
+        return None
+    for grant in granting.served:
+        if grant.first <= key <= grant.last:
+            return grant
+    return None
+
+
+def plan_releases(
+    granting: Granting,
+    table: tables.RangeTable,
+    heartbeat: upstreams.UpstreamHeartbeat,
+) -> tables.RangeTable | None:
+    """Return the table in which released rows have their new owners, None if none has.
+
+    A row goes once the upstream was answered without it before this heartbeat, and
+    reports no key of it as held.
+    """
+    version = table.version + 1
+    rows, is_changed = [], False
+    for row in table.rows:
+        if not _is_released(granting, row, heartbeat):
+            rows.append(row)
+            continue
+        is_changed = True
+        rows += _hand_over(row, granting.tokens, version)
+    if not is_changed:
+        return None
+    return tables.RangeTable(table.service, version, tables.merge_rows(rows))
+
+
+def _is_released(
+    granting: Granting, row: tables.Row, heartbeat: upstreams.UpstreamHeartbeat
+) -> bool:
+    if row.owner != granting.owner or not row.moving_to:
+        return False
+    left_out_at = granting.left_out_at.get((row.first, row.last))
+    if left_out_at is None or heartbeat.sequence <= left_out_at:
+        return False
+    return not any(
+        item.first <= row.last and row.first <= item.last for item in heartbeat.held
+    )
+
+
+def _hand_over(
+    row: tables.Row, tokens: Iterable[upstreams.ReleasedRange], version: int
+) -> list[tables.Row]:
+    """Cut a released row by the tokens that came for it, the newest last."""
+    pieces = [tables.Row(row.first, row.last, row.moving_to, version)]
+    for token in tokens:
+        cut = []
+        for piece in pieces:
+            first, last = max(piece.first, token.first), min(piece.last, token.last)
+            if first > last:
+                cut.append(piece)
+                continue
+            sizes = [first - piece.first, last - first + 1, piece.last - last]
+            for part in tables.split_row(piece, sizes):
+                is_named = part.first == first
+                cut.append(part._replace(handover=token.handover) if is_named else part)
+        pieces = cut
+    return pieces
+
+
+def forget_tokens(granting: Granting, table: tables.RangeTable) -> None:
+    """Drop the tokens of keys that the incarnation no longer owns in a table."""
+    owned = [row for row in table.rows if row.owner == granting.owner]
+    granting.tokens = [
+        token
+        for token in granting.tokens
+        if any(row.first <= token.last and token.first <= row.last for row in owned)
+    ]
--- a/fuchsiamoor/store/port.py
+++ b/fuchsiamoor/store/port.py
@@ -93,3 +93,61 @@
 
     async def revoke_lease(self, lease_id: str) -> None:
         """End a lease and delete its keys."""
+
+
+class Expectation(NamedTuple):
+    """A key has to be at a version; `ABSENT` if it must not exist."""
+
+    key: str
+    version: int
+
+
+class Put(NamedTuple):
+    """A value to set, under a lease unless ``lease_id`` is empty."""
+
+    key: str
+    value: bytes
+    lease_id: str = ""
+
+
+class Committed(NamedTuple):
+    """All puts and deletions took effect."""
+
+    version: int
+
+
+class NotExpected(NamedTuple):
+    """Nothing took effect: a key was at another version, or the lease has ended."""
+
+
+TransactResult = Committed | NotExpected
+
+
+class TransactionalStore(Protocol):
+    """A store that sets several keys at once; `get` to `watch` are those of `Store`."""
+
+    async def get(self, key: str) -> Entry | None:
+        """Read one key."""
+
+    async def list_prefix(self, prefix: str) -> Listing:
+        """Read all keys under a prefix; its version is where a watch may start."""
+
+    async def watch(self, prefix: str, after_version: int, wait_ms: int) -> Changes:
+        """Wait for changes under a prefix."""
+
+    async def transact(
+        self,
+        expected: tuple[Expectation, ...],
+        puts: tuple[Put, ...],
+        deletes: tuple[str, ...] = (),
+    ) -> TransactResult:
+        """Set and delete keys, all or none, if every expectation holds."""
+
+    async def grant_lease(self, ttl_ms: int) -> str:
+        """Return the id of a new lease."""
+
+    async def renew_lease(self, lease_id: str) -> bool:
+        """Extend a lease by its length; False if it has ended."""
+
+    async def revoke_lease(self, lease_id: str) -> None:
+        """End a lease and delete its keys."""
