Register an upstream again that was taken for dead before it is granted anything

Cause: after a silence longer than its hold an upstream was declared ended; when it reported again, its owner was granted its old rows while others still read that it had ended and took them. Grants now need a registration that names the owner as living. The planner no longer divides by nothing where no holder owns a key, and pauses after a write.

--- a/fuchsiamoor/agent/beside.py
+++ b/fuchsiamoor/agent/beside.py
@@ -5,9 +5,10 @@
 from loguru import logger
 
 from fuchsiamoor.agent import owning, state
+from fuchsiamoor.core import addresses
 from fuchsiamoor.core.verdicts import NotRun, Reason
 from fuchsiamoor.daemon import upstream_pool
-from fuchsiamoor.daemon.upstream_connection import WholeAnswer
+from fuchsiamoor.daemon.upstream_connection import Received, WholeAnswer
 from fuchsiamoor.ranges import granting
 from fuchsiamoor.ranges import table as tables
 from fuchsiamoor.traffic import gate as gates
@@ -42,7 +43,9 @@
     beside.sequence = heartbeat.sequence
     beside.heard_ms = now_ms
     if beside.is_gone:
+        # It was taken for dead: it registers again before it is granted anything.
         beside.is_gone = False
+        beside.ended = ""
         agent.standing.due.set()
     gates.note_cold(beside.gate, now_ms + heartbeat.cold_for_ms)
     if heartbeat.is_draining:
@@ -51,7 +54,7 @@
         beside.slots = beside.gate.slots = max(heartbeat.slots, 1)
         agent.standing.due.set()
     table = agent.known.tables.get(heartbeat.service)
-    if not state.is_keyed(agent, heartbeat.service):
+    if not state.is_keyed(agent, heartbeat.service) or not _is_registered(agent):
         return None
     grants = granting.answer_heartbeat(
         beside.granting,
@@ -68,6 +71,12 @@
     return grants
 
 
+def _is_registered(agent: state.Agent) -> bool:
+    """Return whether the store knows this incarnation as an owner that lives."""
+    written, owner = agent.standing.written, agent.beside.owner
+    return written is not None and written.owner == owner and written.ended != owner
+
+
 def _start_incarnation(
     agent: state.Agent, heartbeat: upstreams.UpstreamHeartbeat
 ) -> None:
@@ -182,17 +191,10 @@
 
 async def probe(agent: state.Agent) -> None:
     """Find out whether the upstream's process is there, and how cold it is."""
-    beside = agent.beside
-    owner, pool = beside.owner, beside.pool
-    if pool is None:
-        return
-    terms = state.find_terms(agent, beside.service)
-    host = f"{pool.address.host}:{pool.address.port}"
-    path = terms.health_path if terms else "/"
-    payload = agent.dialect.write_health_check(path, host)
+    owner = agent.beside.owner
     agent.metrics.count("upstream.probed")
-    received = await upstream_pool.exchange(pool, payload, False, PROBE_TIMEOUT_MS)
-    if beside.owner != owner:
+    received = await agent.ask_health(agent)
+    if agent.beside.owner != owner:
         return
     match received:
         case NotRun(Reason.CONNECT_FAILED, detail) if "refused" in detail.lower():
@@ -203,6 +205,16 @@
             _note_silence(agent)
 
 
+async def ask_health(agent: state.Agent) -> Received | NotRun:
+    """Ask the upstream for its health, over its own connections."""
+    beside = agent.beside
+    terms = state.find_terms(agent, beside.service)
+    host = addresses.format_address(beside.pool.address)
+    path = terms.health_path if terms else "/"
+    payload = agent.dialect.write_health_check(path, host)
+    return await upstream_pool.exchange(beside.pool, payload, False, PROBE_TIMEOUT_MS)
+
+
 def note_gone(agent: state.Agent) -> None:
     """Take in that nobody listens at the upstream's address."""
     beside = agent.beside
--- a/fuchsiamoor/agent/owning.py
+++ b/fuchsiamoor/agent/owning.py
@@ -20,6 +20,8 @@
 LONGEST_QUIET_MS = 2_500
 # Each daemon in turn gives the one before it this time to act.
 TURN_MS = 700
+# Pause after a write: others may see the same members otherwise for a moment.
+PAUSE_MS = 200
 # Time without evidence after which an absent owner certainly holds nothing: clocks may
 # differ by a few percent.
 LOST_AFTER_MS = int(granting.EVIDENCE_MS * 1.03) + 60
@@ -58,6 +60,7 @@
             continue
         await _write_plan(agent, table, planned, standing)
         since_ms = None
+        await asyncio.sleep(PAUSE_MS / 1000)
 
 
 def _may_write(agent: state.Agent) -> bool:
--- a/fuchsiamoor/agent/registrations.py
+++ b/fuchsiamoor/agent/registrations.py
@@ -199,4 +199,6 @@
     found = directory.listed.get(tables.instance_of(owner))
     if found is None:
         return False
-    return found.ended == owner or found.owner not in ("", owner)
+    if found.owner == owner:
+        return False
+    return found.ended == owner or found.owner != ""
--- a/fuchsiamoor/agent/running.py
+++ b/fuchsiamoor/agent/running.py
@@ -51,6 +51,7 @@
 ) -> state.Agent:
     """Return a daemon that listens nowhere yet."""
     agent = state.Agent(settings, spoken, store, metrics.Metrics())
+    agent.ask_health = beside.ask_health
 
     async def handle(sender_id: str, message: messages.Message) -> messages.Message:
         return await handle_message(agent, sender_id, message)
@@ -109,7 +110,7 @@
         if address is not None:
             await surface.listen(address)
     logger.bind(run=agent.run, service=settings.service).info("started")
-    tree = asyncio.create_task(_run_tree(agent))
+    tree = asyncio.create_task(run_tree(agent))
     stop = asyncio.create_task(_stop_when_told(agent, callers))
     done, _ = await asyncio.wait((tree, stop), return_when=asyncio.FIRST_COMPLETED)
     for task in done:
@@ -128,7 +129,7 @@
     return http_server.Surface(functools.partial(handle, agent), get_limits)
 
 
-async def _run_tree(agent: state.Agent) -> None:
+async def run_tree(agent: state.Agent) -> None:
     """Run every part, each started again when it fails."""
     children = [
         supervisor.Child(
--- a/fuchsiamoor/agent/state.py
+++ b/fuchsiamoor/agent/state.py
@@ -131,6 +131,8 @@
         Nonce of this run.
     links : Links
         Set once the peer server is made.
+    ask_health : callable
+        ``async ask_health(agent)`` asks the upstream beside for its health.
     metrics : Metrics
     stopping_ms : int or None
         When the daemon was told to stop.
@@ -144,6 +146,7 @@
     metrics: Any
     run: str = field(default_factory=lambda: secrets.token_hex(4))
     links: Any = None
+    ask_health: Any = None
     beside: Beside = field(default_factory=Beside)
     known: Known = field(default_factory=Known)
     standing: Standing = field(default_factory=Standing)
--- a/fuchsiamoor/ranges/planning.py
+++ b/fuchsiamoor/ranges/planning.py
@@ -213,6 +213,8 @@
     owned = _count_owned(rows, standing)
     weights = sum(holder.weight for holder in holders)
     total = sum(owned.get(holder.owner, 0) for holder in holders)
+    if total == 0:
+        return rows
     due = {holder.owner: total * holder.weight / weights for holder in holders}
     for _ in range(BALANCING_MAX):
         light = min(due, key=lambda owner: owned.get(owner, 0) / due[owner])
--- /dev/null
+++ b/fuchsiamoor/testing/traffic_data.py
@@ -0,0 +1,172 @@
+"""Test data for routes, services, settings and a plain dialect."""
+
+import json
+
+from fuchsiamoor.agent import dialect as dialects
+from fuchsiamoor.core import agent_settings
+from fuchsiamoor.core.addresses import Address
+from fuchsiamoor.core.carried import NO_KEY, CarriedRequest
+from fuchsiamoor.traffic import catalog, requests, upstreams
+
+KEYED_SERVICE = "stock"
+PLAIN_SERVICE = "desk"
+CATALOG_KEY = "operators/catalog"
+EVACUATED_PREFIX = "operators/out/"
+ADDRESS = Address("127.0.0.1", 1)
+
+
+def make_route(name: str = "read", service: str = PLAIN_SERVICE, **changes):
+    """Return a route of one service, with fields changed."""
+    route = catalog.Route(
+        name=name,
+        host="shop.example",
+        path_prefix=f"/{name}/",
+        shares=(catalog.ServiceShare(service, 1.0),),
+        is_idempotent=True,
+        timeout_ms=2_000,
+        target_latency_ms=600,
+        rank=1,
+        attempts_max=2,
+        home_regions=frozenset(),
+    )
+    return route._replace(**changes)
+
+
+def make_terms(name: str = PLAIN_SERVICE, **changes) -> catalog.ServiceTerms:
+    """Return the terms of a service, with fields changed."""
+    terms = catalog.ServiceTerms(name, "/health", 64, 3_000, 16.0, False)
+    return terms._replace(**changes)
+
+
+def make_catalog(version: int = 1, *routes: catalog.Route) -> catalog.Catalog:
+    """Return a catalog of a plain and a keyed service."""
+    services = [make_terms(), make_terms(KEYED_SERVICE, is_keyed=True)]
+    found = routes or (make_route(), make_route("keyed", KEYED_SERVICE))
+    return catalog.make_catalog(version, found, services, catalog.CallerLimits())
+
+
+def encode_version(version: int) -> bytes:
+    """Return what the plain dialect reads as `make_catalog` of a version."""
+    return json.dumps(version).encode()
+
+
+def make_settings(
+    instance: str = "10.0.0.1", region: str = "north", service: str = KEYED_SERVICE
+) -> agent_settings.AgentSettings:
+    """Return settings whose addresses are not to be used."""
+    return agent_settings.AgentSettings(
+        instance=instance,
+        service=service,
+        region=region,
+        data_centre=f"{region}-1",
+        caller_address=ADDRESS,
+        upstream_address=ADDRESS,
+        control_address=ADDRESS,
+        ready_address=ADDRESS,
+        peer_address=ADDRESS,
+        metrics_address=None,
+        store_address=ADDRESS,
+        heartbeat_ms=870,
+        lease_min_ms=1_000,
+        bounds=agent_settings.Bounds(),
+    )
+
+
+def make_heartbeat(
+    upstream_id: str = "i-1", started_unix_ms: int = 1, sequence: int = 1, **changes
+) -> upstreams.UpstreamHeartbeat:
+    """Return a report of a warm upstream of the keyed service."""
+    heartbeat = upstreams.UpstreamHeartbeat(
+        upstreams.Incarnation(upstream_id, started_unix_ms),
+        KEYED_SERVICE,
+        sequence,
+        18,
+        False,
+        0,
+        (),
+        (),
+    )
+    return heartbeat._replace(**changes)
+
+
+def make_carried(request_id: str = "a1", **changes) -> CarriedRequest:
+    """Return a request on its way to an upstream of the plain service."""
+    carried = CarriedRequest(
+        request_id=request_id,
+        method="GET",
+        target="/read/1",
+        headers=((b"host", b"shop.example"),),
+        body=b"",
+        key=NO_KEY,
+        service=PLAIN_SERVICE,
+        caller_service=PLAIN_SERVICE,
+        route="read",
+        rank=1,
+        is_idempotent=True,
+        home_regions=(),
+        remaining_ms=1_000,
+        catalog_version=1,
+    )
+    return carried._replace(**changes)
+
+
+def make_dialect() -> dialects.Dialect:
+    """Return a dialect of plain text that stands for an adapter's."""
+    return dialects.Dialect(
+        ready_path="/ready",
+        catalog_key=CATALOG_KEY,
+        operator_prefix="operators/",
+        read_catalog=lambda value: make_catalog(json.loads(value)),
+        read_evacuated=_read_evacuated,
+        read_upstream_call=lambda method, path: None,
+        read_heartbeat=lambda upstream_id, body: make_heartbeat(upstream_id),
+        write_heartbeat_answer=lambda grants: b"{}",
+        read_request=_read_request,
+        write_request=_write_request,
+        is_answer_to=lambda request_id, headers: True,
+        read_answer=_read_answer,
+        write_health_check=lambda path, host: b"GET / HTTP/1.1\r\nHost: a\r\n\r\n",
+        read_health=lambda whole: dialects.Health("", 0, None),
+        write_request_id=lambda request_id: (b"X-Request", request_id.encode()),
+    )
+
+
+def _read_evacuated(key: str) -> str | None:
+    if not key.startswith(EVACUATED_PREFIX):
+        return None
+    return key.removeprefix(EVACUATED_PREFIX)
+
+
+def _read_request(method, target, headers, body) -> requests.CallerRequest:
+    found = dict(headers)
+    return requests.CallerRequest(
+        request_id=found[b"x-request"].decode(),
+        method=method,
+        host=found[b"host"].decode(),
+        target=target,
+        headers=(),
+        body=body,
+        wait_ms=int(found.get(b"x-wait", b"1000")),
+        key=int(found.get(b"x-key", b"-1")),
+        is_call=False,
+    )
+
+
+def _write_request(request, upstream_id, remaining_ms) -> bytes:
+    head = f"{request.method} {request.target} HTTP/1.1\r\nHost: a\r\n"
+    length = f"Content-Length: {len(request.body)}\r\n\r\n"
+    return (head + length).encode() + request.body
+
+
+def _read_answer(whole) -> requests.UpstreamAnswer:
+    found = dict(whole.headers)
+    return requests.UpstreamAnswer(
+        status=whole.status,
+        headers=(),
+        body=whole.body,
+        has_run=b"x-not-run" not in found,
+        is_other_upstream=False,
+        is_spoiled=False,
+        load=None,
+        leaves=False,
+    )
--- /dev/null
+++ b/fuchsiamoor/testing/transactional_store.py
@@ -0,0 +1,244 @@
+"""A store for tests on the running loop's time: outages, lost answers, leases, history.
+
+Each daemon has a client of its own, so that a store can turn one away and serve others.
+"""
+
+import asyncio
+import random
+from dataclasses import dataclass, field
+
+from fuchsiamoor.core import errors
+from fuchsiamoor.store import port
+
+ANSWER_MS = 4
+
+
+@dataclass(slots=True)
+class Lease:
+    """A lease and when it ends, by the loop's time."""
+
+    ttl_ms: int
+    end_ms: float
+
+
+@dataclass(slots=True)
+class Item:
+    """A key's value."""
+
+    value: bytes
+    version: int
+    lease_id: str
+
+
+@dataclass(slots=True)
+class StoreState:
+    """What the store holds, and its troubles.
+
+    Parameters
+    ----------
+    down_until_ms : float
+        Every call is refused until then.
+    lapses : bool
+        Whether leases run out while it is down.
+    lost_share : float
+        Share of the writes whose answer is lost.
+    late_share : float
+        Share of the lost ones that are carried out seconds later.
+    history_from : int
+        Changes up to this version are forgotten.
+    """
+
+    rng: random.Random
+    items: dict[str, Item] = field(default_factory=dict)
+    leases: dict[str, Lease] = field(default_factory=dict)
+    version: int = 1
+    changes: list[tuple[int, port.Change]] = field(default_factory=list)
+    history_from: int = 0
+    down_until_ms: float = 0.0
+    lapses: bool = False
+    lost_share: float = 0.0
+    late_share: float = 0.0
+    last_lease: int = 0
+    calls: int = 0
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+
+
+def make_store_state(rng: random.Random) -> StoreState:
+    """Return an empty store without troubles."""
+    return StoreState(rng)
+
+
+def now_ms() -> float:
+    """Return the running loop's time, in milliseconds."""
+    return asyncio.get_running_loop().time() * 1000
+
+
+def put_now(state: StoreState, key: str, value: bytes) -> None:
+    """Write a key as an operator does."""
+    _put(state, port.Put(key, value))
+    state.changed.set()
+
+
+def revoke_now(state: StoreState, key: str) -> None:
+    """End the lease of a key, whatever its length."""
+    item = state.items.get(key)
+    if item is not None and item.lease_id:
+        _end_lease(state, item.lease_id)
+
+
+def forget_history(state: StoreState) -> None:
+    """Drop all changes, so that watches have to list again."""
+    state.history_from = state.version
+    state.changes.clear()
+    state.changed.set()
+
+
+def _put(state: StoreState, put: port.Put) -> None:
+    state.version += 1
+    state.items[put.key] = Item(put.value, state.version, put.lease_id)
+    entry = port.Entry(put.key, put.value, state.version)
+    state.changes.append((state.version, port.Change(put.key, entry)))
+
+
+def _delete(state: StoreState, key: str) -> None:
+    if state.items.pop(key, None) is not None:
+        state.version += 1
+        state.changes.append((state.version, port.Change(key, None)))
+
+
+def _end_lease(state: StoreState, lease_id: str) -> None:
+    state.leases.pop(lease_id, None)
+    for key in [k for k, item in state.items.items() if item.lease_id == lease_id]:
+        _delete(state, key)
+    state.changed.set()
+
+
+def lapse(state: StoreState) -> None:
+    """End the leases that have run out; while the store is down only if it lapses."""
+    is_down = now_ms() < state.down_until_ms
+    if is_down and not state.lapses:
+        for lease in state.leases.values():
+            lease.end_ms = max(lease.end_ms, state.down_until_ms)
+        return
+    for lease_id in [k for k, v in state.leases.items() if v.end_ms <= now_ms()]:
+        _end_lease(state, lease_id)
+
+
+@dataclass(slots=True)
+class StoreClient:
+    """One daemon's way to the store; see `port.TransactionalStore`.
+
+    Parameters
+    ----------
+    cut_until_ms : float
+        This client alone is refused until then.
+    """
+
+    state: StoreState
+    cut_until_ms: float = 0.0
+    is_closed: bool = False
+
+    async def get(self, key: str) -> port.Entry | None:
+        """Read one key."""
+        await self._begin()
+        item = self.state.items.get(key)
+        return None if item is None else port.Entry(key, item.value, item.version)
+
+    async def list_prefix(self, prefix: str) -> port.Listing:
+        """Read all keys under a prefix."""
+        await self._begin()
+        entries = tuple(
+            port.Entry(key, item.value, item.version)
+            for key, item in sorted(self.state.items.items())
+            if key.startswith(prefix)
+        )
+        return port.Listing(self.state.version, entries)
+
+    async def watch(
+        self, prefix: str, after_version: int, wait_ms: int
+    ) -> port.Changes:
+        """Wait for changes under a prefix."""
+        await self._begin()
+        until_ms = now_ms() + wait_ms
+        while now_ms() < until_ms:
+            self._refuse_if_away()
+            if after_version < self.state.history_from:
+                raise errors.StoreHistoryLostError("forgotten")
+            found = tuple(
+                change
+                for version, change in self.state.changes
+                if version > after_version and change.key.startswith(prefix)
+            )
+            if found:
+                return port.Changes(self.state.version, found)
+            await asyncio.sleep(0.02)
+        return port.Changes(self.state.version, ())
+
+    async def transact(
+        self,
+        expected: tuple[port.Expectation, ...],
+        puts: tuple[port.Put, ...],
+        deletes: tuple[str, ...] = (),
+    ) -> port.TransactResult:
+        """Set and delete keys, all or none, if every expectation holds."""
+        await self._begin()
+        state = self.state
+        if state.rng.random() < state.lost_share:
+            if state.rng.random() < state.late_share:
+                delay_s = state.rng.uniform(1.0, 6.0)
+                asyncio.get_running_loop().call_later(
+                    delay_s, self._apply, expected, puts, deletes
+                )
+            else:
+                self._apply(expected, puts, deletes)
+            raise errors.StoreOutcomeUnknownError("the answer was lost")
+        return self._apply(expected, puts, deletes)
+
+    def _apply(self, expected, puts, deletes) -> port.TransactResult:
+        state = self.state
+        lapse(state)
+        for key, version in expected:
+            item = state.items.get(key)
+            if (item.version if item else port.ABSENT) != version:
+                return port.NotExpected()
+        if any(put.lease_id and put.lease_id not in state.leases for put in puts):
+            return port.NotExpected()
+        for put in puts:
+            _put(state, put)
+        for key in deletes:
+            _delete(state, key)
+        state.changed.set()
+        return port.Committed(state.version)
+
+    async def grant_lease(self, ttl_ms: int) -> str:
+        """Return the id of a new lease."""
+        await self._begin()
+        self.state.last_lease += 1
+        lease_id = str(self.state.last_lease)
+        self.state.leases[lease_id] = Lease(ttl_ms, now_ms() + ttl_ms)
+        return lease_id
+
+    async def renew_lease(self, lease_id: str) -> bool:
+        """Extend a lease by its length; False if it has ended."""
+        await self._begin()
+        lease = self.state.leases.get(lease_id)
+        if lease is None:
+            return False
+        lease.end_ms = now_ms() + lease.ttl_ms
+        return True
+
+    async def revoke_lease(self, lease_id: str) -> None:
+        """End a lease and delete its keys."""
+        await self._begin()
+        _end_lease(self.state, lease_id)
+
+    async def _begin(self) -> None:
+        self.state.calls += 1
+        await asyncio.sleep(ANSWER_MS / 1000)
+        self._refuse_if_away()
+        lapse(self.state)
+
+    def _refuse_if_away(self) -> None:
+        away_until_ms = max(self.state.down_until_ms, self.cut_until_ms)
+        if self.is_closed or now_ms() < away_until_ms:
+            raise errors.StoreUnavailableError("the store is away")
