Wait before a key's owner is asked again; count delays on the way off the deadline

Cause: a request whose owner refused it as not held here was sent again at once, in a loop that never yielded, so that the daemon stood still until the deadline: requests reached upstreams long after their callers had left (GONE), answers were cut at a stop (LOST). Ruled out: lossy links, the store.

Change: a pause before the owner is asked again; the sender's clock travels with a carried request, and what it was held up is taken off its remaining time.

--- a/fuchsiamoor/agent/entering.py
+++ b/fuchsiamoor/agent/entering.py
@@ -17,6 +17,9 @@
 
 # Time kept for the answer's way to the caller.
 ANSWER_MARGIN_MS = 15
+# Time kept for an ending's way back from another daemon, near and in another region.
+RETURN_MS = 8
+REGION_RETURN_MS = 18
 # Shorter than this, a request cannot be served any more.
 REMAINING_MIN_MS = 15
 # Instances without a key that are tried before the request is refused.
@@ -136,6 +139,8 @@
         attempts.arrivals += ended.has_arrived
         if not _goes_on(agent, route, service, target, attempts, ended):
             break
+        if not await _pause(agent, request, service, attempts, ended):
+            break
     return _finish(agent, request, route, attempts, deadlines)
 
 
@@ -213,6 +218,20 @@
     return True
 
 
+async def _pause(
+    agent: state.Agent,
+    request: requests.CallerRequest,
+    service: str,
+    attempts: Attempts,
+    ended: CarriedAnswer,
+) -> bool:
+    """Wait before the owner of a key is asked again; False if that is no use."""
+    if not state.is_keyed(agent, service) or not isinstance(ended.verdict, NotRun):
+        return True
+    remaining_ms = request.wait_ms - attempts.ownerless_ms
+    return await _wait_for_owner(agent, request, service, attempts, remaining_ms)
+
+
 async def _try(
     agent: state.Agent,
     request: requests.CallerRequest,
@@ -237,6 +256,7 @@
         home_regions=tuple(sorted(route.home_regions)),
         remaining_ms=remaining_ms,
         catalog_version=agent.known.catalog.version,
+        sent_ms=agent.now_ms(),
     )
     spread.note_sent(agent.views, target.instance)
     try:
@@ -255,8 +275,12 @@
 ) -> CarriedAnswer:
     """Send a request to another daemon and wait for its ending."""
     member = registrations.make_peer(target)
+    timeout_ms = carried.remaining_ms
+    is_far = target.region != agent.settings.region
+    return_ms = REGION_RETURN_MS if is_far else RETURN_MS
+    carried = carried._replace(remaining_ms=max(timeout_ms - return_ms, 1))
     try:
-        return await agent.links.call(member, carried, carried.remaining_ms)
+        return await agent.links.call(member, carried, timeout_ms)
     except errors.PeerUnreachableError as error:
         agent.metrics.count("peers.unreachable")
         return _lose(NotRun(Reason.CONNECT_FAILED, str(error)), False)
--- a/fuchsiamoor/agent/executing.py
+++ b/fuchsiamoor/agent/executing.py
@@ -53,6 +53,8 @@
         When nobody waits for the answer any more; the run is broken off.
     """
     ends_by_ms = agent.now_ms() + request.remaining_ms
+    if request.remaining_ms <= RETURN_MARGIN_MS:
+        return _refuse(agent, NotRun(Reason.DEADLINE_PASSED, "on its way here"))
     refused = _check(agent, request)
     if refused is not None:
         return _refuse(agent, refused)
--- a/fuchsiamoor/agent/running.py
+++ b/fuchsiamoor/agent/running.py
@@ -67,7 +67,7 @@
     """Answer a message of another daemon."""
     match message:
         case CarriedRequest():
-            return await _execute(agent, message)
+            return await _execute(agent, sender_id, message)
         case messages.Cancel(request_id):
             task = agent.running.get(request_id)
             if task is not None:
@@ -77,8 +77,14 @@
             raise ValueError(f"{type(message).__name__}: not expected here")
 
 
-async def _execute(agent: state.Agent, request: CarriedRequest) -> messages.Message:
+async def _execute(
+    agent: state.Agent, sender_id: str, request: CarriedRequest
+) -> messages.Message:
     """Run a carried request so that its sender can cancel it."""
+    delay_ms = agent.transits.measure_delay_ms(
+        sender_id, request.sent_ms, agent.now_ms()
+    )
+    request = request._replace(remaining_ms=request.remaining_ms - delay_ms)
     if request.catalog_version > agent.known.catalog.version:
         agent.refresh_due.set()
     task = asyncio.ensure_future(executing.execute(agent, request))
--- a/fuchsiamoor/agent/state.py
+++ b/fuchsiamoor/agent/state.py
@@ -17,7 +17,7 @@
 from fuchsiamoor.store import port
 from fuchsiamoor.traffic import catalog as catalogs
 from fuchsiamoor.traffic import gate as gates
-from fuchsiamoor.traffic import spread, upstreams
+from fuchsiamoor.traffic import spread, transit, upstreams
 
 
 @dataclass(slots=True)
@@ -151,6 +151,7 @@
     known: Known = field(default_factory=Known)
     standing: Standing = field(default_factory=Standing)
     views: spread.Views = field(default_factory=spread.make_views)
+    transits: transit.Transit = field(default_factory=transit.Transit)
     budgets: dict[str, budget.Budget] = field(default_factory=dict)
     running: dict[str, asyncio.Task] = field(default_factory=dict)
     stopping_ms: int | None = None
--- a/fuchsiamoor/core/carried.py
+++ b/fuchsiamoor/core/carried.py
@@ -52,6 +52,8 @@
         Time that is left when it is sent on.
     catalog_version : int
         In force at the sender.
+    sent_ms : int
+        Sender's monotonic time, by which a delay on the way shows.
     """
 
     request_id: str
@@ -68,6 +70,7 @@
     home_regions: tuple[str, ...]
     remaining_ms: int
     catalog_version: int
+    sent_ms: int
 
 
 class CarriedAnswer(NamedTuple):
--- a/fuchsiamoor/testing/range_world.py
+++ b/fuchsiamoor/testing/range_world.py
@@ -326,5 +326,3 @@
         kill_daemon(machine)
         kill_upstream(machine)
     await asyncio.sleep(0)
-
-
--- a/fuchsiamoor/testing/traffic_data.py
+++ b/fuchsiamoor/testing/traffic_data.py
@@ -106,6 +106,7 @@
         home_regions=(),
         remaining_ms=1_000,
         catalog_version=1,
+        sent_ms=0,
     )
     return carried._replace(**changes)
 
