--- a/fuchsiamoor/agent/beside.py
+++ b/fuchsiamoor/agent/beside.py
@@ -4,7 +4,7 @@
 
 from loguru import logger
 
-from fuchsiamoor.agent import owning, state
+from fuchsiamoor.agent import state
 from fuchsiamoor.core import addresses
 from fuchsiamoor.core.verdicts import NotRun, Reason
 from fuchsiamoor.daemon import upstream_pool
@@ -64,13 +64,17 @@
         agent.settings.bounds.hold_max_ms,
         now_ms,
     )
-    if table is not None and any(
-        row.owner == beside.owner and row.moving_to for row in table.rows
-    ):
-        state.spawn(agent, owning.write_releases(agent, heartbeat), "releases")
     return grants
 
 
+def has_moving_rows(agent: state.Agent) -> bool:
+    """Return whether the upstream beside is to let go of keys."""
+    table = agent.known.tables.get(agent.beside.service)
+    return table is not None and any(
+        row.owner == agent.beside.owner and row.moving_to for row in table.rows
+    )
+
+
 def _is_registered(agent: state.Agent) -> bool:
     """Return whether the store knows this incarnation as an owner that lives."""
     written, owner = agent.standing.written, agent.beside.owner
--- a/fuchsiamoor/agent/entering.py
+++ b/fuchsiamoor/agent/entering.py
@@ -23,11 +23,14 @@
 # Shorter than this, a request cannot be served any more.
 REMAINING_MIN_MS = 15
 # Instances without a key that are tried before the request is refused.
-TRIES_MAX = 4
+TRIES_MAX = 3
 # Longest time for which a request waits for its key to get an owner. A key that is
 # handed over gets its next owner with that one's next heartbeat.
 OWNERLESS_WAIT_MS = 900
 OWNERLESS_LOOK_MS = 40
+# Shares of a request's time that may pass before its key has an owner.
+OWNERLESS_WAIT_SHARE = 0.4
+CALL_WAIT_SHARE = 0.8
 # Share of the time left after which an answer still serves the caller.
 RETRY_AFTER_MIN_MS = 50
 RETRY_AFTER_MAX_MS = 3_000
@@ -47,10 +50,13 @@
     arrived_ms : int
     answer_by_ms : int
         The caller has an answer by then, whatever it is.
+    in_time_by_ms : int
+        An answer is in time up to then.
     """
 
     arrived_ms: int
     answer_by_ms: int
+    in_time_by_ms: int
 
 
 @dataclass(slots=True)
@@ -67,6 +73,10 @@
     last : CarriedAnswer or None
     retry_after_ms : int
         Shortest time after which an instance expects room.
+    ownerless_ms : int
+        Time spent without anybody to send it to.
+    target : str
+        Instance that was sent it last.
     """
 
     arrivals: int = 0
@@ -76,6 +86,7 @@
     refusals: int = 0
     retry_after_ms: int = 0
     ownerless_ms: int = 0
+    target: str = ""
 
 
 async def handle(agent: state.Agent, received: HttpRequest) -> HttpAnswer:
@@ -102,14 +113,6 @@
             answer = await _serve(agent, request, route, arrived_ms)
     elapsed_ms = agent.now_ms() - arrived_ms
     agent.metrics.answered(route_name, answer.status, elapsed_ms)
-    if answer.status >= 400:
-        logger.bind(
-            request=request.request_id,
-            route=route_name,
-            status=answer.status,
-            elapsed_ms=elapsed_ms,
-            version=agent.known.catalog.version,
-        ).info("request not served")
     return answer
 
 
@@ -121,8 +124,7 @@
 ) -> HttpAnswer:
     """Try instances until one has answered or no more can be tried."""
     service = catalog.choose_service(route, agent.rng)
-    wait_ms = min(request.wait_ms, route.timeout_ms)
-    deadlines = Deadlines(arrived_ms, arrived_ms + wait_ms - ANSWER_MARGIN_MS)
+    deadlines = _find_deadlines(agent, request, route, arrived_ms)
     attempts = Attempts()
     _earn(agent, service)
     while True:
@@ -134,14 +136,74 @@
             if await _wait_for_owner(agent, request, service, attempts, remaining_ms):
                 continue
             break
-        ended = await _try(agent, request, route, service, target, remaining_ms)
+        attempts.target = target.instance
+        ended = await _try(agent, request, route, service, target, deadlines)
         attempts.last = ended
         attempts.arrivals += ended.has_arrived
         if not _goes_on(agent, route, service, target, attempts, ended):
             break
         if not await _pause(agent, request, service, attempts, ended):
             break
-    return _finish(agent, request, route, attempts, deadlines)
+    answer = _finish(agent, request, route, attempts, deadlines)
+    if answer.status >= 400:
+        _log_failure(agent, request, route, service, attempts, answer.status)
+    return answer
+
+
+def _log_failure(
+    agent: state.Agent,
+    request: requests.CallerRequest,
+    route: catalog.Route,
+    service: str,
+    attempts: Attempts,
+    status: int,
+) -> None:
+    """Write the line that tells why a request was not served."""
+    last = attempts.last
+    verdict = last.verdict if last is not None else None
+    table = agent.known.tables.get(service)
+    logger.bind(
+        request=request.request_id,
+        route=route.name,
+        service=service,
+        key=request.key,
+        status=status,
+        reason=str(getattr(verdict, "reason", "no-target" if last is None else "ran")),
+        detail=getattr(verdict, "detail", ""),
+        target=attempts.target,
+        arrivals=attempts.arrivals,
+        refusals=attempts.refusals,
+        ownerless_ms=attempts.ownerless_ms,
+        catalog_version=agent.known.catalog.version,
+        table_version=table.version if table else 0,
+    ).info("request not served")
+
+
+def _find_deadlines(
+    agent: state.Agent,
+    request: requests.CallerRequest,
+    route: catalog.Route,
+    arrived_ms: int,
+) -> Deadlines:
+    """Return until when a request is worth anything.
+
+    A caller that comes back waits for a shorter time than at first, by what has passed
+    since, which no longer counts as in time. What an upstream asks for is in time up to
+    its deadline, as the work that waits for it is lost otherwise.
+    """
+    answer_by_ms = arrived_ms + min(request.wait_ms, route.timeout_ms)
+    if request.is_call:
+        in_time_by_ms = answer_by_ms
+    else:
+        first_ms = max(agent.longest_waits.get(route.name, 0), request.wait_ms)
+        agent.longest_waits[route.name] = first_ms
+        passed_ms = first_ms - request.wait_ms
+        in_time_by_ms = arrived_ms + route.target_latency_ms - passed_ms
+    return Deadlines(
+        arrived_ms,
+        answer_by_ms - ANSWER_MARGIN_MS,
+        in_time_by_ms - ANSWER_MARGIN_MS,
+    )
 
 
 def _find_target(
@@ -209,7 +271,10 @@
     """Wait a little for a key to get an owner; False if that is no use."""
     if not state.is_keyed(agent, service) or request.key == NO_KEY:
         return False
-    left_ms = min(OWNERLESS_WAIT_MS - attempts.ownerless_ms, remaining_ms // 2)
+    # A call that fails loses its parent's work: it waits for as long as it may.
+    share = CALL_WAIT_SHARE if request.is_call else OWNERLESS_WAIT_SHARE
+    most_ms = min(OWNERLESS_WAIT_MS, int(request.wait_ms * share))
+    left_ms = min(most_ms - attempts.ownerless_ms, remaining_ms - REMAINING_MIN_MS)
     if left_ms <= 0:
         return False
     began_ms = agent.now_ms()
@@ -238,9 +303,10 @@
     route: catalog.Route,
     service: str,
     target: registrations.Registration,
-    remaining_ms: int,
+    deadlines: Deadlines,
 ) -> CarriedAnswer:
     """Send a request to the daemon beside an instance, or run it here."""
+    now_ms = agent.now_ms()
     carried = CarriedRequest(
         request_id=request.request_id,
         method=request.method,
@@ -254,9 +320,10 @@
         rank=ENTRY_CALL_SUFFIX_RANK if request.is_call else route.rank,
         is_idempotent=route.is_idempotent,
         home_regions=tuple(sorted(route.home_regions)),
-        remaining_ms=remaining_ms,
+        remaining_ms=deadlines.answer_by_ms - now_ms,
+        in_time_ms=deadlines.in_time_by_ms - now_ms,
         catalog_version=agent.known.catalog.version,
-        sent_ms=agent.now_ms(),
+        sent_ms=now_ms,
     )
     spread.note_sent(agent.views, target.instance)
     try:
@@ -316,9 +383,9 @@
             spread.note_failed(views, target.instance, now_ms)
         case MayHaveRun():
             spread.note_failed(views, target.instance, now_ms)
-        case NotRun(Reason.NOT_OWNER | Reason.FENCED):
-            pass
-        case NotRun():
+        case NotRun(Reason.CONNECT_FAILED):
+            spread.note_refused(views, target.instance, now_ms)
+        case NotRun() if not state.is_keyed(agent, target.service):
             spread.note_refused(views, target.instance, now_ms)
 
 
--- a/fuchsiamoor/agent/executing.py
+++ b/fuchsiamoor/agent/executing.py
@@ -52,7 +52,8 @@
     asyncio.CancelledError
         When nobody waits for the answer any more; the run is broken off.
     """
-    ends_by_ms = agent.now_ms() + request.remaining_ms
+    now_ms = agent.now_ms()
+    ends_by_ms = now_ms + request.remaining_ms
     if request.remaining_ms <= RETURN_MARGIN_MS:
         return _refuse(agent, NotRun(Reason.DEADLINE_PASSED, "on its way here"))
     refused = _check(agent, request)
@@ -60,7 +61,8 @@
         return _refuse(agent, refused)
     beside = agent.beside
     owner, gate = beside.owner, beside.gate
-    waited = await _pass_gate(agent, request, ends_by_ms)
+    in_time_by_ms = now_ms + request.in_time_ms
+    waited = await _pass_gate(agent, request, ends_by_ms, in_time_by_ms)
     if waited is not None:
         return _refuse(agent, waited.verdict, waited.retry_after_ms)
     try:
@@ -95,12 +97,17 @@
 
 
 async def _pass_gate(
-    agent: state.Agent, request: CarriedRequest, ends_by_ms: int
+    agent: state.Agent,
+    request: CarriedRequest,
+    ends_by_ms: int,
+    in_time_by_ms: int,
 ) -> gates.Refuse | None:
     """Wait for a slot; None once it is taken."""
     beside, gate = agent.beside, agent.beside.gate
     beside.last_ticket += 1
-    entrant = gates.Entrant(beside.last_ticket, request.route, request.rank, ends_by_ms)
+    entrant = gates.Entrant(
+        beside.last_ticket, request.route, request.rank, ends_by_ms, in_time_by_ms
+    )
     match gates.ask(gate, entrant, agent.now_ms()):
         case gates.Enter():
             return None
--- a/fuchsiamoor/agent/ownership_schedules_test.py
+++ b/fuchsiamoor/agent/ownership_schedules_test.py
@@ -201,12 +201,18 @@
     assert any(world.faults for world in worlds)
 
 
-def test_a_row_that_is_handed_over_while_it_is_held_is_caught(monkeypatch):
+def test_keys_that_are_handed_over_while_they_are_held_are_caught(monkeypatch):
+    monkeypatch.setattr(granting, "_cut_by_holds", lambda row, held: [(row, False)])
+    assert _play_until_caught()
+
+
+def test_a_report_from_before_the_answer_that_takes_keys_is_no_release(monkeypatch):
     monkeypatch.setattr(
         granting,
-        "_is_released",
+        "_was_left_out",
         lambda made, row, heartbeat: row.owner == made.owner and row.moving_to != "",
     )
+    monkeypatch.setattr(granting, "_cut_by_holds", lambda row, held: [(row, False)])
     assert _play_until_caught()
 
 
--- a/fuchsiamoor/agent/owning.py
+++ b/fuchsiamoor/agent/owning.py
@@ -8,16 +8,17 @@
 
 from loguru import logger
 
-from fuchsiamoor.agent import registrations, state, syncing
+from fuchsiamoor.agent import beside, registrations, state, syncing
 from fuchsiamoor.core import errors
 from fuchsiamoor.ranges import granting, planning
 from fuchsiamoor.ranges import table as tables
 from fuchsiamoor.store import port
+from fuchsiamoor.traffic import upstreams
 
 TICK_MS = 50
 # The first table waits until nobody new has come for this time, or for the longest.
-QUIET_MS = 700
-LONGEST_QUIET_MS = 2_500
+QUIET_MS = 1_000
+LONGEST_QUIET_MS = 5_000
 # Each daemon in turn gives the one before it this time to act.
 TURN_MS = 700
 # Pause after a write: others may see the same members otherwise for a moment.
@@ -94,7 +95,11 @@
         if found.service == table.service and found.owner
     ]
     holders = tuple(
-        planning.Holder(found.owner, float(max(found.slots, 1)), False)
+        planning.Holder(
+            found.owner,
+            float(max(found.slots, 1)),
+            _is_cold(agent, found.owner, now_ms),
+        )
         for found in sorted(listed)
         if found.is_open and found.data_centre not in known.evacuated
     )
@@ -113,6 +118,13 @@
     )
 
 
+def _is_cold(agent: state.Agent, owner: str, now_ms: int) -> bool:
+    """Return whether an owner was seen for the first time a cold start ago or less."""
+    seen_ms = agent.known.seen_since_ms.setdefault(owner, now_ms)
+    terms = state.find_terms(agent, agent.settings.service)
+    return now_ms - seen_ms < (terms.cold_start_ms if terms else 0)
+
+
 async def _write_plan(
     agent: state.Agent,
     table: tables.RangeTable,
@@ -193,7 +205,19 @@
     return agent.known.tables.get(planned.service) == planned
 
 
-async def write_releases(agent: state.Agent, heartbeat) -> None:
+def answer_heartbeat(
+    agent: state.Agent, heartbeat: upstreams.UpstreamHeartbeat
+) -> granting.Grants | None:
+    """Take a report in, and hand over in the background what was let go of."""
+    grants = beside.take_heartbeat(agent, heartbeat)
+    if beside.has_moving_rows(agent):
+        state.spawn(agent, write_releases(agent, heartbeat), "releases")
+    return grants
+
+
+async def write_releases(
+    agent: state.Agent, heartbeat: upstreams.UpstreamHeartbeat
+) -> None:
     """Hand over the rows that the upstream let go of, as this heartbeat shows."""
     service = agent.settings.service
     async with agent.table_lock:
--- a/fuchsiamoor/agent/running.py
+++ b/fuchsiamoor/agent/running.py
@@ -84,7 +84,10 @@
     delay_ms = agent.transits.measure_delay_ms(
         sender_id, request.sent_ms, agent.now_ms()
     )
-    request = request._replace(remaining_ms=request.remaining_ms - delay_ms)
+    request = request._replace(
+        remaining_ms=request.remaining_ms - delay_ms,
+        in_time_ms=request.in_time_ms - delay_ms,
+    )
     if request.catalog_version > agent.known.catalog.version:
         agent.refresh_due.set()
     task = asyncio.ensure_future(executing.execute(agent, request))
--- a/fuchsiamoor/agent/state.py
+++ b/fuchsiamoor/agent/state.py
@@ -82,8 +82,12 @@
         Store version of each.
     absent_since_ms : dict of str to int
         Owners in tables that no registration names, since when.
-    changed : asyncio.Event
-        Set and cleared with every change, for those who wait for one.
+    seen_since_ms : dict of str to int
+        Owners, and when each was seen first.
+    is_listed : bool
+        Whether the store was listed once.
+    waiting : set of Future
+        Of those who wait for a change.
     """
 
     catalog: catalogs.Catalog = field(default_factory=catalogs.make_empty_catalog)
@@ -92,6 +96,7 @@
     tables: dict[str, range_tables.RangeTable] = field(default_factory=dict)
     table_versions: dict[str, int] = field(default_factory=dict)
     absent_since_ms: dict[str, int] = field(default_factory=dict)
+    seen_since_ms: dict[str, int] = field(default_factory=dict)
     is_listed: bool = False
     waiting: set[asyncio.Future] = field(default_factory=set)
 
@@ -134,6 +139,8 @@
     ask_health : callable
         ``async ask_health(agent)`` asks the upstream beside for its health.
     metrics : Metrics
+    longest_waits : dict of str to int
+        Longest time that a caller of each route waits, in milliseconds.
     stopping_ms : int or None
         When the daemon was told to stop.
     running : dict of str to Task
@@ -154,6 +161,7 @@
     transits: transit.Transit = field(default_factory=transit.Transit)
     budgets: dict[str, budget.Budget] = field(default_factory=dict)
     running: dict[str, asyncio.Task] = field(default_factory=dict)
+    longest_waits: dict[str, int] = field(default_factory=dict)
     stopping_ms: int | None = None
     stopped: asyncio.Event = field(default_factory=asyncio.Event)
     table_lock: asyncio.Lock = field(default_factory=asyncio.Lock)
--- a/fuchsiamoor/agent/surfaces.py
+++ b/fuchsiamoor/agent/surfaces.py
@@ -4,7 +4,7 @@
 
 from fuchsiamoor.agent import beside as besides
 from fuchsiamoor.agent import dialect as dialects
-from fuchsiamoor.agent import state
+from fuchsiamoor.agent import owning, state
 from fuchsiamoor.agent.http_server import HttpAnswer, HttpRequest
 
 JSON = ((b"Content-Type", b"application/json"),)
@@ -47,7 +47,7 @@
         agent.metrics.count("heartbeat.malformed")
         logger.bind(error=str(error)).warning("heartbeat cannot be read")
         return HttpAnswer(400)
-    grants = besides.take_heartbeat(agent, heartbeat)
+    grants = owning.answer_heartbeat(agent, heartbeat)
     return HttpAnswer(200, JSON, agent.dialect.write_heartbeat_answer(grants))
 
 
--- a/fuchsiamoor/agent/syncing.py
+++ b/fuchsiamoor/agent/syncing.py
@@ -4,7 +4,7 @@
 
 from loguru import logger
 
-from fuchsiamoor.agent import registrations, state
+from fuchsiamoor.agent import beside, registrations, state
 from fuchsiamoor.core import errors
 from fuchsiamoor.ranges import granting
 from fuchsiamoor.ranges import table as tables
@@ -299,6 +299,7 @@
 def _settle(agent: state.Agent) -> None:
     """Draw the conclusions of what has been taken in."""
     now_ms = agent.now_ms()
+    beside.refresh_terms(agent)
     known = agent.known
     registrations.forget_departed(known.directory, KEEP_DEPARTED_MS, now_ms)
     registered = {found.owner for found in known.directory.listed.values()}
--- a/fuchsiamoor/core/carried.py
+++ b/fuchsiamoor/core/carried.py
@@ -50,6 +50,8 @@
         Empty for all.
     remaining_ms : int
         Time that is left when it is sent on.
+    in_time_ms : int
+        Time that is left for an answer in time; negative once it is late.
     catalog_version : int
         In force at the sender.
     sent_ms : int
@@ -69,6 +71,7 @@
     is_idempotent: bool
     home_regions: tuple[str, ...]
     remaining_ms: int
+    in_time_ms: int
     catalog_version: int
     sent_ms: int
 
--- a/fuchsiamoor/ranges/granting.py
+++ b/fuchsiamoor/ranges/granting.py
@@ -56,9 +56,8 @@
     granted_until_ms : int
         Latest end of any hold granted by this run, on its own clock.
     left_out_at : dict of (int, int) to int
-        For each moving row, the sequence of the first heartbeat answered without it.
-    granted_at : int
-        Sequence of the last heartbeat answered with grants.
+        For the keys of each moving row, the sequence of the first heartbeat that was
+        answered without them.
     tokens : list of ReleasedRange
         Handed in by the upstream and not yet written.
     served : tuple of Grant
@@ -113,11 +112,11 @@
     if table is None:
         return None
     rows = [row for row in table.rows if row.owner == granting.owner]
-    moving = {(row.first, row.last) for row in rows if row.moving_to}
-    for keys in moving:
-        granting.left_out_at.setdefault(keys, heartbeat.sequence)
-    for keys in set(granting.left_out_at) - moving:
-        del granting.left_out_at[keys]
+    granting.left_out_at = {
+        (row.first, row.last): _left_out_at(granting, row, heartbeat.sequence)
+        for row in rows
+        if row.moving_to
+    }
     hold_ms = compute_hold_ms(evidence_until_ms, hold_max_ms, now_ms)
     if hold_ms < HOLD_MIN_MS:
         return None
@@ -148,40 +147,64 @@
     return None
 
 
+def _left_out_at(granting: Granting, row: tables.Row, default: int) -> int:
+    """Return the first heartbeat answered without a row, which may have been cut."""
+    for (first, last), sequence in granting.left_out_at.items():
+        if first <= row.first and row.last <= last:
+            return sequence
+    return default
+
+
 def plan_releases(
     granting: Granting,
     table: tables.RangeTable,
     heartbeat: upstreams.UpstreamHeartbeat,
 ) -> tables.RangeTable | None:
-    """Return the table in which released rows have their new owners, None if none has.
+    """Return the table in which released keys have their new owners, None if none has.
 
-    A row goes once the upstream was answered without it before this heartbeat, and
-    reports no key of it as held.
+    Keys go once the upstream was answered without them before this heartbeat, and
+    reports that it neither holds nor works on them; the rest of a row stays behind.
     """
     version = table.version + 1
-    rows, is_changed = [], False
+    rows = []
     for row in table.rows:
-        if not _is_released(granting, row, heartbeat):
+        if not _was_left_out(granting, row, heartbeat):
             rows.append(row)
             continue
-        is_changed = True
-        rows += _hand_over(row, granting.tokens, version)
-    if not is_changed:
+        for piece, is_held in _cut_by_holds(row, heartbeat.held):
+            if is_held:
+                rows.append(piece)
+            else:
+                rows += _hand_over(piece, granting.tokens, version)
+    if tuple(rows) == table.rows:
         return None
     return tables.RangeTable(table.service, version, tables.merge_rows(rows))
 
 
-def _is_released(
+def _was_left_out(
     granting: Granting, row: tables.Row, heartbeat: upstreams.UpstreamHeartbeat
 ) -> bool:
     if row.owner != granting.owner or not row.moving_to:
         return False
-    left_out_at = granting.left_out_at.get((row.first, row.last))
-    if left_out_at is None or heartbeat.sequence <= left_out_at:
-        return False
-    return not any(
-        item.first <= row.last and row.first <= item.last for item in heartbeat.held
-    )
+    return _left_out_at(granting, row, heartbeat.sequence) < heartbeat.sequence
+
+
+def _cut_by_holds(
+    row: tables.Row, held: Iterable[upstreams.HeldRange]
+) -> list[tuple[tables.Row, bool]]:
+    """Cut a row into the pieces that are held and those that are not, in order."""
+    pieces, first = [], row.first
+    for item in sorted(held):
+        if item.last < first or item.first > row.last:
+            continue
+        if item.first > first:
+            pieces.append((row._replace(first=first, last=item.first - 1), False))
+        start, end = max(first, item.first), min(item.last, row.last)
+        pieces.append((row._replace(first=start, last=end), True))
+        first = end + 1
+    if first <= row.last:
+        pieces.append((row._replace(first=first), False))
+    return pieces
 
 
 def _hand_over(
--- a/fuchsiamoor/testing/range_world.py
+++ b/fuchsiamoor/testing/range_world.py
@@ -8,7 +8,7 @@
 import random
 from dataclasses import dataclass, field
 
-from fuchsiamoor.agent import beside, running, state
+from fuchsiamoor.agent import owning, running, state
 from fuchsiamoor.core import errors
 from fuchsiamoor.core.verdicts import NotRun, Reason
 from fuchsiamoor.daemon.upstream_connection import Lost
@@ -19,6 +19,8 @@
 HEARTBEAT_MS = 870
 # A change of hold is reported again this soon.
 AGAIN_MS = 100
+# Share of the releases after which the upstream still works on a key.
+WORKING_SHARE = 0.5
 SERVICE = traffic_data.KEYED_SERVICE
 
 
@@ -40,6 +42,8 @@
     ----------
     clock_rate : float
         Its clock's rate; below 1 it measures holds too long.
+    working : list of Hold
+        Keys let go of on which it still works until then.
     seen : list of (int, int, int)
         Highest fence seen on ranges of keys.
     """
@@ -48,6 +52,7 @@
     incarnation: upstreams.Incarnation
     clock_rate: float
     holds: list[Hold] = field(default_factory=list)
+    working: list[Hold] = field(default_factory=list)
     released: list[upstreams.ReleasedRange] = field(default_factory=list)
     seen: list[tuple[int, int, int]] = field(default_factory=list)
     sequence: int = 0
@@ -181,7 +186,7 @@
         0,
         tuple(
             upstreams.HeldRange(hold.first, hold.last, hold.fence)
-            for hold in upstream.holds
+            for hold in upstream.holds + upstream.working
         ),
         tuple(upstream.released),
     )
@@ -190,7 +195,7 @@
     if machine.agent is None:
         return False
     try:
-        grants = beside.take_heartbeat(machine.agent, heartbeat)
+        grants = owning.answer_heartbeat(machine.agent, heartbeat)
     except Exception as error:
         world.faults.append(f"heartbeat failed: {error!r}")
         return False
@@ -205,6 +210,12 @@
 
 def _expire(upstream: Upstream, now_ms: float) -> None:
     upstream.holds = [hold for hold in upstream.holds if hold.until_ms > now_ms]
+    for hold in upstream.working:
+        if hold.until_ms <= now_ms:
+            token = f"t{len(upstream.seen)}"
+            released = upstreams.ReleasedRange(hold.first, hold.last, token)
+            upstream.released.append(released)
+    upstream.working = [hold for hold in upstream.working if hold.until_ms > now_ms]
 
 
 def _apply(
@@ -223,7 +234,7 @@
             is_due_again = True
     for grant in grants.rows:
         _hold(world, upstream, grant, until_ms, now_ms)
-    return is_due_again
+    return is_due_again or bool(upstream.working)
 
 
 def _release_rest(
@@ -243,6 +254,11 @@
                 cut.append((grant.last + 1, last))
         rest = cut
     for first, last in rest:
+        if world.rng.random() < WORKING_SHARE and last > first:
+            done_ms = transactional_store.now_ms() + world.rng.uniform(50, 1_500)
+            done_ms = min(done_ms, hold.until_ms)
+            upstream.working.append(Hold(first, first, hold.fence, done_ms))
+            first += 1
         token = f"t{world.rng.random()}"
         upstream.released.append(upstreams.ReleasedRange(first, last, token))
 
@@ -292,7 +308,7 @@
         (hold.first, hold.last, machine.instance)
         for machine in world.machines
         if machine.upstream is not None
-        for hold in machine.upstream.holds
+        for hold in machine.upstream.holds + machine.upstream.working
         if hold.until_ms > now_ms
     ]
     holds.sort()
--- a/fuchsiamoor/testing/traffic_data.py
+++ b/fuchsiamoor/testing/traffic_data.py
@@ -105,6 +105,7 @@
         is_idempotent=True,
         home_regions=(),
         remaining_ms=1_000,
+        in_time_ms=600,
         catalog_version=1,
         sent_ms=0,
     )
--- a/fuchsiamoor/traffic/gate.py
+++ b/fuchsiamoor/traffic/gate.py
@@ -1,8 +1,11 @@
 """The gate before one upstream: who runs now, who waits, and who is refused at once.
 
 An upstream that is given more than its slots hangs, so that the daemon beside it is the
-only place to queue. The queue is ordered by rank, and within a rank by arrival. A
-request that would not end in time behind those before it is refused at once.
+only place to queue. The queue is ordered by rank, and within a rank by arrival.
+
+The queue is kept so short that those who wait are answered in time: a request that
+would be late behind those before it is refused at once, and may come back. A longer
+queue would make everybody late, as the upstream answers no more of them for it.
 """
 
 import heapq
@@ -19,6 +22,8 @@
 FIRST_RUN_MS = 200.0
 # A waiting request needs this share of its expected run time within its deadline.
 RUN_SHARE = 0.8
+# Added to the time after which there is likely to be room, in milliseconds.
+RETRY_MARGIN_MS = 50
 # Window over which a cold upstream's arrivals are counted, with a margin for jitter on
 # the way to it.
 COLD_WINDOW_MS = 1_080
@@ -38,12 +43,15 @@
         Lower ranks go first.
     ends_by_ms : int
         Monotonic time at which its caller stops waiting.
+    in_time_by_ms : int
+        Monotonic time up to which its answer is in time.
     """
 
     ticket: Hashable
     route: str
     rank: int
     ends_by_ms: int
+    in_time_by_ms: int
 
 
 class Enter(NamedTuple):
@@ -118,11 +126,11 @@
     Examples
     --------
     >>> gate = make_gate(slots=1, cold_per_s=0.0, cold_until_ms=0)
-    >>> ask(gate, Entrant("a", "r", 0, 1_000), 0)
+    >>> ask(gate, Entrant("a", "r", 0, 1_000, 600), 0)
     Enter()
-    >>> ask(gate, Entrant("b", "r", 0, 1_000), 0)
+    >>> ask(gate, Entrant("b", "r", 0, 1_000, 600), 0)
     Wait()
-    >>> ask(gate, Entrant("c", "r", 0, 300), 0).verdict.reason.name
+    >>> ask(gate, Entrant("c", "r", 0, 1_000, 300), 0).verdict.reason.name
     'OVER_LIMIT'
     """
     if gate.waiting == 0 and _has_room(gate, now_ms):
@@ -130,10 +138,11 @@
         return Enter()
     wait_ms = estimate_wait_ms(gate, entrant.rank, now_ms)
     needed_ms = RUN_SHARE * estimate_run_ms(gate, entrant.route)
-    late_ms = now_ms + wait_ms + needed_ms - entrant.ends_by_ms
+    by_ms = min(entrant.ends_by_ms, entrant.in_time_by_ms)
+    late_ms = now_ms + wait_ms + needed_ms - by_ms
     if late_ms > 0:
-        verdict = NotRun(Reason.OVER_LIMIT, "it would end after its deadline")
-        return Refuse(verdict, int(late_ms) + 50)
+        verdict = NotRun(Reason.OVER_LIMIT, "it would be late")
+        return Refuse(verdict, int(min(late_ms, wait_ms)) + RETRY_MARGIN_MS)
     if gate.waiting >= WAITING_MAX:
         return Refuse(NotRun(Reason.OVER_LIMIT, "the queue is full"), int(wait_ms))
     gate.entered += 1
--- a/fuchsiamoor/traffic/transit.py
+++ b/fuchsiamoor/traffic/transit.py
@@ -49,4 +49,4 @@
         self._least[sender] = (least, arrived_ms)
         if len(self._least) > SENDERS_MAX:
             self._least.popitem(last=False)
-        return int(difference - least)
+        return round(difference - least)
