--- a/fuchsiamoor/agent/beside.py
+++ b/fuchsiamoor/agent/beside.py
@@ -246,7 +246,7 @@
     """Once every hold granted here has run out, a silent upstream holds nothing."""
     beside = agent.beside
     until_ms = beside.granting.granted_until_ms
-    slack_ms = agent.settings.bounds.hold_max_ms * granting.CLOCK_SLOWNESS
+    slack_ms = granting.HOLD_MS * granting.CLOCK_SLOWNESS + granting.MARGIN_MS
     silent_ms = agent.now_ms() - beside.heard_ms
     if agent.now_ms() > until_ms + slack_ms and silent_ms > 2_000:
         beside.is_gone = True
--- a/fuchsiamoor/agent/entering.py
+++ b/fuchsiamoor/agent/entering.py
@@ -131,7 +131,7 @@
         remaining_ms = deadlines.answer_by_ms - agent.now_ms()
         if remaining_ms < REMAINING_MIN_MS:
             break
-        target = _find_target(agent, request, route, service, attempts)
+        target = _find_target(agent, request, route, service, attempts, deadlines)
         if target is None:
             if await _wait_for_owner(agent, request, service, attempts, remaining_ms):
                 continue
@@ -212,6 +212,7 @@
     route: catalog.Route,
     service: str,
     attempts: Attempts,
+    deadlines: Deadlines,
 ) -> registrations.Registration | None:
     """Return the instance that is to be sent a request, None if there is none now."""
     directory = agent.known.directory
@@ -231,6 +232,7 @@
         [state.make_place(registration) for registration in found.values()],
         attempts.tried,
         route.name,
+        deadlines.in_time_by_ms - agent.now_ms(),
         agent.now_ms(),
     )
     return found[place.name] if place is not None else None
@@ -378,7 +380,9 @@
         agent.refresh_due.set()
     match ended.verdict:
         case Ran() if ended.status < 300:
-            spread.note_run(views, target.instance, route.name, ended.run_ms)
+            spread.note_run(
+                views, target.instance, route.name, ended.run_ms, len(ended.body)
+            )
         case Ran() if ended.status in INTERNAL_ERRORS:
             spread.note_failed(views, target.instance, now_ms)
         case MayHaveRun():
--- a/fuchsiamoor/agent/http_server.py
+++ b/fuchsiamoor/agent/http_server.py
@@ -94,6 +94,7 @@
         self.is_closing = True
         if self._server is not None:
             self._server.close()
+            self._server = None
         for connection in tuple(self.connections):
             connection.close_if_idle()
 
--- a/fuchsiamoor/agent/ownership_schedules_test.py
+++ b/fuchsiamoor/agent/ownership_schedules_test.py
@@ -69,7 +69,7 @@
 
 def _cut(world, machine):
     if machine.client is not None:
-        until_ms = transactional_store.now_ms() + world.rng.uniform(500, 9_000)
+        until_ms = transactional_store.now_ms() + world.rng.uniform(500, 14_000)
         machine.client.cut_until_ms = until_ms
 
 
@@ -114,12 +114,12 @@
 async def _calm_down(world):
     """End all troubles and give the world the time that recovery may take."""
     world.store.lost_share = world.late_share = 0.0
-    await asyncio.sleep(10)
+    await asyncio.sleep(12)
     for machine in world.machines:
         _power_on(world, machine)
         if machine.upstream.is_draining:
             _restart_upstream(world, machine)
-    await asyncio.sleep(12)
+    await asyncio.sleep(16)
 
 
 @pytest.mark.parametrize("seed", SEEDS)
@@ -155,7 +155,7 @@
 
 
 def test_evidence_that_counts_for_longer_than_the_wait_is_caught(monkeypatch):
-    monkeypatch.setattr(granting, "EVIDENCE_MS", 9_000)
+    monkeypatch.setattr(granting, "EVIDENCE_MS", 30_000)
     assert _play_until_caught()
 
 
@@ -170,7 +170,7 @@
     transactional_store.revoke_now(
         world.store, f"fuchsiamoor/instances/{back.instance}"
     )
-    await asyncio.sleep(12)
+    await asyncio.sleep(16)
     checking.cancel()
     await range_world.close(world)
     return world
--- a/fuchsiamoor/agent/running.py
+++ b/fuchsiamoor/agent/running.py
@@ -22,16 +22,17 @@
     http_server,
     metrics,
     owning,
+    registrations,
     state,
     surfaces,
     syncing,
 )
-from fuchsiamoor.core import agent_settings, messages
+from fuchsiamoor.core import agent_settings, errors, messages
 from fuchsiamoor.core.carried import CarriedRequest
 from fuchsiamoor.daemon import supervisor
 from fuchsiamoor.peers import links as peer_links
 from fuchsiamoor.ranges import table as tables
-from fuchsiamoor.store import port
+from fuchsiamoor.store import port, relayed
 from fuchsiamoor.traffic.catalog import CallerLimits
 
 # The network between the daemons is the deployment's own; the key only tells daemons
@@ -40,8 +41,10 @@
 # Callers notice within two questions for readiness that the daemon leaves.
 STOP_NOTICE_MS = 2_100
 # Kept between the last answer and the end that the deployment sets.
-STOP_MARGIN_MS = 600
+STOP_MARGIN_MS = 900
 CLOSE_GRACE_MS = 200
+# Peers that are tried for one call of the store.
+RELAY_TRIES = 3
 
 
 def make_agent(
@@ -51,6 +54,11 @@
 ) -> state.Agent:
     """Return a daemon that listens nowhere yet."""
     agent = state.Agent(settings, spoken, store, metrics.Metrics())
+    agent.store = relayed.RelayedStore(
+        store,
+        lambda call, timeout_ms: call_any_peer(agent, call, timeout_ms),
+        lambda: agent.now_ms(),
+    )
     agent.ask_health = beside.ask_health
 
     async def handle(sender_id: str, message: messages.Message) -> messages.Message:
@@ -73,10 +81,40 @@
             if task is not None:
                 task.cancel()
             return messages.Done()
+        case messages.StoreCall():
+            return await relayed.answer_call(agent.store.direct, message)
         case _:
             raise ValueError(f"{type(message).__name__}: not expected here")
 
 
+async def call_any_peer(
+    agent: state.Agent, call: messages.StoreCall, timeout_ms: int
+) -> messages.StoreAnswer:
+    """Have another daemon call the store, one of this region if there is one.
+
+    Raises
+    ------
+    PeerError
+        If no peer could be asked, or the one that was is lost.
+    """
+    own = agent.settings
+    found = [
+        registration
+        for registration in agent.known.directory.listed.values()
+        if registration.instance != own.instance
+    ]
+    agent.rng.shuffle(found)
+    found.sort(key=lambda registration: registration.region != own.region)
+    unreachable = errors.PeerUnreachableError("no other daemon is known")
+    for registration in found[:RELAY_TRIES]:
+        member = registrations.make_peer(registration)
+        try:
+            return await agent.links.call(member, call, timeout_ms)
+        except errors.PeerUnreachableError as error:
+            unreachable = error
+    raise unreachable
+
+
 async def _execute(
     agent: state.Agent, sender_id: str, request: CarriedRequest
 ) -> messages.Message:
@@ -127,7 +165,11 @@
     tree.cancel()
     for surface, _ in others:
         surface.close()
-    await agent.links.close(CLOSE_GRACE_MS)
+    try:
+        async with asyncio.timeout(2 * CLOSE_GRACE_MS / 1000):
+            await agent.links.close(CLOSE_GRACE_MS)
+    except TimeoutError:
+        logger.bind(run=agent.run).info("links did not close in time")
     logger.bind(run=agent.run).info("stopped")
 
 
@@ -161,16 +203,20 @@
 
 
 async def _stop_when_told(agent: state.Agent, callers: http_server.Surface) -> None:
-    """Wait for the request to stop, then end what runs and hand keys over."""
+    """Wait for the request to stop, then end what runs and hand keys over.
+
+    Callers are taken until they have noticed; what runs then is ended in peace.
+    """
     while agent.stopping_ms is None:
         await asyncio.sleep(0.05)
     callers.announce_close()
     last_ms = agent.stopping_ms + agent.settings.bounds.grace_ms - STOP_MARGIN_MS
     noticed_ms = agent.stopping_ms + STOP_NOTICE_MS
     while agent.now_ms() < last_ms:
-        is_done = callers.is_idle() and not agent.running and not _owns_any(agent)
-        if is_done and agent.now_ms() >= noticed_ms:
-            break
+        if agent.now_ms() >= noticed_ms:
+            callers.close()
+            if callers.is_idle() and not agent.running and not _owns_any(agent):
+                break
         await asyncio.sleep(0.02)
     callers.close()
     agent.stopped.set()
--- a/fuchsiamoor/agent/syncing.py
+++ b/fuchsiamoor/agent/syncing.py
@@ -18,8 +18,8 @@
 # Pause between two watches, so that changes close together come in one answer.
 GATHER_MS = 60
 # Lease of a registration: the time after which a lost daemon is noticed.
-LEASE_MS = 3_000
-RENEW_EVERY_MS = 800
+LEASE_MS = 2_000
+RENEW_EVERY_MS = 600
 FIRST_BACK_OFF_MS = 100
 LARGEST_BACK_OFF_MS = 800
 # A registration that lapsed may be an outage of the store: the daemon is still called.
--- a/fuchsiamoor/core/members.py
+++ b/fuchsiamoor/core/members.py
@@ -64,3 +64,14 @@
     'almaty-1-a'
     """
     return member_id.rpartition("#")[0]
+
+
+def run_of(member_id: str) -> str:
+    """Return the run that a member's name gives.
+
+    Examples
+    --------
+    >>> run_of("almaty-1-a#5f3c")
+    '5f3c'
+    """
+    return member_id.rpartition("#")[2]
--- a/fuchsiamoor/core/messages.py
+++ b/fuchsiamoor/core/messages.py
@@ -272,6 +272,36 @@
     """Acknowledges a message that has no answer of its own."""
 
 
+class StoreCall(NamedTuple):
+    """Asks a peer to call the store, which turns the sender away.
+
+    Parameters
+    ----------
+    name : str
+        Of the store port's function.
+    arguments : bytes
+        In CBOR.
+    """
+
+    name: str
+    arguments: bytes
+
+
+class StoreAnswer(NamedTuple):
+    """What came of a `StoreCall`.
+
+    Parameters
+    ----------
+    outcome : str
+        ``done``, ``refused``, ``unknown`` or ``forgotten``.
+    content : bytes
+        The answer or the error's text, in CBOR.
+    """
+
+    outcome: str
+    content: bytes
+
+
 Message = (
     Forward
     | Answered
@@ -296,6 +326,8 @@
     | Ping
     | CarriedRequest
     | CarriedAnswer
+    | StoreCall
+    | StoreAnswer
 )
 
 KINDS: dict[int, type] = {
@@ -322,4 +354,6 @@
     22: Ping,
     23: CarriedRequest,
     24: CarriedAnswer,
+    25: StoreCall,
+    26: StoreAnswer,
 }
--- a/fuchsiamoor/ranges/granting.py
+++ b/fuchsiamoor/ranges/granting.py
@@ -13,8 +13,11 @@
 from fuchsiamoor.traffic import upstreams
 
 # Time for which a confirmed registration counts, from the sending of the question. A
-# lost owner's keys are unowned for about as long; a store that is away is borne as long.
-EVIDENCE_MS = 4_000
+# store that is away is borne as long, and a lost owner's keys wait as long.
+EVIDENCE_MS = 8_500
+# Longest hold granted at once: four heartbeats. An upstream that fell silent beside a
+# living daemon is replaced after it.
+HOLD_MS = 3_500
 # An upstream's clock may run this much slow.
 CLOCK_SLOWNESS = 0.02
 # Margin for the daemon's own rounding of times, in milliseconds.
@@ -93,10 +96,12 @@
     Examples
     --------
     >>> compute_hold_ms(5_000, 10_000, 1_000)
-    3901
+    3500
+    >>> compute_hold_ms(3_000, 10_000, 1_000)
+    1941
     """
     left_ms = (evidence_until_ms - now_ms - MARGIN_MS) / (1 + CLOCK_SLOWNESS)
-    return min(int(left_ms), hold_max_ms)
+    return min(int(left_ms), hold_max_ms, HOLD_MS)
 
 
 def answer_heartbeat(
--- a/fuchsiamoor/testing/range_world.py
+++ b/fuchsiamoor/testing/range_world.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 
 from fuchsiamoor.agent import owning, running, state
-from fuchsiamoor.core import errors
+from fuchsiamoor.core import errors, members
 from fuchsiamoor.core.verdicts import NotRun, Reason
 from fuchsiamoor.daemon.upstream_connection import Lost
 from fuchsiamoor.ranges import granting
@@ -86,15 +86,24 @@
     late_share: float = 0.0
 
 
-class FakeLinks:
-    """Links of a daemon that nobody calls."""
+class WorldLinks:
+    """Links of a daemon to the other living daemons of a world."""
+
+    def __init__(self, world: World, own_id: str):
+        self._world = world
+        self._own_id = own_id
 
     def tell(self, member, message) -> None:
         """Drop a message."""
 
     async def call(self, member, message, timeout_ms):
-        """Reach nobody."""
-        raise errors.PeerUnreachableError("no links in this world")
+        """Have the daemon of a member answer a message."""
+        await asyncio.sleep(0.002)
+        for machine in self._world.machines:
+            agent = machine.agent
+            if agent is not None and agent.run == members.run_of(member.member_id):
+                return await running.handle_message(agent, self._own_id, message)
+        raise errors.PeerUnreachableError(member.member_id)
 
     async def close(self, grace_ms: int = 0) -> None:
         """Close nothing."""
@@ -118,7 +127,7 @@
     machine.client = transactional_store.StoreClient(world.store)
     settings = traffic_data.make_settings(machine.instance, machine.region)
     agent = running.make_agent(settings, traffic_data.make_dialect(), machine.client)
-    agent.links = FakeLinks()
+    agent.links = WorldLinks(world, machine.instance)
     agent.ask_health = lambda asking: _answer_health(machine)
     agent.now_ms = lambda: round(transactional_store.now_ms())
     agent.rng = random.Random(world.rng.random())
--- a/fuchsiamoor/traffic/gate.py
+++ b/fuchsiamoor/traffic/gate.py
@@ -1,11 +1,11 @@
 """The gate before one upstream: who runs now, who waits, and who is refused at once.
 
 An upstream that is given more than its slots hangs, so that the daemon beside it is the
-only place to queue. The queue is ordered by rank, and within a rank by arrival.
+only place to queue. Those who can be answered in time go first, by rank and then by
+arrival; those who will be late use what is left. Were all served in the order of their
+arrival, an overload would make everybody late, and the upstream answer no more of them.
 
-The queue is kept so short that those who wait are answered in time: a request that
-would be late behind those before it is refused at once, and may come back. A longer
-queue would make everybody late, as the upstream answers no more of them for it.
+A request that would hardly end before its caller stops waiting is refused at once.
 """
 
 import heapq
@@ -24,6 +24,9 @@
 RUN_SHARE = 0.8
 # Added to the time after which there is likely to be room, in milliseconds.
 RETRY_MARGIN_MS = 50
+# A wait that is expected to be this share of the time left, or less, is worth it to one
+# that will be late: estimates are wrong by about as much.
+LATE_SHARE = 0.5
 # Window over which a cold upstream's arrivals are counted, with a margin for jitter on
 # the way to it.
 COLD_WINDOW_MS = 1_080
@@ -89,7 +92,7 @@
     running : int
         Slots taken.
     queue : list
-        Heap of (rank, number, Entrant).
+        Heap of (is_late, rank, number, Entrant).
     gone : set
         Tickets that left the queue before their turn.
     run_ms : dict of str to float
@@ -100,6 +103,8 @@
         Times of the starts within the last window.
     entered : int
         Requests that entered the queue, for its order.
+    waiting : int
+        Requests in the queue that have not left it.
     """
 
     slots: int
@@ -130,25 +135,33 @@
     Enter()
     >>> ask(gate, Entrant("b", "r", 0, 1_000, 600), 0)
     Wait()
-    >>> ask(gate, Entrant("c", "r", 0, 1_000, 300), 0).verdict.reason.name
+    >>> ask(gate, Entrant("c", "r", 0, 300, 300), 0).verdict.reason.name
     'OVER_LIMIT'
     """
     if gate.waiting == 0 and _has_room(gate, now_ms):
         _take_slot(gate, now_ms)
         return Enter()
-    wait_ms = estimate_wait_ms(gate, entrant.rank, now_ms)
-    needed_ms = RUN_SHARE * estimate_run_ms(gate, entrant.route)
-    by_ms = min(entrant.ends_by_ms, entrant.in_time_by_ms)
-    late_ms = now_ms + wait_ms + needed_ms - by_ms
-    if late_ms > 0:
-        verdict = NotRun(Reason.OVER_LIMIT, "it would be late")
-        return Refuse(verdict, int(min(late_ms, wait_ms)) + RETRY_MARGIN_MS)
     if gate.waiting >= WAITING_MAX:
-        return Refuse(NotRun(Reason.OVER_LIMIT, "the queue is full"), int(wait_ms))
+        return Refuse(NotRun(Reason.OVER_LIMIT, "the queue is full"), 0)
+    needed_ms = RUN_SHARE * estimate_run_ms(gate, entrant.route)
+    wait_ms = estimate_wait_ms(gate, entrant.rank, now_ms)
+    if now_ms + wait_ms + needed_ms <= min(entrant.ends_by_ms, entrant.in_time_by_ms):
+        _enqueue(gate, entrant, False)
+        return Wait()
+    wait_ms = estimate_wait_ms(gate, entrant.rank, now_ms, is_late=True)
+    left_ms = entrant.ends_by_ms - now_ms - needed_ms
+    if wait_ms <= LATE_SHARE * left_ms:
+        _enqueue(gate, entrant, True)
+        return Wait()
+    verdict = NotRun(Reason.OVER_LIMIT, "it would end too late")
+    return Refuse(verdict, int(wait_ms) + RETRY_MARGIN_MS)
+
+
+def _enqueue(gate: Gate, entrant: Entrant, is_late: bool) -> None:
     gate.entered += 1
-    heapq.heappush(gate.queue, (entrant.rank, gate.entered, entrant))
     gate.waiting += 1
-    return Wait()
+    item = (is_late, entrant.rank, gate.entered, entrant)
+    heapq.heappush(gate.queue, item)
 
 
 def leave_queue(gate: Gate, ticket: Hashable) -> None:
@@ -174,7 +187,7 @@
     """
     admitted, expired = [], []
     while gate.queue and _has_room(gate, now_ms):
-        _, _, entrant = heapq.heappop(gate.queue)
+        is_late, _, _, entrant = heapq.heappop(gate.queue)
         if entrant.ticket in gate.gone:
             gate.gone.discard(entrant.ticket)
             continue
@@ -183,6 +196,9 @@
         if now_ms + needed_ms > entrant.ends_by_ms:
             expired.append(entrant)
             continue
+        if not is_late and now_ms + needed_ms > entrant.in_time_by_ms and gate.waiting:
+            _enqueue(gate, entrant, True)
+            continue
         _take_slot(gate, now_ms)
         admitted.append(entrant)
     return admitted, expired
@@ -190,7 +206,7 @@
 
 def clear(gate: Gate) -> list[Entrant]:
     """Empty the queue and return those that waited."""
-    waited = [item[2] for item in sorted(gate.queue) if item[2].ticket not in gate.gone]
+    waited = [item[3] for item in sorted(gate.queue) if item[3].ticket not in gate.gone]
     gate.queue.clear()
     gate.gone.clear()
     gate.waiting = 0
@@ -219,11 +235,13 @@
     return gate.run_ms.get(route, FIRST_RUN_MS) * speed
 
 
-def estimate_wait_ms(gate: Gate, rank: int, now_ms: int) -> float:
+def estimate_wait_ms(
+    gate: Gate, rank: int, now_ms: int, is_late: bool = False
+) -> float:
     """Return the expected wait of a request that comes now, in milliseconds."""
     if gate.waiting == 0 and _has_room(gate, now_ms):
         return 0.0
-    ahead = [item[2] for item in gate.queue if item[0] <= rank]
+    ahead = [item[3] for item in gate.queue if item[:2] <= (is_late, rank)]
     work_ms = sum(estimate_run_ms(gate, entrant.route) for entrant in ahead)
     mean_ms = _mean_run_ms(gate)
     wait_ms = (work_ms + mean_ms / 2) / gate.slots
--- a/fuchsiamoor/traffic/spread.py
+++ b/fuchsiamoor/traffic/spread.py
@@ -1,19 +1,31 @@
-"""Spread: which instance of a service is likely to answer first, links paid for.
+"""Spread: which instance serves a request best, with what its way there costs.
 
-Each daemon tells its load with every answer. What was told ages, and requests sent
+An answer in time is worth 1, one that is late `LATE_WORTH`; how likely it is to be in
+time follows from the time expected. Bytes between regions and data centres cost a part
+of that worth. Each daemon tells its load with every answer. What was told ages, and requests sent
 since then count on top of it.
 """
 
+import math
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
 from fuchsiamoor.core.carried import Load
 
-# Cost of a link in the same terms as waiting, in milliseconds: what its bytes are worth
-# against an answer that comes late.
-REGION_COST_MS = 250.0
-DATA_CENTRE_COST_MS = 15.0
+# Worth of a late answer, of one in time 1.
+LATE_WORTH = 0.3
+# Worth of a kilobyte on the way between regions, and between data centres of one: what
+# operators pay for links, as against an answer in time.
+REGION_KB_WORTH = 0.09
+DATA_CENTRE_KB_WORTH = 0.012
+# Bytes of head and framing that travel besides an answer's body, both ways together.
+OVERHEAD_BYTES = 900
+BODY_BYTES_FIRST = 2_000.0
+# Times expected are wrong by about this share of the time that is left.
+UNCERTAINTY = 0.15
+# An answer expected at this share of the time left is as likely late as in time.
+EVEN_SHARE = 0.8
 # Round trips, in milliseconds, until one is measured.
 REGION_ROUND_TRIP_MS = 25.0
 DATA_CENTRE_ROUND_TRIP_MS = 4.0
@@ -64,9 +76,10 @@
 
 @dataclass(slots=True)
 class Views:
-    """Views by instance name, and usual run times by route."""
+    """Views by instance name, and usual run times and sizes of answers by route."""
 
     by_name: dict[str, View] = field(default_factory=dict)
+    body_bytes: dict[str, float] = field(default_factory=dict)
     run_ms: dict[str, float] = field(default_factory=dict)
 
 
@@ -103,8 +116,12 @@
     view.sent_since = 0
 
 
-def note_run(views: Views, name: str, route: str, run_ms: float) -> None:
-    """Take in the time of one whole run at an instance."""
+def note_run(
+    views: Views, name: str, route: str, run_ms: float, body_bytes: int
+) -> None:
+    """Take in the time of one whole run at an instance, and its answer's size."""
+    known_bytes = views.body_bytes.get(route, float(body_bytes))
+    views.body_bytes[route] = known_bytes + 0.05 * (body_bytes - known_bytes)
     view = find_view(views, name)
     view.failures = 0
     usual_ms = views.run_ms.get(route)
@@ -132,17 +149,51 @@
 def estimate_ms(
     views: Views, own: Place, place: Place, route: str, now_ms: int
 ) -> float:
-    """Return the expected time of one more request, the cost of links included."""
+    """Return the expected time of one more request, in milliseconds."""
     view = find_view(views, place.name)
     run_ms = views.run_ms.get(route, 200.0) * view.slowness
     total_ms = run_ms + _estimate_wait_ms(view, run_ms, now_ms)
     if place.region != own.region:
-        return total_ms + REGION_ROUND_TRIP_MS + REGION_COST_MS
+        return total_ms + REGION_ROUND_TRIP_MS
     if place.data_centre != own.data_centre:
-        return total_ms + DATA_CENTRE_ROUND_TRIP_MS + DATA_CENTRE_COST_MS
+        return total_ms + DATA_CENTRE_ROUND_TRIP_MS
     return total_ms
 
 
+def estimate_worth(
+    views: Views, own: Place, place: Place, route: str, in_time_ms: int, now_ms: int
+) -> float:
+    """Return what sending a request to an instance is likely to be worth.
+
+    Parameters
+    ----------
+    views : Views
+    own, place : Place
+    route : str
+    in_time_ms : int
+        Time that is left for an answer in time.
+    now_ms : int
+    """
+    expected_ms = estimate_ms(views, own, place, route, now_ms)
+    size_kb = (views.body_bytes.get(route, BODY_BYTES_FIRST) + OVERHEAD_BYTES) / 1000
+    worth = _worth_of_time(expected_ms, in_time_ms)
+    if place.region != own.region:
+        return worth - REGION_KB_WORTH * size_kb
+    if place.data_centre != own.data_centre:
+        return worth - DATA_CENTRE_KB_WORTH * size_kb
+    return worth
+
+
+def _worth_of_time(expected_ms: float, in_time_ms: int) -> float:
+    """Return the worth of an answer expected after a time."""
+    scale_ms = max(in_time_ms, 100)
+    off = (expected_ms - EVEN_SHARE * in_time_ms) / (UNCERTAINTY * scale_ms)
+    in_time = 1 / (1 + math.exp(min(max(off, -30.0), 30.0)))
+    # Among late answers an earlier one is better.
+    late = LATE_WORTH / (1 + expected_ms / (10 * scale_ms))
+    return in_time + (1 - in_time) * late
+
+
 def _estimate_wait_ms(view: View, run_ms: float, now_ms: int) -> float:
     load = view.load
     if load is None:
@@ -166,9 +217,10 @@
     places: Iterable[Place],
     tried: Collection[str],
     route: str,
+    in_time_ms: int,
     now_ms: int,
 ) -> Place | None:
-    """Return the instance expected to answer first, None if all were tried.
+    """Return the instance that is likely worth most, None if all were tried.
 
     Instances that refused a moment ago are taken only where no other is left.
     """
@@ -180,7 +232,8 @@
         is_avoided = now_ms < view.avoid_until_ms or (
             view.load is not None and not view.load.is_open
         )
-        key = (is_avoided, estimate_ms(views, own, place, route, now_ms))
-        if best_key is None or key < best_key:
+        worth = estimate_worth(views, own, place, route, in_time_ms, now_ms)
+        key = (not is_avoided, worth)
+        if best_key is None or key > best_key:
             best, best_key = place, key
     return best
