--- a/fuchsiamoor/agent/beside.py
+++ b/fuchsiamoor/agent/beside.py
@@ -56,7 +56,7 @@
     table = agent.known.tables.get(heartbeat.service)
     if not state.is_keyed(agent, heartbeat.service) or not _is_registered(agent):
         return None
-    grants = granting.answer_heartbeat(
+    return granting.answer_heartbeat(
         beside.granting,
         table,
         heartbeat,
@@ -64,7 +64,6 @@
         agent.settings.bounds.hold_max_ms,
         now_ms,
     )
-    return grants
 
 
 def has_moving_rows(agent: state.Agent) -> bool:
--- a/fuchsiamoor/agent/entering.py
+++ b/fuchsiamoor/agent/entering.py
@@ -77,6 +77,8 @@
         Time spent without anybody to send it to.
     target : str
         Instance that was sent it last.
+    is_sent_on : bool
+        Whether an instance has it now.
     """
 
     arrivals: int = 0
@@ -87,6 +89,7 @@
     retry_after_ms: int = 0
     ownerless_ms: int = 0
     target: str = ""
+    is_sent_on: bool = False
 
 
 async def handle(agent: state.Agent, received: HttpRequest) -> HttpAnswer:
@@ -110,22 +113,52 @@
             )
         else:
             route_name = route.name
-            answer = await _serve(agent, request, route, arrived_ms)
+            answer = await _serve_to_the_end(agent, request, route, arrived_ms)
     elapsed_ms = agent.now_ms() - arrived_ms
     agent.metrics.answered(route_name, answer.status, elapsed_ms)
     return answer
 
 
+async def _serve_to_the_end(
+    agent: state.Agent,
+    request: requests.CallerRequest,
+    route: catalog.Route,
+    arrived_ms: int,
+) -> HttpAnswer:
+    """Serve a request, or end it truthfully when the daemon stops before."""
+    attempts = Attempts()
+    task = asyncio.ensure_future(_serve(agent, request, route, arrived_ms, attempts))
+    agent.serving.add(task)
+    try:
+        return await task
+    except asyncio.CancelledError:
+        if not (task.cancelled() and agent.is_ending):
+            raise
+    finally:
+        agent.serving.discard(task)
+    if attempts.is_sent_on or attempts.may_have_run is not None:
+        return HttpAnswer(504, (agent.dialect.write_request_id(request.request_id),))
+    verdict = NotRun(Reason.SHUTTING_DOWN, "the daemon stops")
+    return _refuse(agent, request, verdict, RETRY_AFTER_MIN_MS, arrived_ms)
+
+
+def end_all(agent: state.Agent) -> None:
+    """End all requests of callers, as the daemon is about to stop."""
+    agent.is_ending = True
+    for task in tuple(agent.serving):
+        task.cancel()
+
+
 async def _serve(
     agent: state.Agent,
     request: requests.CallerRequest,
     route: catalog.Route,
     arrived_ms: int,
+    attempts: Attempts,
 ) -> HttpAnswer:
     """Try instances until one has answered or no more can be tried."""
     service = catalog.choose_service(route, agent.rng)
     deadlines = _find_deadlines(agent, request, route, arrived_ms)
-    attempts = Attempts()
     _earn(agent, service)
     while True:
         remaining_ms = deadlines.answer_by_ms - agent.now_ms()
@@ -137,7 +170,9 @@
                 continue
             break
         attempts.target = target.instance
+        attempts.is_sent_on = True
         ended = await _try(agent, request, route, service, target, deadlines)
+        attempts.is_sent_on = False
         attempts.last = ended
         attempts.arrivals += ended.has_arrived
         if not _goes_on(agent, route, service, target, attempts, ended):
@@ -435,7 +470,7 @@
 def _may_repeat(
     agent: state.Agent, route: catalog.Route, service: str, attempts: Attempts
 ) -> bool:
-    """Return whether one more upstream may be sent the request; takes from the budget."""
+    """Take one more sending from the budget; False if there is none left."""
     if attempts.arrivals >= route.attempts_max:
         return False
     if not budget.spend(_find_budget(agent, service)):
--- /dev/null
+++ b/fuchsiamoor/agent/http_server_test.py
@@ -0,0 +1,149 @@
+import asyncio
+
+import pytest
+
+from fuchsiamoor.agent import http_server
+from fuchsiamoor.core.addresses import Address
+from fuchsiamoor.traffic.catalog import CallerLimits
+
+LIMITS = CallerLimits(
+    header_bytes=500, body_bytes=64, header_timeout_ms=200, idle_timeout_ms=400
+)
+
+
+class Scripted:
+    """A handler that answers with the target, after the delay it names."""
+
+    def __init__(self):
+        self.cancelled = []
+        self.seen = []
+
+    async def __call__(self, request):
+        self.seen.append(request)
+        delay_ms = int(request.target.strip("/") or 0)
+        try:
+            await asyncio.sleep(delay_ms / 1000)
+        except asyncio.CancelledError:
+            self.cancelled.append(request.target)
+            raise
+        return http_server.HttpAnswer(200, (), request.target.encode() + request.body)
+
+
+async def _open(handler):
+    surface = http_server.Surface(handler, lambda: LIMITS)
+    address = await surface.listen(Address("127.0.0.1", 0))
+    reader, writer = await asyncio.open_connection(*address)
+    return surface, reader, writer
+
+
+async def _exchange(sent, handler=None, keep_ms=0):
+    """Send bytes, and return everything that comes back until the close."""
+    surface, reader, writer = await _open(handler or Scripted())
+    writer.write(sent)
+    received = await asyncio.wait_for(reader.read(), 5)
+    surface.close()
+    writer.close()
+    return received
+
+
+def _get(target, *headers):
+    lines = [f"GET {target} HTTP/1.1", "Host: a", *headers]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode()
+
+
+def _bodies(received):
+    return [part.partition(b"\r\n\r\n")[2] for part in received.split(b"HTTP/1.1 ")[1:]]
+
+
+def test_pipelined_requests_are_answered_in_their_order():
+    sent = _get("/60") + _get("/1") + _get("/20", "Connection: close")
+    received = asyncio.run(_exchange(sent))
+    assert _bodies(received) == [b"/60", b"/1", b"/20"]
+
+
+def test_both_framings_of_a_body_are_read():
+    with_length = b"POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nab"
+    chunked = (
+        b"POST /2 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n1\r\nc\r\n1\r\nd\r\n0\r\n\r\n"
+    )
+    received = asyncio.run(_exchange(with_length + chunked))
+    assert _bodies(received) == [b"/1ab", b"/2cd"]
+
+
+@pytest.mark.parametrize(
+    ("sent", "status"),
+    [
+        (_get("/1", "X: " + "y" * 600), 431),
+        (b"POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 65\r\n\r\n", 413),
+        (
+            b"POST /1 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"41\r\n" + b"z" * 65 + b"\r\n0\r\n\r\n",
+            413,
+        ),
+        (b"GET /1 HTTP/1.1\r\nHost: a\r\n", 408),
+        (b"nonsense\r\n\r\n", 400),
+        (
+            b"POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            400,
+        ),
+        (
+            b"POST /1 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip, chunked\r\n\r\n"
+            b"0\r\n\r\n",
+            400,
+        ),
+    ],
+)
+def test_what_breaks_a_limit_is_refused_and_closed(sent, status):
+    handler = Scripted()
+    received = asyncio.run(_exchange(sent, handler))
+    assert received.startswith(b"HTTP/1.1 %d " % status)
+    assert b"Connection: close" in received
+    assert handler.seen == []
+
+
+def test_a_refusal_comes_behind_the_answers_that_are_due():
+    received = asyncio.run(_exchange(_get("/30") + b"nonsense\r\n\r\n"))
+    assert received.startswith(b"HTTP/1.1 200")
+    assert b"HTTP/1.1 400" in received
+
+
+def test_an_idle_connection_is_closed():
+    assert asyncio.run(_exchange(b"")) == b""
+
+
+def test_a_caller_that_leaves_has_its_requests_cancelled():
+    async def play():
+        handler = Scripted()
+        surface, _, writer = await _open(handler)
+        writer.write(_get("/5000") + _get("/4000"))
+        await asyncio.sleep(0.05)
+        writer.transport.abort()
+        await asyncio.sleep(0.05)
+        surface.close()
+        return handler.cancelled
+
+    assert sorted(asyncio.run(play())) == ["/4000", "/5000"]
+
+
+def test_after_the_announcement_the_last_answer_closes_the_connection():
+    async def play():
+        surface, reader, writer = await _open(Scripted())
+        writer.write(_get("/30"))
+        await asyncio.sleep(0.01)
+        surface.announce_close()
+        received = await asyncio.wait_for(reader.read(), 5)
+        surface.close()
+        return received
+
+    received = asyncio.run(play())
+    assert received.startswith(b"HTTP/1.1 200")
+    assert b"Connection: close" in received
+
+
+def test_a_handler_that_fails_leaves_no_half_answer():
+    async def fail(request):
+        raise RuntimeError("fault")
+
+    assert asyncio.run(_exchange(_get("/1"), fail)) == b""
--- a/fuchsiamoor/agent/registrations.py
+++ b/fuchsiamoor/agent/registrations.py
@@ -1,4 +1,4 @@
-"""Registrations: what each daemon tells of itself in the store, and what is known of all.
+"""Registrations: what each daemon tells of itself in the store.
 
 Of one instance there is one registration, under a lease, and one count of its runs,
 without. A write that takes keys from an owner names both versions, so that it fails if
--- a/fuchsiamoor/agent/running.py
+++ b/fuchsiamoor/agent/running.py
@@ -40,8 +40,10 @@
 PEER_KEYS = ("fuchsiamoor",)
 # Callers notice within two questions for readiness that the daemon leaves.
 STOP_NOTICE_MS = 2_100
-# Kept between the last answer and the end that the deployment sets.
-STOP_MARGIN_MS = 900
+# Share of the time to stop after which what still runs is ended.
+STOP_SHARE = 5 / 6
+# Time for the last answers to leave, in milliseconds.
+FLUSH_MS = 100
 CLOSE_GRACE_MS = 200
 # Peers that are tried for one call of the store.
 RELAY_TRIES = 3
@@ -165,11 +167,8 @@
     tree.cancel()
     for surface, _ in others:
         surface.close()
-    try:
-        async with asyncio.timeout(2 * CLOSE_GRACE_MS / 1000):
-            await agent.links.close(CLOSE_GRACE_MS)
-    except TimeoutError:
-        logger.bind(run=agent.run).info("links did not close in time")
+    agent.links.abort()
+    await agent.links.close(CLOSE_GRACE_MS)
     logger.bind(run=agent.run).info("stopped")
 
 
@@ -210,7 +209,7 @@
     while agent.stopping_ms is None:
         await asyncio.sleep(0.05)
     callers.announce_close()
-    last_ms = agent.stopping_ms + agent.settings.bounds.grace_ms - STOP_MARGIN_MS
+    last_ms = agent.stopping_ms + int(agent.settings.bounds.grace_ms * STOP_SHARE)
     noticed_ms = agent.stopping_ms + STOP_NOTICE_MS
     while agent.now_ms() < last_ms:
         if agent.now_ms() >= noticed_ms:
@@ -218,6 +217,8 @@
             if callers.is_idle() and not agent.running and not _owns_any(agent):
                 break
         await asyncio.sleep(0.02)
+    entering.end_all(agent)
+    await asyncio.sleep(FLUSH_MS / 1000)
     callers.close()
     agent.stopped.set()
     lease_id = agent.standing.lease_id
--- a/fuchsiamoor/agent/state.py
+++ b/fuchsiamoor/agent/state.py
@@ -103,7 +103,7 @@
 
 @dataclass(slots=True)
 class Standing:
-    """This run's registration.
+    """Registration of this run.
 
     Parameters
     ----------
@@ -143,6 +143,10 @@
         Longest time that a caller of each route waits, in milliseconds.
     stopping_ms : int or None
         When the daemon was told to stop.
+    serving : set of Task
+        Callers' requests that are served.
+    is_ending : bool
+        Whether these are ended, whatever they wait for.
     running : dict of str to Task
         Carried requests that run here, by request id.
     """
@@ -163,6 +167,8 @@
     running: dict[str, asyncio.Task] = field(default_factory=dict)
     longest_waits: dict[str, int] = field(default_factory=dict)
     stopping_ms: int | None = None
+    serving: set[asyncio.Task] = field(default_factory=set)
+    is_ending: bool = False
     stopped: asyncio.Event = field(default_factory=asyncio.Event)
     table_lock: asyncio.Lock = field(default_factory=asyncio.Lock)
     refresh_due: asyncio.Event = field(default_factory=asyncio.Event)
--- a/fuchsiamoor/peers/links.py
+++ b/fuchsiamoor/peers/links.py
@@ -68,6 +68,14 @@
             dialled.close(self.dialler, grace_ms),
         )
 
+    def abort(self) -> None:
+        """Cut all links at once; peers see them broken."""
+        for link in self.dialler.links.values():
+            if link.connection is not None:
+                link.connection.transport.abort()
+        for link in self.acceptor.open_links.values():
+            link.connection.transport.abort()
+
 
 def make_links(
     own_member_id: str,
--- a/fuchsiamoor/platform/settings.py
+++ b/fuchsiamoor/platform/settings.py
@@ -1,4 +1,4 @@
-"""The settings file, as the template `deploy/settings.json` has the platform fill it."""
+"""The settings file, as the platform fills in the template `deploy/settings.json`."""
 
 import json
 import os
--- a/fuchsiamoor/ranges/granting.py
+++ b/fuchsiamoor/ranges/granting.py
@@ -143,7 +143,7 @@
 
 
 def find_grant(granting: Granting, key: int, now_ms: int) -> Grant | None:
-    """Return the grant under which the upstream holds a key now, None if it does not."""
+    """Return the grant under which the upstream holds a key now, None without one."""
     if now_ms >= granting.served_until_ms:
         return None
     for grant in granting.served:
--- a/fuchsiamoor/ranges/table.py
+++ b/fuchsiamoor/ranges/table.py
@@ -1,4 +1,4 @@
-"""The range table of a service: which incarnation holds which keys, as kept in the store.
+"""The range table of a service: which incarnation holds which keys.
 
 A table is one value in the store, replaced whole by compare-and-swap. Its rows cover
 all keys in order. A fence is the version of the table that gave the row to its owner,
--- a/fuchsiamoor/traffic/gate.py
+++ b/fuchsiamoor/traffic/gate.py
@@ -126,7 +126,7 @@
 
 
 def ask(gate: Gate, entrant: Entrant, now_ms: int) -> Enter | Wait | Refuse:
-    """Decide whether a request enters, waits or is refused; takes the slot if it enters.
+    """Decide whether a request enters, which takes a slot, waits or is refused.
 
     Examples
     --------
@@ -257,7 +257,7 @@
 
 
 def next_room_ms(gate: Gate, now_ms: int) -> int | None:
-    """Return when a cold upstream bears the next request, None if that is not the cause.
+    """Return when a cold upstream bears the next request, None if it bears one now.
 
     Monotonic time, in milliseconds.
     """
--- a/fuchsiamoor/traffic/spread.py
+++ b/fuchsiamoor/traffic/spread.py
@@ -2,8 +2,8 @@
 
 An answer in time is worth 1, one that is late `LATE_WORTH`; how likely it is to be in
 time follows from the time expected. Bytes between regions and data centres cost a part
-of that worth. Each daemon tells its load with every answer. What was told ages, and requests sent
-since then count on top of it.
+of that worth. Each daemon tells its load with every answer; what was told ages, and
+requests sent since then count on top of it.
 """
 
 import math
