--- a/fuchsiamoor/traffic/gate.py
+++ b/fuchsiamoor/traffic/gate.py
@@ -26,7 +26,7 @@
 RETRY_MARGIN_MS = 50
 # A wait that is expected to be this share of the time left, or less, is worth it to one
 # that will be late: estimates are wrong by about as much.
-LATE_SHARE = 0.5
+LATE_SHARE = 0.2
 # Window over which a cold upstream's arrivals are counted, with a margin for jitter on
 # the way to it.
 COLD_WINDOW_MS = 1_080
