--- a/fuchsiamoor/agent/entering.py
+++ b/fuchsiamoor/agent/entering.py
@@ -102,7 +102,10 @@
         logger.bind(error=str(error)).debug("malformed request")
         return HttpAnswer(400)
     route_name = ""
-    if agent.known.catalog.version == 0:
+    if state.has_stopped_for(agent, state.STOP_NOTICE_MS):
+        verdict = NotRun(Reason.SHUTTING_DOWN, "the daemon stops")
+        answer = _refuse(agent, request, verdict, RETRY_AFTER_MIN_MS, arrived_ms)
+    elif agent.known.catalog.version == 0:
         answer = _refuse(agent, request, NotRun(Reason.STARTING), 500, arrived_ms)
     else:
         path = request.target.partition("?")[0]
@@ -133,6 +136,9 @@
         return await task
     except asyncio.CancelledError:
         if not (task.cancelled() and agent.is_ending):
+            agent.events.tell(
+                "request cancelled", request=request.request_id, route=route.name
+            )
             raise
     finally:
         agent.serving.discard(task)
@@ -173,45 +179,53 @@
         attempts.is_sent_on = True
         ended = await _try(agent, request, route, service, target, deadlines)
         attempts.is_sent_on = False
-        attempts.last = ended
+        arrivals, attempts.last = attempts.arrivals, ended
         attempts.arrivals += ended.has_arrived
         if not _goes_on(agent, route, service, target, attempts, ended):
             break
+        if attempts.arrivals > arrivals:
+            _tell_repeat(agent, request, route, service, attempts, ended)
         if not await _pause(agent, request, service, attempts, ended):
             break
     answer = _finish(agent, request, route, attempts, deadlines)
-    if answer.status >= 400:
-        _log_failure(agent, request, route, service, attempts, answer.status)
+    _tell_ending(agent, request, route, service, attempts, answer.status, arrived_ms)
     return answer
 
 
-def _log_failure(
+def _tell_ending(
     agent: state.Agent,
     request: requests.CallerRequest,
     route: catalog.Route,
     service: str,
     attempts: Attempts,
     status: int,
+    arrived_ms: int,
 ) -> None:
-    """Write the line that tells why a request was not served."""
+    """Write the line that tells what came of a request, and why."""
     last = attempts.last
     verdict = last.verdict if last is not None else None
     table = agent.known.tables.get(service)
-    logger.bind(
+    fields = {}
+    if status >= 400:
+        ending = "no-target" if last is None else "ran"
+        fields["reason"] = str(getattr(verdict, "reason", ending))
+        fields["detail"] = getattr(verdict, "detail", "")
+    agent.events.tell(
+        "request not served" if status >= 400 else "request served",
         request=request.request_id,
         route=route.name,
         service=service,
         key=request.key,
         status=status,
-        reason=str(getattr(verdict, "reason", "no-target" if last is None else "ran")),
-        detail=getattr(verdict, "detail", ""),
+        **fields,
         target=attempts.target,
         arrivals=attempts.arrivals,
         refusals=attempts.refusals,
         ownerless_ms=attempts.ownerless_ms,
+        elapsed_ms=agent.now_ms() - arrived_ms,
         catalog_version=agent.known.catalog.version,
         table_version=table.version if table else 0,
-    ).info("request not served")
+    )
 
 
 def _find_deadlines(
@@ -320,6 +334,27 @@
     return True
 
 
+def _tell_repeat(
+    agent: state.Agent,
+    request: requests.CallerRequest,
+    route: catalog.Route,
+    service: str,
+    attempts: Attempts,
+    ended: CarriedAnswer,
+) -> None:
+    agent.events.tell(
+        "request sent again",
+        request=request.request_id,
+        route=route.name,
+        service=service,
+        key=request.key,
+        target=attempts.target,
+        reason=str(getattr(ended.verdict, "reason", "ran")),
+        arrivals=attempts.arrivals,
+        tokens=round(_find_budget(agent, service).tokens, 1),
+    )
+
+
 async def _pause(
     agent: state.Agent,
     request: requests.CallerRequest,
--- a/fuchsiamoor/agent/entering_test.py
+++ b/fuchsiamoor/agent/entering_test.py
@@ -239,3 +239,16 @@
     virtual_time.run(play())
     first, second = (message for _, message in agent.links.calls)
     assert first.in_time_ms - second.in_time_ms == 300
+
+
+def test_a_daemon_that_was_told_to_stop_refuses_what_still_comes():
+    async def play():
+        agent = _make_agent(_always(RAN), "10.0.0.2")
+        running.request_stop(agent)
+        first = await entering.handle(agent, _make_request())
+        await asyncio.sleep(2.2)
+        return first, await entering.handle(agent, _make_request())
+
+    first, late = virtual_time.run(play())
+    assert (first.status, late.status) == (200, 503)
+    assert dict(late.headers)[b"Retry-After"]
--- a/fuchsiamoor/agent/executing.py
+++ b/fuchsiamoor/agent/executing.py
@@ -7,8 +7,6 @@
 
 import asyncio
 
-from loguru import logger
-
 from fuchsiamoor.agent import beside as besides
 from fuchsiamoor.agent import state
 from fuchsiamoor.core.carried import NO_KEY, CarriedAnswer, CarriedRequest, Load
@@ -55,32 +53,87 @@
     now_ms = agent.now_ms()
     ends_by_ms = now_ms + request.remaining_ms
     if request.remaining_ms <= RETURN_MARGIN_MS:
-        return _refuse(agent, NotRun(Reason.DEADLINE_PASSED, "on its way here"))
+        refused = NotRun(Reason.DEADLINE_PASSED, "on its way here")
+        return _refuse_request(agent, request, refused)
     refused = _check(agent, request)
     if refused is not None:
-        return _refuse(agent, refused)
+        return _refuse_request(agent, request, refused)
     beside = agent.beside
     owner, gate = beside.owner, beside.gate
     in_time_by_ms = now_ms + request.in_time_ms
     waited = await _pass_gate(agent, request, ends_by_ms, in_time_by_ms)
     if waited is not None:
-        return _refuse(agent, waited.verdict, waited.retry_after_ms)
+        return _refuse_request(agent, request, waited.verdict, waited.retry_after_ms)
+    waited_ms = agent.now_ms() - now_ms
     try:
         refused = _check(agent, request)
         if refused is None and beside.owner != owner:
             refused = NotRun(Reason.NO_UPSTREAM, "another incarnation has started")
         if refused is not None:
-            return _refuse(agent, refused)
-        return await _send(agent, request, ends_by_ms)
+            return _refuse_request(agent, request, refused)
+        ended = await _send(agent, request, ends_by_ms)
+        if isinstance(ended.verdict, Ran):
+            _tell_run(agent, request, ended, waited_ms)
+        return ended
     finally:
         gates.release(gate)
         admit_next(agent, gate)
 
 
+def _refuse_request(
+    agent: state.Agent,
+    request: CarriedRequest,
+    verdict: NotRun,
+    retry_after_ms: int = 0,
+) -> CarriedAnswer:
+    """Refuse a request that the upstream was not sent, and tell why."""
+    gate, now_ms = agent.beside.gate, agent.now_ms()
+    table = agent.known.tables.get(request.service)
+    agent.events.tell(
+        "run refused",
+        request=request.request_id,
+        route=request.route,
+        reason=str(verdict.reason),
+        detail=verdict.detail,
+        running=gate.running if gate else 0,
+        waiting=gate.waiting if gate else 0,
+        work_percent=gate.work_percent if gate else 0,
+        cold_for_ms=max(0, gate.cold_until_ms - now_ms) if gate else 0,
+        retry_after_ms=retry_after_ms,
+        evidence_ms=agent.standing.evidence_until_ms - now_ms,
+        table_version=table.version if table else 0,
+    )
+    return _refuse(agent, verdict, retry_after_ms)
+
+
+def _tell_run(
+    agent: state.Agent, request: CarriedRequest, ended: CarriedAnswer, waited_ms: int
+) -> None:
+    gate, now_ms = agent.beside.gate, agent.now_ms()
+    grant = None
+    if agent.beside.granting is not None and request.key != NO_KEY:
+        grant = granting.find_grant(agent.beside.granting, request.key, now_ms)
+    agent.events.tell(
+        "run ended",
+        request=request.request_id,
+        route=request.route,
+        waited_ms=waited_ms,
+        run_ms=ended.run_ms,
+        status=ended.status,
+        running=gate.running,
+        waiting=gate.waiting,
+        work_percent=gate.work_percent,
+        cold_for_ms=max(0, gate.cold_until_ms - now_ms),
+        fence=grant.fence if grant else 0,
+    )
+
+
 def _check(agent: state.Agent, request: CarriedRequest) -> NotRun | None:
     """Return why the upstream may not be sent a request now, None if it may."""
     beside, settings = agent.beside, agent.settings
-    if not besides.may_send(agent):
+    if not besides.may_send(agent) or state.has_stopped_for(
+        agent, state.STOP_LAST_RUN_MS
+    ):
         return NotRun(Reason.SHUTTING_DOWN, "the upstream takes nothing more")
     if request.service != beside.service:
         return NotRun(Reason.NO_UPSTREAM, "another service's upstream")
@@ -194,9 +247,14 @@
             return _refuse(agent, received)
         case Lost(reason, detail):
             agent.metrics.count(f"upstream.lost.{reason}")
-            logger.bind(
-                request=request.request_id, reason=reason, run_ms=run_ms
-            ).warning("answer lost: {}", detail)
+            agent.events.tell(
+                "answer lost",
+                request=request.request_id,
+                route=request.route,
+                reason=str(reason),
+                detail=detail,
+                run_ms=run_ms,
+            )
             return _answer(agent, MayHaveRun(reason, detail), run_ms=run_ms)
         case WholeAnswer():
             return _take_answer(agent, gate, request, received, run_ms)
--- a/fuchsiamoor/agent/running.py
+++ b/fuchsiamoor/agent/running.py
@@ -18,6 +18,7 @@
     beside,
     dialect,
     entering,
+    event_log,
     executing,
     http_server,
     metrics,
@@ -38,8 +39,6 @@
 # The network between the daemons is the deployment's own; the key only tells daemons
 # of this program from others.
 PEER_KEYS = ("fuchsiamoor",)
-# Callers notice within two questions for readiness that the daemon leaves.
-STOP_NOTICE_MS = 2_100
 # Share of the time to stop after which what still runs is ended.
 STOP_SHARE = 5 / 6
 # Time for the last answers to leave, in milliseconds.
@@ -61,6 +60,7 @@
         lambda call, timeout_ms: call_any_peer(agent, call, timeout_ms),
         lambda: agent.now_ms(),
     )
+    agent.events = event_log.EventLog(lambda: agent.now_ms())
     agent.ask_health = beside.ask_health
 
     async def handle(sender_id: str, message: messages.Message) -> messages.Message:
@@ -210,9 +210,8 @@
         await asyncio.sleep(0.05)
     callers.announce_close()
     last_ms = agent.stopping_ms + int(agent.settings.bounds.grace_ms * STOP_SHARE)
-    noticed_ms = agent.stopping_ms + STOP_NOTICE_MS
     while agent.now_ms() < last_ms:
-        if agent.now_ms() >= noticed_ms:
+        if state.has_stopped_for(agent, state.STOP_NOTICE_MS):
             callers.close()
             if callers.is_idle() and not agent.running and not _owns_any(agent):
                 break
--- a/fuchsiamoor/agent/state.py
+++ b/fuchsiamoor/agent/state.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from fuchsiamoor.agent import dialect as dialects
-from fuchsiamoor.agent import registrations
+from fuchsiamoor.agent import event_log, registrations
 from fuchsiamoor.core import agent_settings, clock
 from fuchsiamoor.daemon import upstream_pool
 from fuchsiamoor.ranges import granting as grantings
@@ -134,6 +134,7 @@
     store : TransactionalStore
     run : str
         Nonce of this run.
+    events : EventLog
     links : Links
         Set once the peer server is made.
     ask_health : callable
@@ -156,6 +157,7 @@
     store: port.TransactionalStore
     metrics: Any
     run: str = field(default_factory=lambda: secrets.token_hex(4))
+    events: event_log.EventLog | None = None
     links: Any = None
     ask_health: Any = None
     beside: Beside = field(default_factory=Beside)
@@ -226,6 +228,20 @@
     return True
 
 
+# Callers notice within two questions for readiness that a daemon leaves.
+STOP_NOTICE_MS = 2_100
+# A daemon that stops gives its upstream nothing more after this time, so that what it
+# was given ends before the process does.
+STOP_LAST_RUN_MS = 2_900
+
+
+def has_stopped_for(agent: Agent, time_ms: int) -> bool:
+    """Return whether the daemon was told to stop so long ago."""
+    return (
+        agent.stopping_ms is not None and agent.now_ms() >= agent.stopping_ms + time_ms
+    )
+
+
 def is_open(agent: Agent) -> bool:
     """Return whether the upstream beside this daemon takes new work."""
     beside = agent.beside
--- /dev/null
+++ b/fuchsiamoor/daemon/log_stream_test.py
@@ -0,0 +1,53 @@
+import asyncio
+import os
+
+from fuchsiamoor.daemon import log_stream
+
+
+def _drain(descriptor):
+    os.set_blocking(descriptor, False)
+    found = b""
+    while True:
+        try:
+            chunk = os.read(descriptor, 1 << 16)
+        except BlockingIOError:
+            return found
+        if not chunk:
+            return found
+        found += chunk
+
+
+def test_lines_come_out_in_order():
+    reader, writer = os.pipe()
+    stream = log_stream.LogStream(writer)
+    for number in range(3):
+        stream.write(f"{number}\n")
+    assert _drain(reader) == b"0\n1\n2\n"
+
+
+def test_a_reader_that_stands_still_blocks_nothing_and_the_loss_is_told():
+    async def play():
+        reader, writer = os.pipe()
+        stream = log_stream.LogStream(writer, waiting_max_bytes=1_000)
+        for number in range(20_000):
+            stream.write(f"{number:09}\n")
+        found = b""
+        for _ in range(50):
+            found += _drain(reader)
+            await asyncio.sleep(0.001)
+        return found.decode().splitlines()
+
+    lines = asyncio.run(play())
+    assert lines[0] == "000000000"
+    assert '"event": "log lines dropped"' in lines[-1]
+    numbers = [int(line) for line in lines[:-1]]
+    assert numbers == sorted(numbers)
+    assert len(numbers) < 20_000
+
+
+def test_a_closed_reader_is_borne():
+    reader, writer = os.pipe()
+    os.close(reader)
+    stream = log_stream.LogStream(writer)
+    stream.write("a\n")
+    assert stream.dropped == 1
--- a/fuchsiamoor/platform/__main__.py
+++ b/fuchsiamoor/platform/__main__.py
@@ -8,7 +8,7 @@
 
 from fuchsiamoor.agent import running
 from fuchsiamoor.core import agent_settings, errors, faults
-from fuchsiamoor.daemon import logs
+from fuchsiamoor.daemon import log_stream, logs
 from fuchsiamoor.platform import dialect, settings, store
 
 EXIT_WRONG_SETTINGS = 2
@@ -23,7 +23,7 @@
         for fault in error.faults:
             print(faults.format_fault(fault), file=sys.stderr)
         sys.exit(EXIT_WRONG_SETTINGS)
-    logs.make_logger(found.instance, sys.stdout)
+    logs.make_logger(found.instance, log_stream.LogStream(sys.stdout.fileno()))
     uvloop.run(_run(found))
 
 
