--- a/fuchsiamoor/agent/entering.py
+++ b/fuchsiamoor/agent/entering.py
@@ -18,8 +18,8 @@
 # Time kept for the answer's way to the caller.
 ANSWER_MARGIN_MS = 15
 # Time kept for an ending's way back from another daemon, near and in another region.
-RETURN_MS = 8
-REGION_RETURN_MS = 18
+RETURN_MS = 20
+REGION_RETURN_MS = 40
 # Shorter than this, a request cannot be served any more.
 REMAINING_MIN_MS = 15
 # Instances without a key that are tried before the request is refused.
--- a/fuchsiamoor/agent/executing.py
+++ b/fuchsiamoor/agent/executing.py
@@ -170,7 +170,9 @@
     beside.waiters[entrant.ticket] = waiter
     _plan_room(agent, gate)
     try:
-        async with asyncio.timeout(max(ends_by_ms - agent.now_ms(), 1) / 1000):
+        needed_ms = gates.RUN_SHARE * gates.estimate_run_ms(gate, request.route)
+        patience_ms = ends_by_ms - needed_ms - agent.now_ms()
+        async with asyncio.timeout(max(patience_ms, 1) / 1000):
             return await waiter
     except TimeoutError:
         gates.leave_queue(gate, entrant.ticket)
--- a/fuchsiamoor/agent/running.py
+++ b/fuchsiamoor/agent/running.py
@@ -67,7 +67,13 @@
         return await handle_message(agent, sender_id, message)
 
     own_id = f"{settings.instance}#{agent.run}"
-    agent.links = peer_links.make_links(own_id, PEER_KEYS, handle, agent.metrics)
+    agent.links = peer_links.make_links(
+        own_id,
+        PEER_KEYS,
+        handle,
+        agent.metrics,
+        lambda member: member.region != settings.region,
+    )
     return agent
 
 
--- a/fuchsiamoor/peers/accepted.py
+++ b/fuchsiamoor/peers/accepted.py
@@ -67,7 +67,7 @@
         process_response=lambda _, request, response: _add_proof(
             acceptor, request, response
         ),
-        compression=None,
+        compression="deflate",
         server_header=None,
         logger=QUIET_LOGGER,
         open_timeout=OPEN_TIMEOUT_S,
--- a/fuchsiamoor/peers/dialled.py
+++ b/fuchsiamoor/peers/dialled.py
@@ -8,6 +8,7 @@
 import logging
 import secrets
 import time
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import websockets
@@ -82,6 +83,7 @@
     own_member_id: str
     keys: tuple[str, ...]
     metrics: object
+    is_far: Callable[[members.Member], bool] = lambda member: False
     links: dict[str, DialledLink] = field(default_factory=dict)
     tasks: set[asyncio.Task] = field(default_factory=set)
     is_closing: bool = False
@@ -242,7 +244,7 @@
             additional_headers=access.format_offer(offer),
             user_agent_header=None,
             proxy=None,
-            compression=None,
+            compression="deflate" if dialler.is_far(link.member) else None,
             open_timeout=DIAL_TIMEOUT_S,
             ping_interval=None,
             logger=QUIET_LOGGER,
--- a/fuchsiamoor/peers/links.py
+++ b/fuchsiamoor/peers/links.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -82,6 +83,7 @@
     peer_keys: tuple[str, ...],
     handle: accepted.Handle,
     metrics: Metrics,
+    is_far: Callable[[members.Member], bool] = lambda member: False,
 ) -> Links:
     """Return links of which none is open.
 
@@ -94,10 +96,13 @@
         ``async handle(sender_member_id, message)`` returns the answer to a peer's
         message. Each message is handled in a task of its own.
     metrics : Metrics
+    is_far : callable, optional
+        Whether a member is reached over a link that is paid by volume; what goes there
+        and back is compressed.
     """
     guard = access.make_guard(peer_keys)
     return Links(
-        dialled.Dialler(own_member_id, peer_keys, metrics),
+        dialled.Dialler(own_member_id, peer_keys, metrics, is_far),
         accepted.Acceptor(own_member_id, guard, handle, metrics),
     )
 
--- a/fuchsiamoor/traffic/gate.py
+++ b/fuchsiamoor/traffic/gate.py
@@ -1,9 +1,10 @@
 """The gate before one upstream: who runs now, who waits, and who is refused at once.
 
 An upstream that is given more than its slots hangs, so that the daemon beside it is the
-only place to queue. Those who can be answered in time go first, by rank and then by
-arrival; those who will be late use what is left. Were all served in the order of their
-arrival, an overload would make everybody late, and the upstream answer no more of them.
+only place to queue. Its order is by rank; within a rank those who can be answered in
+time go first, in the order of their arrival, and those who will be late use what is
+left. Were all served in the order of their arrival, an overload would make everybody
+late, and the upstream answer no more of them.
 
 A request that would hardly end before its caller stops waiting is refused at once.
 """
@@ -26,7 +27,7 @@
 RETRY_MARGIN_MS = 50
 # A wait that is expected to be this share of the time left, or less, is worth it to one
 # that will be late: estimates are wrong by about as much.
-LATE_SHARE = 0.2
+LATE_SHARE = 0.4
 # Window over which a cold upstream's arrivals are counted, with a margin for jitter on
 # the way to it.
 COLD_WINDOW_MS = 1_080
@@ -92,9 +93,9 @@
     running : int
         Slots taken.
     queue : list
-        Heap of (is_late, rank, number, Entrant).
-    gone : set
-        Tickets that left the queue before their turn.
+        Heap of (rank, is_late, number, Entrant).
+    queued : set
+        Tickets in the queue; those that left before their turn are missing here.
     run_ms : dict of str to float
         Moving average of run times by route, at usual speed.
     work_percent : int
@@ -103,8 +104,6 @@
         Times of the starts within the last window.
     entered : int
         Requests that entered the queue, for its order.
-    waiting : int
-        Requests in the queue that have not left it.
     """
 
     slots: int
@@ -112,12 +111,16 @@
     cold_until_ms: int = 0
     running: int = 0
     queue: list = field(default_factory=list)
-    gone: set = field(default_factory=set)
+    queued: set = field(default_factory=set)
     run_ms: dict[str, float] = field(default_factory=dict)
     work_percent: int = 100
     starts: deque = field(default_factory=deque)
     entered: int = 0
-    waiting: int = 0
+
+    @property
+    def waiting(self) -> int:
+        """Requests that wait."""
+        return len(self.queued)
 
 
 def make_gate(slots: int, cold_per_s: float, cold_until_ms: int) -> Gate:
@@ -159,15 +162,14 @@
 
 def _enqueue(gate: Gate, entrant: Entrant, is_late: bool) -> None:
     gate.entered += 1
-    gate.waiting += 1
-    item = (is_late, entrant.rank, gate.entered, entrant)
+    gate.queued.add(entrant.ticket)
+    item = (entrant.rank, is_late, gate.entered, entrant)
     heapq.heappush(gate.queue, item)
 
 
 def leave_queue(gate: Gate, ticket: Hashable) -> None:
-    """Take a waiting request out of the queue."""
-    gate.gone.add(ticket)
-    gate.waiting -= 1
+    """Take a request out of the queue, if it still waits there."""
+    gate.queued.discard(ticket)
 
 
 def release(gate: Gate) -> None:
@@ -187,11 +189,10 @@
     """
     admitted, expired = [], []
     while gate.queue and _has_room(gate, now_ms):
-        is_late, _, _, entrant = heapq.heappop(gate.queue)
-        if entrant.ticket in gate.gone:
-            gate.gone.discard(entrant.ticket)
+        _, is_late, _, entrant = heapq.heappop(gate.queue)
+        if entrant.ticket not in gate.queued:
             continue
-        gate.waiting -= 1
+        gate.queued.discard(entrant.ticket)
         needed_ms = RUN_SHARE * estimate_run_ms(gate, entrant.route)
         if now_ms + needed_ms > entrant.ends_by_ms:
             expired.append(entrant)
@@ -206,10 +207,9 @@
 
 def clear(gate: Gate) -> list[Entrant]:
     """Empty the queue and return those that waited."""
-    waited = [item[3] for item in sorted(gate.queue) if item[3].ticket not in gate.gone]
+    waited = [item[3] for item in sorted(gate.queue) if item[3].ticket in gate.queued]
     gate.queue.clear()
-    gate.gone.clear()
-    gate.waiting = 0
+    gate.queued.clear()
     return waited
 
 
@@ -241,7 +241,11 @@
     """Return the expected wait of a request that comes now, in milliseconds."""
     if gate.waiting == 0 and _has_room(gate, now_ms):
         return 0.0
-    ahead = [item[3] for item in gate.queue if item[:2] <= (is_late, rank)]
+    ahead = [
+        item[3]
+        for item in gate.queue
+        if item[:2] <= (rank, is_late) and item[3].ticket in gate.queued
+    ]
     work_ms = sum(estimate_run_ms(gate, entrant.route) for entrant in ahead)
     mean_ms = _mean_run_ms(gate)
     wait_ms = (work_ms + mean_ms / 2) / gate.slots
--- a/fuchsiamoor/traffic/gate_test.py
+++ b/fuchsiamoor/traffic/gate_test.py
@@ -34,6 +34,13 @@
     assert admit(gate, 20)[0] == ["late"]
 
 
+def test_an_urgent_request_that_will_be_late_goes_before_less_urgent_ones():
+    gate = make_full_gate()
+    gates.ask(gate, make_entrant("a", rank=2, in_time_by_ms=900), 0)
+    gates.ask(gate, make_entrant("b", rank=1, in_time_by_ms=100), 0)
+    assert admit(gate, 10)[0] == ["b"]
+
+
 def test_one_that_became_late_lets_those_in_time_pass():
     gate = make_full_gate()
     gates.ask(gate, make_entrant("a", in_time_by_ms=500), 0)
