--- a/fuchsiamoor/cli/main.py
+++ b/fuchsiamoor/cli/main.py
@@ -1,11 +1,13 @@
 """The operators' tool: its commands and their options."""
 
+import json
 import pathlib
+import sys
 from typing import Annotated
 
 import typer
 
-from fuchsiamoor.cli import commands, session
+from fuchsiamoor.cli import commands, exits, request_lines, session
 from fuchsiamoor.cli.client import Client
 from fuchsiamoor.cli.commands import Ending
 
@@ -206,6 +208,29 @@
     )
 
 
+@app.command("explain-request")
+def explain_request(
+    request_id: Annotated[
+        str,
+        typer.Argument(metavar="ID", help="The request's id, as its caller sent it."),
+    ],
+    as_json: Json = False,
+) -> None:
+    """Show what the daemons' logs, read from standard input, say of a request.
+
+    \b
+    Example:
+      fuchsiamoor explain-request 9c41d07be2a35f68 < daemons.log
+    """
+    trace = request_lines.trace_request(request_id, sys.stdin)
+    if as_json:
+        typer.echo(json.dumps(trace._asdict(), indent=2))
+    else:
+        typer.echo(request_lines.format_trace(request_id, trace))
+    if not trace.lines:
+        raise typer.Exit(exits.ExitStatus.WRONG_INPUT)
+
+
 @app.command()
 def report(context: typer.Context, as_json: Json = False) -> None:
     """Show the measures and the service-level burn.
--- a/fuchsiamoor/cli/pages_test.py
+++ b/fuchsiamoor/cli/pages_test.py
@@ -13,7 +13,7 @@
 from fuchsiamoor.testing import generated, tool_shell
 
 ROOT = pathlib.Path(__file__).parents[2]
-PAGES = ["README.md", "docs/OPERATING.md", "docs/CONFIGURATION.md", "docs/METRICS.md"]
+PAGES = ["README.md", "docs/OPERATIONS.md", "docs/CONFIGURATION.md", "docs/METRICS.md"]
 SETTING_UP = ["sudo apt-get install --yes make python3.11-venv"]
 COMMANDS = {
     command.name or command.callback.__name__
@@ -79,7 +79,7 @@
     assert page.format_fields(settings_file.ADAPTER) in text
 
 
-@pytest.mark.parametrize("name", ["docs/OPERATING.md", "docs/METRICS.md"])
+@pytest.mark.parametrize("name", ["docs/OPERATIONS.md", "docs/METRICS.md"])
 def test_metrics_named_in_the_text_are_listed(name):
     groups = "|".join({metric.partition(".")[0] for metric in metric_names.METRICS})
     named = re.findall(rf"`((?:{groups})\.[a-z_]+)`", _read(name))
--- /dev/null
+++ b/fuchsiamoor/platform/wire_test.py
@@ -0,0 +1,192 @@
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from fuchsiamoor.daemon.upstream_connection import WholeAnswer
+from fuchsiamoor.platform import heartbeats, publications, scalars, settings, wire
+from fuchsiamoor.ranges import granting
+from fuchsiamoor.testing import platform_data, traffic_data
+
+HEADERS = (
+    (b"host", b"ficu95.example"),
+    (b"fuchsiamoor-request-id", b"9c41d07be2a35f68"),
+    (b"fuchsiamoor-deadline-ms", b"4000"),
+    (b"fuchsiamoor-shard-key", b"77"),
+    (b"fuchsiamoor-caller-service", b"forged"),
+    (b"connection", b"keep-alive, x-hop"),
+    (b"x-hop", b"1"),
+    (b"accept", b"*/*"),
+)
+
+
+def test_a_request_is_decoded_once():
+    request = wire.read_request("GET", "/lohu930/2f?a=1", HEADERS, b"")
+    assert request.request_id == "9c41d07be2a35f68"
+    assert (request.wait_ms, request.key, request.is_call) == (4_000, 77, False)
+    names = [name for name, _ in request.headers]
+    assert b"accept" in names
+    assert not {b"x-hop", b"connection", b"fuchsiamoor-caller-service"} & set(names)
+
+
+def test_a_request_of_an_upstream_is_known_by_its_id():
+    headers = (HEADERS[0], (b"fuchsiamoor-request-id", b"9c41.f3"))
+    assert wire.read_request("GET", "/", headers, b"").is_call
+
+
+@pytest.mark.parametrize(
+    "headers",
+    [
+        HEADERS[1:],
+        HEADERS[:1] + HEADERS[2:],
+        (*HEADERS, (b"fuchsiamoor-request-id", b"other")),
+        (*HEADERS, (b"host", b"other")),
+        (*HEADERS[:2], (b"fuchsiamoor-deadline-ms", b"-1")),
+        (*HEADERS[:2], (b"fuchsiamoor-shard-key", b"65536")),
+        (*HEADERS[:2], (b"fuchsiamoor-shard-key", b"x")),
+    ],
+)
+def test_what_cannot_be_read_is_refused(headers):
+    with pytest.raises(ValueError, match=r"\w"):
+        wire.read_request("GET", "/", headers, b"")
+
+
+def test_an_upstream_gets_what_is_left_whom_we_mean_and_who_called():
+    carried = traffic_data.make_carried(method="POST", body=b"ab", caller_service="me")
+    head, _, body = wire.write_request(carried, "i-7", 250).partition(b"\r\n\r\n")
+    lines = head.lower().split(b"\r\n")
+    assert lines[0] == b"post /read/1 http/1.1"
+    assert b"fuchsiamoor-deadline-ms: 250" in lines
+    assert b"fuchsiamoor-expect-instance: i-7" in lines
+    assert b"fuchsiamoor-caller-service: me" in lines
+    assert b"content-length: 2" in lines
+    assert body == b"ab"
+
+
+def test_a_request_cannot_hide_another():
+    carried = traffic_data.make_carried(headers=((b"x", b"a\r\nX: b"),))
+    with pytest.raises(ValueError, match="line breaks"):
+        wire.write_request(carried, "i-7", 250)
+
+
+STAMP = (b"fuchsiamoor-server-stamp", b"3e1b.07")
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "has_run", "is_spoiled"),
+    [
+        (200, [STAMP], True, False),
+        (200, [], True, True),
+        (200, [STAMP, (b"content-encoding", b"gzip")], True, True),
+        (500, [], True, False),
+        (503, [(b"fuchsiamoor-not-executed", b"1")], False, False),
+        (503, [STAMP], True, False),
+        (421, [], False, False),
+    ],
+)
+def test_only_what_the_upstream_states_has_not_run(
+    status, headers, has_run, is_spoiled
+):
+    answer = wire.read_answer(WholeAnswer(status, headers, b""))
+    assert (answer.has_run, answer.is_spoiled) == (has_run, is_spoiled)
+
+
+def test_the_load_has_the_present_speed():
+    load = (b"fuchsiamoor-server-load", b"3, 0, 8, 300")
+    answer = wire.read_answer(WholeAnswer(200, [STAMP, load], b""))
+    assert (answer.load.slots, answer.load.work_percent) == (8, 300)
+    assert load not in answer.headers
+    assert STAMP in answer.headers
+
+
+def test_an_answer_to_another_request_is_known():
+    assert wire.is_answer_to("a", [(b"fuchsiamoor-request-id", b"a")])
+    assert not wire.is_answer_to("a", [(b"fuchsiamoor-request-id", b"b")])
+
+
+def test_a_heartbeat_and_its_answer():
+    found = heartbeats.read_heartbeat("i-1", platform_data.encode_heartbeat())
+    assert found.incarnation.started_unix_ms == 1_700_000_000_000
+    assert found.held[0].fence == 7
+    assert found.released[0].handover == "5c0e"
+    grants = granting.Grants((granting.Grant(0, 9, 3, ""),), 3_500)
+    answer = heartbeats.write_answer(grants)
+    assert answer == b'{"holds":[[0,9,3,""]],"hold_timeout":"3500ms"}'
+    assert heartbeats.write_answer(None) == b"{}"
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"state": "sleeping"},
+        {"born": 1.5},
+        {"born": True},
+        {"sequence": "4"},
+        {"capacity": None},
+        {"cold_left": 3},
+        {"holds": [[5, 4, 1]]},
+        {"holds": [[0, 65_536, 1]]},
+        {"released": [[0, 1, 7]]},
+        {"service": ""},
+    ],
+)
+def test_a_heartbeat_of_another_writer_names_nobody(changes):
+    with pytest.raises(ValueError, match=r"\w"):
+        heartbeats.read_heartbeat("i-1", platform_data.encode_heartbeat(**changes))
+
+
+@given(st.binary(max_size=200))
+def test_no_bytes_break_the_readers(content):
+    for read in (
+        lambda: heartbeats.read_heartbeat("i-1", content),
+        lambda: publications.read_catalog(content),
+        lambda: settings.read_settings(content),
+    ):
+        try:
+            read()
+        except (ValueError, LookupError, TypeError):
+            continue
+
+
+json_values = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.text(max_size=5),
+    lambda inner: (
+        st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=5), inner)
+    ),
+    max_leaves=8,
+)
+
+
+@given(st.sampled_from(sorted(platform_data.HEARTBEAT)), json_values)
+def test_no_field_of_another_type_breaks_the_heartbeat(name, value):
+    try:
+        heartbeats.read_heartbeat(
+            "i-1", platform_data.encode_heartbeat(**{name: value})
+        )
+    except ValueError:
+        return
+
+
+def test_a_configuration_is_decoded_with_its_routes_in_order():
+    found = publications.read_catalog(platform_data.encode_configuration())
+    assert found.version == 7
+    (host,) = found.routes
+    read, write = sorted(found.routes[host], key=lambda route: route.name)
+    assert read.shares[0].weight == 90
+    assert read.is_idempotent and not write.is_idempotent
+    assert write.home_regions == {"almaty", "astana"}
+    assert found.services["keyed"].is_keyed
+    assert found.limits.idle_timeout_ms == 15_000
+
+
+def test_the_settings_are_decoded():
+    found = settings.read_settings(platform_data.encode_settings())
+    assert found.instance == "10.1.0.38"
+    assert found.peer_address.port == 7_380
+    assert found.bounds.cold_ratio == 1.5
+    assert found.store_address.port == 8_142
+
+
+@pytest.mark.parametrize("text", ["", "5", "5m", "-1s", "1e3ms", " 1s", 5, None])
+def test_a_duration_of_another_form_is_refused(text):
+    with pytest.raises(ValueError, match="duration"):
+        scalars.read_duration_ms(text)
