Hold callers of a daemon that has just started until it knows a configuration

Cause of the flaky test_sigterm_cuts_no_request[daemon]: under load the restarted daemon accepts callers before its first configuration and answered 404 unknown-service (seen in two of two traced runs beside six busy processes). Ruled out: a lapsed lease, a hand-over.

--- a/fuchsiamoor/daemon/callers.py
+++ b/fuchsiamoor/daemon/callers.py
@@ -19,6 +19,9 @@
 from fuchsiamoor.routing import refusals
 
 READY_PATH = b"/_ready"
+# A start with a store that answers takes less than this until a configuration is known.
+FIRST_CONFIGURATION_MS = 2_000
+FIRST_CONFIGURATION_CHECK_MS = 20
 
 _BODILESS_STATUSES = (204, 304)
 _PLAIN_TEXT = (b"content-type", b"text/plain; charset=utf-8")
@@ -67,8 +70,13 @@
         head = caller_requests.Head(
             scope["method"], scope["raw_path"], scope["query_string"], scope["headers"]
         )
+        configuration = await _wait_for_configuration(get_configuration)
+        if configuration is None:
+            starting = NotRun(Reason.STARTING, "no configuration received yet")
+            await _refuse(send, request_id, starting)
+            return
         parsed = caller_requests.parse_head(
-            get_configuration(), head, request_id, clock.read_clock_ms()
+            configuration, head, request_id, clock.read_clock_ms()
         )
         if isinstance(parsed, NotRun):
             await _refuse(send, request_id, parsed)
@@ -94,6 +102,22 @@
     return app
 
 
+async def _wait_for_configuration(
+    get_configuration: Callable[[], configurations.Configuration],
+) -> configurations.Configuration | None:
+    """Return the configuration in force, None if none arrives for a while.
+
+    A daemon that has just started accepts callers before it knows any: what it does not
+    know yet is no unknown service.
+    """
+    end_ms = clock.read_clock_ms() + FIRST_CONFIGURATION_MS
+    while get_configuration().revision == 0:
+        if clock.read_clock_ms() >= end_ms:
+            return None
+        await asyncio.sleep(FIRST_CONFIGURATION_CHECK_MS / 1000)
+    return get_configuration()
+
+
 async def _read_body(
     receive: Callable, parsed: caller_requests.Parsed
 ) -> bytes | NotRun | Gone:
--- a/fuchsiamoor/daemon/callers_test.py
+++ b/fuchsiamoor/daemon/callers_test.py
@@ -5,6 +5,7 @@
 from hypothesis import strategies as st
 
 from fuchsiamoor.core import clock
+from fuchsiamoor.core import configuration as configurations
 from fuchsiamoor.core.verdicts import MayHaveRun, NotRun, Reason
 from fuchsiamoor.daemon import caller_requests, callers, http_limits
 from fuchsiamoor.testing import http_surface, wire
@@ -266,3 +267,30 @@
     head = caller_requests.Head("GET", raw_path, query, headers)
     parsed = caller_requests.parse_head(make_configuration(), head, "r", 0)
     assert isinstance(parsed, (NotRun, caller_requests.Parsed))
+
+
+def test_before_the_first_configuration_a_request_waits_for_it():
+    async def scenario(surface, address):
+        known, surface.configuration = (
+            surface.configuration,
+            configurations.make_empty_configuration(),
+        )
+        loop = asyncio.get_running_loop()
+        loop.call_later(0.1, setattr, surface, "configuration", known)
+        return parse(
+            await send_raw(address, make_payload("GET /booking/a HTTP/1.1", b""))
+        )
+
+    assert run(scenario)[0] == 200
+
+
+def test_without_any_configuration_no_service_is_unknown(monkeypatch):
+    monkeypatch.setattr(callers, "FIRST_CONFIGURATION_MS", 30)
+
+    async def scenario(surface, address):
+        surface.configuration = configurations.make_empty_configuration()
+        return parse(
+            await send_raw(address, make_payload("GET /booking/a HTTP/1.1", b""))
+        )
+
+    assert run(scenario)[0] == 503
