Split entering by its jobs; take answers without a length only where the deployment has them

The product's own upstream client counts an answer that ends with its connection as truncated, as its test says; only the daemon for routes takes it for whole. One set of hop-by-hop headers.

--- a/fuchsiamoor/agent/beside.py
+++ b/fuchsiamoor/agent/beside.py
@@ -100,6 +100,7 @@
         settings.upstream_address,
         max(1, connections - CONNECTIONS_SPARE),
         MAX_ANSWER_BYTES,
+        takes_unframed=True,
     )
     beside.gate = gates.make_gate(beside.slots, compute_cold_rate(agent), 0)
     agent.standing.due.set()
--- a/fuchsiamoor/agent/entering_test.py
+++ b/fuchsiamoor/agent/entering_test.py
@@ -1,6 +1,12 @@
 import asyncio
 
-from fuchsiamoor.agent import entering, registrations, running
+from fuchsiamoor.agent import (
+    choosing,
+    entering,
+    registrations,
+    repeating,
+    running,
+)
 from fuchsiamoor.agent.http_server import HttpRequest
 from fuchsiamoor.core import carried, errors, messages
 from fuchsiamoor.core.verdicts import MayHaveRun, NotRun, Ran, Reason
@@ -131,7 +137,7 @@
     agent, answer, ended_ms = _play(lambda: _make_agent(_always(FULL), *instances))
     assert answer.status == 503
     assert 0.05 <= float(dict(answer.headers)[b"Retry-After"]) <= 0.34
-    assert len(agent.links.calls) == entering.TRIES_MAX
+    assert len(agent.links.calls) == choosing.TRIES_MAX
     assert ended_ms < 50
 
 
@@ -149,7 +155,7 @@
 def test_repeats_come_out_of_the_budget():
     def agent_of():
         agent = _make_agent(_always(LOST), "10.0.0.2", "10.0.0.3")
-        entering._find_budget(agent, traffic_data.PLAIN_SERVICE).tokens = 0.0
+        repeating.find_budget(agent, traffic_data.PLAIN_SERVICE).tokens = 0.0
         return agent
 
     agent, answer, _ = _play(agent_of)
--- a/fuchsiamoor/daemon/http_headers.py
+++ b/fuchsiamoor/daemon/http_headers.py
@@ -6,13 +6,11 @@
 
 OWN_PREFIX = b"fuchsiamoor-"
 
-_ENDS_HERE = frozenset(
+HOP_HEADERS = frozenset(
     (
         b"connection",
         b"content-length",
         b"expect",
-        b"host",
-        b"idempotency-key",
         b"keep-alive",
         b"proxy-authenticate",
         b"proxy-authorization",
@@ -23,6 +21,7 @@
         b"upgrade",
     )
 )
+_ENDS_HERE = HOP_HEADERS | {b"host", b"idempotency-key"}
 
 
 def ends_here(name: bytes) -> bool:
--- a/fuchsiamoor/daemon/upstream_connection.py
+++ b/fuchsiamoor/daemon/upstream_connection.py
@@ -40,6 +40,9 @@
         Largest body accepted.
     on_lost : callable
         Called with this connection once it is closed.
+    takes_unframed : bool
+        Whether an answer without a length is whole once the upstream has ended the
+        connection in order.
 
     Attributes
     ----------
@@ -62,6 +65,7 @@
         "_is_head",
         "_on_lost",
         "_parser",
+        "_takes_unframed",
         "_transport",
         "idle_since_s",
         "is_reusable",
@@ -71,9 +75,11 @@
         self,
         answer_limit_bytes: int,
         on_lost: Callable[["UpstreamConnection"], None],
+        takes_unframed: bool = False,
     ):
         self._answer_limit_bytes = answer_limit_bytes
         self._on_lost = on_lost
+        self._takes_unframed = takes_unframed
         self._parser = httptools.HttpResponseParser(self)
         self._transport: asyncio.Transport | None = None
         self._future: asyncio.Future[Received] | None = None
@@ -166,7 +172,8 @@
         status = self._parser.get_status_code()
         self._has_begun = status >= 200
         self._ends_with_connection = (
-            self._has_begun
+            self._takes_unframed
+            and self._has_begun
             and status not in (204, 304)
             and not any(name in _FRAMING for name, _ in self._headers)
         )
--- a/fuchsiamoor/daemon/upstream_pool.py
+++ b/fuchsiamoor/daemon/upstream_pool.py
@@ -27,6 +27,8 @@
     connections : int
         Largest number open at once.
     answer_limit_bytes : int
+    takes_unframed : bool
+        Whether an answer without a length may end with its connection.
     open_count : int
         Open, or being opened.
     idle : deque of UpstreamConnection
@@ -38,6 +40,7 @@
     address: Address
     connections: int
     answer_limit_bytes: int
+    takes_unframed: bool = False
     open_count: int = 0
     idle: deque[UpstreamConnection] = field(default_factory=deque)
     waiters: deque[asyncio.Future] = field(default_factory=deque)
@@ -155,7 +158,9 @@
         async with asyncio.timeout_at(min(deadline_s, loop.time() + CONNECT_TIMEOUT_S)):
             _, connection = await loop.create_connection(
                 lambda: UpstreamConnection(
-                    pool.answer_limit_bytes, lambda lost: _forget(pool, lost)
+                    pool.answer_limit_bytes,
+                    lambda lost: _forget(pool, lost),
+                    pool.takes_unframed,
                 ),
                 *pool.address,
             )
--- a/fuchsiamoor/platform/wire.py
+++ b/fuchsiamoor/platform/wire.py
@@ -5,6 +5,7 @@
 from fuchsiamoor.agent import dialect
 from fuchsiamoor.core import carried
 from fuchsiamoor.core.requests import Headers
+from fuchsiamoor.daemon import http_headers
 from fuchsiamoor.daemon.upstream_connection import WholeAnswer
 from fuchsiamoor.traffic import catalog, requests, upstreams
 
@@ -22,21 +23,6 @@
 # Remaining time of a cold start, in milliseconds.
 _COLD_FOR = b"fuchsiamoor-cold-start-ms"
 
-_HOP_HEADERS = frozenset(
-    (
-        b"connection",
-        b"content-length",
-        b"expect",
-        b"keep-alive",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-    )
-)
 _SET_BY_US = frozenset((_DEADLINE, _CALLER_SERVICE, _EXPECTED_UPSTREAM))
 # Read here and of no use to the caller.
 _KEPT_FROM_CALLERS = frozenset((_LOAD, _NOT_RUN, _UPSTREAM_ID, _COLD_FOR))
@@ -72,7 +58,7 @@
             if name in own:
                 raise ValueError(f"{name.decode()}: found twice")
             own[name] = value
-        if name in _HOP_HEADERS or name in _SET_BY_US or name in dropped:
+        if name in http_headers.HOP_HEADERS or name in _SET_BY_US or name in dropped:
             continue
         passed.append((name, value))
     if len(hosts) != 1:
@@ -163,7 +149,8 @@
         headers=tuple(
             header
             for header in whole.headers
-            if header[0] not in _HOP_HEADERS and header[0] not in _KEPT_FROM_CALLERS
+            if header[0] not in http_headers.HOP_HEADERS
+            and header[0] not in _KEPT_FROM_CALLERS
         ),
         body=whole.body,
         has_run=not not_run,
