--- a/fuchsiamoor/agent/executing.py
+++ b/fuchsiamoor/agent/executing.py
@@ -13,7 +13,7 @@
 from fuchsiamoor.core.verdicts import MayHaveRun, NotRun, Ran, Reason
 from fuchsiamoor.daemon import upstream_pool
 from fuchsiamoor.daemon.upstream_connection import Lost, WholeAnswer
-from fuchsiamoor.ranges import granting, heat
+from fuchsiamoor.ranges import granting
 from fuchsiamoor.traffic import catalog, upstreams
 from fuchsiamoor.traffic import gate as gates
 
@@ -59,8 +59,6 @@
     if refused is not None:
         return _refuse_request(agent, request, refused)
     beside = agent.beside
-    if request.key != NO_KEY:
-        heat.note_request(beside.heat, request.key, now_ms)
     owner, gate = beside.owner, beside.gate
     in_time_by_ms = now_ms + request.in_time_ms
     waited = await _pass_gate(agent, request, ends_by_ms, in_time_by_ms)
--- a/fuchsiamoor/agent/ownership_schedules_test.py
+++ b/fuchsiamoor/agent/ownership_schedules_test.py
@@ -5,11 +5,9 @@
 import pytest
 
 from fuchsiamoor.agent import owning
-from fuchsiamoor.core import carried
-from fuchsiamoor.ranges import granting, heat
+from fuchsiamoor.ranges import granting
 from fuchsiamoor.store import port
 from fuchsiamoor.testing import range_world, transactional_store, virtual_time
-from fuchsiamoor.traffic import spread
 
 STEPS = 14
 SEEDS = range(12)
@@ -232,34 +230,3 @@
         return is_written
 
     assert not virtual_time.run(play())
-
-
-def test_a_crowded_owner_gives_half_of_a_hot_stretch_to_an_idle_one():
-    async def play():
-        world = range_world.make_world(seed=3, count=2)
-        checking = asyncio.create_task(range_world.check_always(world))
-        await _start_all(world)
-        crowded, idle = world.machines
-        agent, table = crowded.agent, crowded.agent.known.tables[range_world.SERVICE]
-        own = next(row for row in table.rows if row.owner == agent.beside.owner)
-        load = carried.Load(2, 0, 18, 100, 0, True)
-        for number in range(150):
-            now_ms = agent.now_ms()
-            heat.note_request(agent.beside.heat, own.first + number % 60, now_ms)
-            spread.note_load(agent.views, idle.instance, load, now_ms)
-            agent.beside.gate.queued.update(range(9))
-            await asyncio.sleep(0.02)
-        checking.cancel()
-        newest = idle.agent.known.tables[range_world.SERVICE]
-        await range_world.close(world)
-        given = [
-            row
-            for row in newest.rows
-            if own.first <= row.first <= own.last and row.owner != own.owner
-        ]
-        return given, world.faults
-
-    given, faults = virtual_time.run(play())
-    assert faults == []
-    assert given
-    assert all(row.last - row.first < 64 and row.handover for row in given)
--- a/fuchsiamoor/agent/owning.py
+++ b/fuchsiamoor/agent/owning.py
@@ -10,10 +10,10 @@
 
 from fuchsiamoor.agent import beside, registrations, state, syncing
 from fuchsiamoor.core import errors
-from fuchsiamoor.ranges import granting, heat, planning
+from fuchsiamoor.ranges import granting, planning
 from fuchsiamoor.ranges import table as tables
 from fuchsiamoor.store import port
-from fuchsiamoor.traffic import spread, upstreams
+from fuchsiamoor.traffic import upstreams
 
 TICK_MS = 50
 # The first table waits until nobody new has come for this time, or for the longest.
@@ -26,12 +26,6 @@
 # Time without evidence after which an absent owner certainly holds nothing: clocks may
 # differ by a few percent.
 LOST_AFTER_MS = int(granting.EVIDENCE_MS * 1.03) + 60
-# An owner is crowded while so many requests or more wait, for this time.
-HOT_WAITING_MIN = 4
-CROWDED_MS = 500
-# Another may take hot keys while less than this share of its slots is used.
-IDLE_SHARE = 0.6
-TOLD_LATELY_MS = 2_000
 # Owners that one write may declare lost; each takes two of the 32 entries of a call.
 LOST_MAX = 12
 
@@ -61,7 +55,6 @@
         planned = planning.plan_next(table, standing)
         if planned is None:
             since_ms = None
-            await _give_hot_keys(agent, table, standing)
             continue
         since_ms = since_ms if since_ms is not None else now_ms
         if now_ms - since_ms < _turn_of(agent, standing) * TURN_MS:
@@ -71,52 +64,6 @@
         await asyncio.sleep(PAUSE_MS / 1000)
 
 
-async def _give_hot_keys(
-    agent: state.Agent, table: tables.RangeTable, standing: planning.Standing
-) -> None:
-    """Have the upstream beside let go of half of a hot stretch that it cannot serve."""
-    own, now_ms = agent.beside, agent.now_ms()
-    gate = own.gate
-    if gate is None or gate.waiting < max(HOT_WAITING_MIN, gate.slots // 3):
-        agent.known.crowded_since_ms = None
-        return
-    if agent.known.crowded_since_ms is None:
-        agent.known.crowded_since_ms = now_ms
-    if now_ms - agent.known.crowded_since_ms < CROWDED_MS:
-        return
-    target = _find_idle_holder(agent, standing, now_ms)
-    stretch = heat.find_hot_stretch(heat.read_counts(own.heat))
-    if target is None or stretch is None:
-        return
-    planned = heat.plan_split(table, own.owner, stretch, target)
-    if planned is None:
-        return
-    async with agent.table_lock:
-        is_written = await write_table(agent, table, planned, [])
-    agent.known.crowded_since_ms = None
-    logger.bind(
-        first=stretch.first, last=stretch.last, share=stretch.share, target=target
-    ).info("hot keys given away" if is_written else "hot keys kept")
-    await asyncio.sleep(PAUSE_MS / 1000)
-
-
-def _find_idle_holder(
-    agent: state.Agent, standing: planning.Standing, now_ms: int
-) -> str | None:
-    """Return the holder with the least load that was told lately, if it has room."""
-    best, least = None, IDLE_SHARE
-    for holder in standing.holders:
-        if holder.owner == agent.beside.owner or holder.is_cold:
-            continue
-        view = spread.find_view(agent.views, tables.instance_of(holder.owner))
-        if view.load is None or now_ms - view.told_ms > TOLD_LATELY_MS:
-            continue
-        used = (view.load.running + view.load.waiting) / max(view.load.slots, 1)
-        if used < least:
-            best, least = holder.owner, used
-    return best
-
-
 def _may_write(agent: state.Agent) -> bool:
     return (
         agent.standing.written is not None
--- a/fuchsiamoor/agent/state.py
+++ b/fuchsiamoor/agent/state.py
@@ -12,7 +12,6 @@
 from fuchsiamoor.core import agent_settings, clock
 from fuchsiamoor.daemon import upstream_pool
 from fuchsiamoor.ranges import granting as grantings
-from fuchsiamoor.ranges import heat as heats
 from fuchsiamoor.ranges import table as range_tables
 from fuchsiamoor.routing import budget
 from fuchsiamoor.store import port
@@ -46,8 +45,6 @@
     gate : Gate or None
     granting : Granting or None
     pool : Pool or None
-    heat : Heat
-        Of the keys that it is asked for.
     waiters : dict
         Futures of the requests that wait at the gate, by ticket.
     """
@@ -64,7 +61,6 @@
     gate: gates.Gate | None = None
     granting: grantings.Granting | None = None
     pool: upstream_pool.Pool | None = None
-    heat: heats.Heat = field(default_factory=heats.Heat)
     waiters: dict[int, asyncio.Future] = field(default_factory=dict)
     last_ticket: int = 0
     room_timer: asyncio.TimerHandle | None = None
@@ -88,8 +84,6 @@
         Owners in tables that no registration names, since when.
     seen_since_ms : dict of str to int
         Owners, and when each was seen first.
-    crowded_since_ms : int or None
-        Since when too many wait for the upstream beside.
     is_listed : bool
         Whether the store was listed once.
     waiting : set of Future
@@ -103,7 +97,6 @@
     table_versions: dict[str, int] = field(default_factory=dict)
     absent_since_ms: dict[str, int] = field(default_factory=dict)
     seen_since_ms: dict[str, int] = field(default_factory=dict)
-    crowded_since_ms: int | None = None
     is_listed: bool = False
     waiting: set[asyncio.Future] = field(default_factory=set)
 
