--- a/fuchsiamoor/agent/dialect.py
+++ b/fuchsiamoor/agent/dialect.py
@@ -48,8 +48,8 @@
     ----------
     ready_path : str
         At which readiness is asked for.
-    catalog_key, operator_prefix : str
-        Where operators write into the store.
+    catalog_key : str
+        Where operators write the catalog into the store.
     read_catalog, read_evacuated : callable
         Of a value, and of a key, in the store.
     read_upstream_call : callable
@@ -69,7 +69,6 @@
 
     ready_path: str
     catalog_key: str
-    operator_prefix: str
     read_catalog: Callable[[bytes], catalog.Catalog]
     read_evacuated: Callable[[str], str | None]
     read_upstream_call: Callable[[str, str], Report | Farewell | None]
--- a/fuchsiamoor/agent/syncing.py
+++ b/fuchsiamoor/agent/syncing.py
@@ -10,8 +10,7 @@
 from fuchsiamoor.ranges import table as tables
 from fuchsiamoor.store import port
 
-# Everything that concerns the daemon is below these prefixes; one watch covers both.
-OWN_PREFIX = "fuchsiamoor/"
+# One watch covers what operators and daemons write.
 ALL_PREFIX = ""
 # Longest wait of one watch: a connection that fell silent is noticed after it.
 WATCH_MS = 10_000
--- a/fuchsiamoor/core/agent_settings.py
+++ b/fuchsiamoor/core/agent_settings.py
@@ -21,24 +21,18 @@
         Longest time for which an upstream accepts keys at once.
     cold_ratio : float
         Arrivals at a cold upstream that are borne, as a multiple of its rate.
-    cold_spare : float
-        Arrivals borne on top of that.
     retry_ratio : float
         Repeats allowed for each request, as a share of traffic, all daemons together.
     retry_spare : float
         Repeats allowed on top of that in a window.
-    evacuate_ms : int
-        Time within which a data centre taken out gets nothing more.
     """
 
     drain_ms: int = 2_000
     grace_ms: int = 6_000
     hold_max_ms: int = 10_000
     cold_ratio: float = 1.0
-    cold_spare: float = 0.0
     retry_ratio: float = 0.1
     retry_spare: float = 10.0
-    evacuate_ms: int = 5_000
 
 
 class AgentSettings(NamedTuple):
--- a/fuchsiamoor/platform/dialect.py
+++ b/fuchsiamoor/platform/dialect.py
@@ -9,7 +9,6 @@
     return dialect.Dialect(
         ready_path=heartbeats.READY_PATH,
         catalog_key=publications.CATALOG_KEY,
-        operator_prefix=publications.OPERATOR_PREFIX,
         read_catalog=publications.read_catalog,
         read_evacuated=publications.read_evacuated,
         read_upstream_call=heartbeats.read_call,
--- a/fuchsiamoor/platform/publications.py
+++ b/fuchsiamoor/platform/publications.py
@@ -7,7 +7,6 @@
 
 CATALOG_KEY = "op/config"
 EVACUATE_PREFIX = "op/evacuate/"
-OPERATOR_PREFIX = "op/"
 
 _DEFAULT_TIMEOUT_MS = 60_000
 
--- a/fuchsiamoor/platform/settings.py
+++ b/fuchsiamoor/platform/settings.py
@@ -68,8 +68,6 @@
         grace_ms=scalars.read_duration_ms(bounds["grace"]),
         hold_max_ms=scalars.read_duration_ms(bounds.get("hold_max", "10s")),
         cold_ratio=float(bounds["cold_over"]),
-        cold_spare=float(bounds["cold_slack"]),
         retry_ratio=float(bounds["budget_ratio"]),
         retry_spare=float(bounds["budget_slack"]),
-        evacuate_ms=scalars.read_duration_ms(bounds.get("evac", "5s")),
     )
--- a/fuchsiamoor/platform/wire.py
+++ b/fuchsiamoor/platform/wire.py
@@ -157,7 +157,6 @@
         is_other_upstream=whole.status == _MISDIRECTED and not_run,
         is_spoiled=is_spoiled and not not_run,
         load=_read_load(found.get(_LOAD)),
-        leaves=b"close" in found.get(b"connection", b"").lower(),
     )
 
 
--- a/fuchsiamoor/platform/wire_test.py
+++ b/fuchsiamoor/platform/wire_test.py
@@ -3,9 +3,16 @@
 from hypothesis import strategies as st
 
 from fuchsiamoor.daemon.upstream_connection import WholeAnswer
-from fuchsiamoor.platform import heartbeats, publications, scalars, settings, wire
+from fuchsiamoor.platform import (
+    heartbeats,
+    publications,
+    scalars,
+    settings,
+    wire,
+    wire_data,
+)
 from fuchsiamoor.ranges import granting
-from fuchsiamoor.testing import platform_data, traffic_data
+from fuchsiamoor.testing import traffic_data
 
 HEADERS = (
     (b"host", b"ficu95.example"),
@@ -104,7 +111,7 @@
 
 
 def test_a_heartbeat_and_its_answer():
-    found = heartbeats.read_heartbeat("i-1", platform_data.encode_heartbeat())
+    found = heartbeats.read_heartbeat("i-1", wire_data.encode_heartbeat())
     assert found.incarnation.started_unix_ms == 1_700_000_000_000
     assert found.held[0].fence == 7
     assert found.released[0].handover == "5c0e"
@@ -131,7 +138,7 @@
 )
 def test_a_heartbeat_of_another_writer_names_nobody(changes):
     with pytest.raises(ValueError, match=r"\w"):
-        heartbeats.read_heartbeat("i-1", platform_data.encode_heartbeat(**changes))
+        heartbeats.read_heartbeat("i-1", wire_data.encode_heartbeat(**changes))
 
 
 @given(st.binary(max_size=200))
@@ -156,18 +163,16 @@
 )
 
 
-@given(st.sampled_from(sorted(platform_data.HEARTBEAT)), json_values)
+@given(st.sampled_from(sorted(wire_data.HEARTBEAT)), json_values)
 def test_no_field_of_another_type_breaks_the_heartbeat(name, value):
     try:
-        heartbeats.read_heartbeat(
-            "i-1", platform_data.encode_heartbeat(**{name: value})
-        )
+        heartbeats.read_heartbeat("i-1", wire_data.encode_heartbeat(**{name: value}))
     except ValueError:
         return
 
 
 def test_a_configuration_is_decoded_with_its_routes_in_order():
-    found = publications.read_catalog(platform_data.encode_configuration())
+    found = publications.read_catalog(wire_data.encode_configuration())
     assert found.version == 7
     (host,) = found.routes
     read, write = sorted(found.routes[host], key=lambda route: route.name)
@@ -179,7 +184,7 @@
 
 
 def test_the_settings_are_decoded():
-    found = settings.read_settings(platform_data.encode_settings())
+    found = settings.read_settings(wire_data.encode_settings())
     assert found.instance == "10.1.0.38"
     assert found.peer_address.port == 7_380
     assert found.bounds.cold_ratio == 1.5
--- a/fuchsiamoor/testing/traffic_data.py
+++ b/fuchsiamoor/testing/traffic_data.py
@@ -117,7 +117,6 @@
     return dialects.Dialect(
         ready_path="/ready",
         catalog_key=CATALOG_KEY,
-        operator_prefix="operators/",
         read_catalog=lambda value: make_catalog(json.loads(value)),
         read_evacuated=_read_evacuated,
         read_upstream_call=lambda method, path: None,
@@ -170,5 +169,4 @@
         is_other_upstream=False,
         is_spoiled=False,
         load=None,
-        leaves=False,
     )
--- a/fuchsiamoor/traffic/catalog.py
+++ b/fuchsiamoor/traffic/catalog.py
@@ -162,11 +162,6 @@
     return rng.choices(route.shares, weights)[0].service
 
 
-def list_keyed_services(catalog: Catalog) -> list[str]:
-    """Return the names of the services whose upstreams hold key ranges."""
-    return sorted(name for name, terms in catalog.services.items() if terms.is_keyed)
-
-
 def allows_region(home_regions: frozenset[str], region: str) -> bool:
     """Return whether a request with these home regions may be seen in a region."""
     return not home_regions or region in home_regions
--- a/fuchsiamoor/traffic/requests.py
+++ b/fuchsiamoor/traffic/requests.py
@@ -56,8 +56,6 @@
     is_spoiled : bool
         Whether the answer is not what the upstream made.
     load : ReportedLoad or None
-    leaves : bool
-        Whether it asked to close the connection.
     """
 
     status: int
@@ -67,4 +65,3 @@
     is_other_upstream: bool
     is_spoiled: bool
     load: upstreams.ReportedLoad | None
-    leaves: bool
