Keep a slot for what upstreams ask of each other; give keys away only from 150% on

Change: a tenth of the slots is kept for such requests for a second after each; relief begins at 150% with a difference of 80 points.

--- a/fuchsiamoor/agent/balancing.py
+++ b/fuchsiamoor/agent/balancing.py
@@ -88,6 +88,8 @@
         return False
     async with agent.table_lock:
         is_written = await owning.write_table(agent, table, planned, [])
+    if is_written:
+        agent.metrics.count("ranges.given_away")
     logger.bind(
         service=table.service,
         version=planned.version,
@@ -123,6 +125,6 @@
             member, messages.AskUtilization(), ASK_TIMEOUT_MS
         )
     except errors.PeerError:
-        agent.metrics.count("peers.unreachable")
+        agent.metrics.count("balance.unanswered")
         return None
     return answer if answer.owner == registration.owner else None
--- a/fuchsiamoor/ranges/relief.py
+++ b/fuchsiamoor/ranges/relief.py
@@ -13,12 +13,13 @@
 from fuchsiamoor.ranges import demand as demands
 from fuchsiamoor.ranges import table as tables
 
-# An owner that can do what it is asked for gives nothing away: keys on their way have
-# no owner for half a heartbeat, which costs callers more than a short queue.
-GIVING_PERCENT = 110
+# An owner asked for less than this, in percent of what its slots can do, gives nothing
+# away: keys on their way have no owner for half a heartbeat, and a hot spell of seconds
+# that it almost bears is over before that has paid.
+GIVING_PERCENT = 150
 # Least difference of two owners, in percent of their slots, for which keys move: the
 # receiver is to have room for what it gets.
-DIFFERENCE_MIN = 60
+DIFFERENCE_MIN = 80
 # Largest difference that is believed: callers that were refused come again, and are
 # counted again.
 DIFFERENCE_MAX = 100
--- a/fuchsiamoor/reports/metric_names.py
+++ b/fuchsiamoor/reports/metric_names.py
@@ -133,6 +133,9 @@
     "ranges.write_refused": "Range tables that the store refused.",
     "store.failed": "Renewals and registrations that failed.",
     "store.watch_failed": "Watches of the store that failed.",
+    "store.watcher_failed": "Questions to a watching daemon that it could not answer.",
+    "ranges.given_away": "Range tables in which a busy owner gives keys away.",
+    "balance.unanswered": "Owners that did not tell how much they are asked for.",
     "store.unreadable": "Entries of the store that could not be read.",
 }
 _GAUGES = {
--- a/fuchsiamoor/traffic/gate.py
+++ b/fuchsiamoor/traffic/gate.py
@@ -10,6 +10,7 @@
 """
 
 import heapq
+import math
 from collections import deque
 from collections.abc import Hashable
 from dataclasses import dataclass, field
@@ -31,6 +32,11 @@
 # Window over which a cold upstream's arrivals are counted, with a margin for jitter on
 # the way to it.
 COLD_WINDOW_MS = 1_080
+# Share of the slots that is kept for what other upstreams ask for, while they do: their
+# work waits meanwhile and holds slots of its own.
+CALL_SHARE = 0.1
+# The share is kept for this time after each such request.
+CALL_KEPT_MS = 1_000
 # Largest number of requests that wait, whatever their deadlines.
 WAITING_MAX = 400
 
@@ -100,6 +106,8 @@
         Moving average of run times by route, at usual speed.
     work_percent : int
         Reported speed; 100 is usual.
+    called_ms : int or None
+        When another upstream asked for something last.
     starts : deque of int
         Times of the starts within the last window.
     entered : int
@@ -114,6 +122,7 @@
     queued: set = field(default_factory=set)
     run_ms: dict[str, float] = field(default_factory=dict)
     work_percent: int = 100
+    called_ms: int | None = None
     starts: deque = field(default_factory=deque)
     entered: int = 0
 
@@ -141,7 +150,9 @@
     >>> ask(gate, Entrant("c", "r", 0, 300, 300), 0).verdict.reason.name
     'OVER_LIMIT'
     """
-    if gate.waiting == 0 and _has_room(gate, now_ms):
+    if entrant.rank < 0:
+        gate.called_ms = now_ms
+    if _goes_first(gate, entrant.rank) and _has_room(gate, entrant.rank, now_ms):
         _take_slot(gate, now_ms)
         return Enter()
     if gate.waiting >= WAITING_MAX:
@@ -188,7 +199,7 @@
         They cannot end in time any more and have left the queue.
     """
     admitted, expired = [], []
-    while gate.queue and _has_room(gate, now_ms):
+    while gate.queue and _has_room(gate, gate.queue[0][0], now_ms):
         _, is_late, _, entrant = heapq.heappop(gate.queue)
         if entrant.ticket not in gate.queued:
             continue
@@ -239,7 +250,7 @@
     gate: Gate, rank: int, now_ms: int, is_late: bool = False
 ) -> float:
     """Return the expected wait of a request that comes now, in milliseconds."""
-    if gate.waiting == 0 and _has_room(gate, now_ms):
+    if _goes_first(gate, rank) and _has_room(gate, rank, now_ms):
         return 0.0
     ahead = [
         item[3]
@@ -270,8 +281,23 @@
     return min(gate.starts[0] + COLD_WINDOW_MS, gate.cold_until_ms) + 1
 
 
-def _has_room(gate: Gate, now_ms: int) -> bool:
-    return gate.running < gate.slots and _bears_start(gate, now_ms)
+def _goes_first(gate: Gate, rank: int) -> bool:
+    """Return whether nobody who waits goes before a request of a rank."""
+    while gate.queue and gate.queue[0][3].ticket not in gate.queued:
+        heapq.heappop(gate.queue)
+    return gate.waiting == 0 or rank < gate.queue[0][0]
+
+
+def _has_room(gate: Gate, rank: int, now_ms: int) -> bool:
+    kept = _count_kept(gate, now_ms) if rank >= 0 else 0
+    return gate.running < gate.slots - kept and _bears_start(gate, now_ms)
+
+
+def _count_kept(gate: Gate, now_ms: int) -> int:
+    """Return the slots that are kept for requests of other upstreams."""
+    if gate.called_ms is None or now_ms - gate.called_ms > CALL_KEPT_MS:
+        return 0
+    return min(math.ceil(CALL_SHARE * gate.slots), gate.slots - 1)
 
 
 def _bears_start(gate: Gate, now_ms: int) -> bool:
