Write no table that was planned on an older one than is known

The lock and the version kept this from happening as the callers are written; the write itself now refuses it, with a test that plans on a table that was overtaken.

--- a/fuchsiamoor/agent/ownership_schedules_test.py
+++ b/fuchsiamoor/agent/ownership_schedules_test.py
@@ -310,3 +310,21 @@
         return is_written
 
     assert not virtual_time.run(play())
+
+
+def test_a_plan_that_a_newer_table_overtook_is_not_written():
+    async def play():
+        world = range_world.make_world(seed=1, count=2)
+        await _start_all(world)
+        agent = world.machines[0].agent
+        service = range_world.SERVICE
+        older = agent.known.tables[service]
+        newer = older._replace(version=older.version + 1)
+        assert await owning.write_table(agent, older, newer, [])
+        planned = older._replace(version=older.version + 1, rows=older.rows[:1])
+        is_written = await owning.write_table(agent, older, planned, [])
+        stored = agent.known.tables[service]
+        await range_world.close(world)
+        return is_written, stored == newer
+
+    assert virtual_time.run(play()) == (False, True)
--- a/fuchsiamoor/agent/owning.py
+++ b/fuchsiamoor/agent/owning.py
@@ -177,6 +177,10 @@
     bool
         Whether the store holds the planned table; otherwise the newest was read.
     """
+    known = agent.known.tables.get(planned.service)
+    if known is not None and known.version != table.version:
+        agent.metrics.count("ranges.write_conflict")
+        return False
     key = registrations.table_key(planned.service)
     at = agent.known.table_versions.get(planned.service, port.ABSENT)
     value = tables.encode_table(planned)
