--- a/fuchsiamoor/agent/balancing.py
+++ b/fuchsiamoor/agent/balancing.py
@@ -29,7 +29,7 @@
     beside, now_ms = agent.beside, agent.now_ms()
     if beside.demand is None:
         return messages.Utilization("", 0, 1, 100, False, 0)
-    samples = demands.list_recent(beside.demand, list_own_rows(agent), now_ms)
+    samples = demands.list_recent(beside.demand, besides.list_own_rows(agent), now_ms)
     return _make_utilization(agent, samples)
 
 
@@ -50,14 +50,6 @@
     )
 
 
-def list_own_rows(agent: state.Agent) -> list:
-    """Return the rows that the table gives to the upstream beside this daemon."""
-    table = agent.known.tables.get(agent.beside.service)
-    if table is None:
-        return []
-    return [row for row in table.rows if row.owner == agent.beside.owner]
-
-
 async def keep_balanced(agent: state.Agent) -> None:
     """Give keys away while the upstream has far more to do than others."""
     while not agent.stopped.is_set():
@@ -73,7 +65,7 @@
 async def _relieve(agent: state.Agent) -> bool:
     """Give keys away if that is due; return whether the table was written."""
     beside, now_ms = agent.beside, agent.now_ms()
-    samples = demands.list_recent(beside.demand, list_own_rows(agent), now_ms)
+    samples = demands.list_recent(beside.demand, besides.list_own_rows(agent), now_ms)
     own = _make_utilization(agent, samples)
     if own.asked_percent < relief.GIVING_PERCENT:
         return False
--- a/fuchsiamoor/agent/beside.py
+++ b/fuchsiamoor/agent/beside.py
@@ -73,10 +73,13 @@
 
 def has_moving_rows(agent: state.Agent) -> bool:
     """Return whether the upstream beside is to let go of keys."""
+    return any(row.moving_to for row in list_own_rows(agent))
+
+
+def list_own_rows(agent: state.Agent) -> list[tables.Row]:
+    """Return the rows that the table gives to the upstream beside this daemon."""
     table = agent.known.tables.get(agent.beside.service)
-    return table is not None and any(
-        row.owner == agent.beside.owner and row.moving_to for row in table.rows
-    )
+    return [] if table is None else tables.list_rows(table, agent.beside.owner)
 
 
 def _is_registered(agent: state.Agent) -> bool:
--- a/fuchsiamoor/agent/executing.py
+++ b/fuchsiamoor/agent/executing.py
@@ -61,7 +61,7 @@
         return _refuse_request(agent, request, refused)
     beside = agent.beside
     owner, gate = beside.owner, beside.gate
-    if request.key != NO_KEY:
+    if state.is_keyed(agent, request.service):
         # Until it has run here, its runs elsewhere tell how long it takes.
         elsewhere_ms = agent.views.run_ms.get(request.route, gates.FIRST_RUN_MS)
         work_ms = gate.run_ms.get(request.route, elsewhere_ms)
--- a/fuchsiamoor/agent/executing_test.py
+++ b/fuchsiamoor/agent/executing_test.py
@@ -173,3 +173,13 @@
     assert ended.verdict.reason is Reason.CONNECT_FAILED
     assert not ended.has_arrived
     assert agent.beside.ended == agent.beside.owner != ""
+
+
+def test_an_upstream_that_holds_no_keys_has_no_demand_on_them():
+    async def scene(upstream, agent):
+        ended = await _execute(agent, key=5)
+        return ended.verdict, list(agent.beside.demand.samples)
+
+    verdict, samples = _play(scene)
+    assert isinstance(verdict, Ran)
+    assert samples == []
--- a/fuchsiamoor/agent/ownership_schedules_test.py
+++ b/fuchsiamoor/agent/ownership_schedules_test.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from fuchsiamoor.agent import balancing, owning
+from fuchsiamoor.agent import beside, owning
 from fuchsiamoor.core import errors
 from fuchsiamoor.ranges import demand as demands
 from fuchsiamoor.ranges import granting
@@ -48,7 +48,7 @@
     agent = machine.agent
     if agent is None or agent.beside.demand is None:
         return
-    rows = balancing.list_own_rows(agent)
+    rows = beside.list_own_rows(agent)
     if not rows:
         return
     row = world.rng.choice(rows)
--- a/fuchsiamoor/ranges/granting.py
+++ b/fuchsiamoor/ranges/granting.py
@@ -122,7 +122,7 @@
     granting.tokens += heartbeat.released
     if table is None:
         return None
-    rows = [row for row in table.rows if row.owner == granting.owner]
+    rows = tables.list_rows(table, granting.owner)
     granting.left_out_at = {
         (row.first, row.last): _left_out_at(granting, row, heartbeat.sequence)
         for row in rows
@@ -134,10 +134,9 @@
     stays = [row for row in rows if not row.moving_to]
     keys = sum(tables.count_keys(row) for row in stays)
     piece_keys = max(PIECE_KEYS, -(-keys // PIECES_MAX))
+    held = sorted(heartbeat.held)
     grants = tuple(
-        grant
-        for row in stays
-        for grant in _make_grants(row, heartbeat.held, piece_keys)
+        grant for row in stays for grant in _make_grants(row, held, piece_keys)
     )
     granting.served = grants
     granting.served_until_ms = now_ms + hold_ms
@@ -161,9 +160,9 @@
 
 
 def _covers(held: Iterable[upstreams.HeldRange], row: tables.Row) -> bool:
-    """Return whether an upstream holds all keys of a row under its fence."""
+    """Return whether what is held, in order, has all keys of a row under its fence."""
     first = row.first
-    for item in sorted(held):
+    for item in held:
         if item.fence == row.fence and item.first <= first <= item.last:
             first = item.last + 1
     return first > row.last
@@ -266,7 +265,7 @@
 
 def forget_tokens(granting: Granting, table: tables.RangeTable) -> None:
     """Drop the tokens of keys that the incarnation no longer owns in a table."""
-    owned = [row for row in table.rows if row.owner == granting.owner]
+    owned = tables.list_rows(table, granting.owner)
     granting.tokens = [
         token
         for token in granting.tokens
--- a/fuchsiamoor/ranges/relief.py
+++ b/fuchsiamoor/ranges/relief.py
@@ -75,9 +75,8 @@
     table: tables.RangeTable, giver: Giver, receiver: Utilization
 ) -> tables.RangeTable | None:
     """Return the table in which keys of the giver are to move, None without a cut."""
-    rows = [
-        row for row in table.rows if row.owner == giver.told.owner and not row.moving_to
-    ]
+    owned = tables.list_rows(table, giver.told.owner)
+    rows = [row for row in owned if not row.moving_to]
     if not rows or len(rows) >= ROWS_MAX:
         return None
     difference = min(giver.told.asked_percent - receiver.asked_percent, DIFFERENCE_MAX)
--- a/fuchsiamoor/ranges/table.py
+++ b/fuchsiamoor/ranges/table.py
@@ -107,6 +107,11 @@
     return {row.owner for row in table.rows} - {NO_OWNER}
 
 
+def list_rows(table: RangeTable, owner: str) -> list[Row]:
+    """Return the rows of one owner, in order, those that are to move included."""
+    return [row for row in table.rows if row.owner == owner]
+
+
 def split_row(row: Row, sizes: Sequence[int]) -> list[Row]:
     """Cut a row into pieces of given sizes, which add up to its keys."""
     pieces, first = [], row.first
--- a/fuchsiamoor/traffic/gate.py
+++ b/fuchsiamoor/traffic/gate.py
@@ -199,10 +199,8 @@
         They cannot end in time any more and have left the queue.
     """
     admitted, expired = [], []
-    while gate.queue and _has_room(gate, gate.queue[0][0], now_ms):
+    while _drop_left(gate) and _has_room(gate, gate.queue[0][0], now_ms):
         _, is_late, _, entrant = heapq.heappop(gate.queue)
-        if entrant.ticket not in gate.queued:
-            continue
         gate.queued.discard(entrant.ticket)
         needed_ms = RUN_SHARE * estimate_run_ms(gate, entrant.route)
         if now_ms + needed_ms > entrant.ends_by_ms:
@@ -283,9 +281,14 @@
 
 def _goes_first(gate: Gate, rank: int) -> bool:
     """Return whether nobody who waits goes before a request of a rank."""
+    return not _drop_left(gate) or rank < gate.queue[0][0]
+
+
+def _drop_left(gate: Gate) -> bool:
+    """Take those that left off the queue's head; return whether anybody waits."""
     while gate.queue and gate.queue[0][3].ticket not in gate.queued:
         heapq.heappop(gate.queue)
-    return gate.waiting == 0 or rank < gate.queue[0][0]
+    return bool(gate.queue)
 
 
 def _has_room(gate: Gate, rank: int, now_ms: int) -> bool:
