Bound what an upstream may send besides a body, and trust only answers that name the request

Cause: httptools hands a header over only once it is complete, and the size limit was checked on what it hands over. A header, a status reason, a chunk extension or a trailer without end, and interim answers in a row, were read for ever and kept in memory. An answer without a request id was taken for the request's own, on both daemons, so an earlier refusal written once more on a kept connection could become a 'not run' for a request that ran. The product's own client also returned a refusal before it had looked at an id header that came after it, and reused the connection after a crossed answer.

Ruled out: a limit on the head alone (chunk framing and trailers come after it), and a fixed limit on framing, which would cut off bodies in small chunks.

Change: raw bytes since the request was written, less the body's, may exceed the body by 64 KiB at most; past that the connection is aborted. An answer is the request's own only if it has exactly one request id, and that one. The platform's daemon drops an answer to another request and waits on for its own; an answer that names none or several ends the exchange as may-have-run. The product's own daemon ends the exchange on either.

--- a/bench/path_load.py
+++ b/bench/path_load.py
@@ -7,6 +7,7 @@
 import asyncio
 import contextlib
 import json
+import re
 import sys
 import time
 from typing import NamedTuple
@@ -124,10 +125,16 @@
     )
 
 
+_REQUEST_ID = re.compile(rb"Fuchsiamoor-Request-Id: *(\S+)", re.IGNORECASE)
+
+
 class Upstream(asyncio.Protocol):
     """Answers each request as soon as it is complete."""
 
-    answer = b"HTTP/1.1 200 OK\r\nContent-Length: 200\r\n\r\n" + b"y" * BODY_BYTES
+    answer = (
+        b"HTTP/1.1 200 OK\r\nFuchsiamoor-Request-Id: %b\r\n"
+        b"Content-Length: 200\r\n\r\n" + b"y" * BODY_BYTES
+    )
 
     def connection_made(self, transport):
         """Store the transport."""
@@ -140,7 +147,8 @@
         head, separator, body = self.buffer.partition(b"\r\n\r\n")
         if separator and (len(body) >= BODY_BYTES or head.startswith(b"GET")):
             self.buffer = b""
-            self.transport.write(self.answer)
+            found = _REQUEST_ID.search(head)
+            self.transport.write(self.answer % (found[1] if found else b""))
 
 
 async def _serve_upstream(arguments: list[str]) -> None:
--- a/fuchsiamoor/agent/dialect.py
+++ b/fuchsiamoor/agent/dialect.py
@@ -4,12 +4,12 @@
 wire.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from typing import NamedTuple
 
 from fuchsiamoor.core.carried import CarriedRequest
 from fuchsiamoor.core.requests import Headers
-from fuchsiamoor.daemon.upstream_connection import WholeAnswer
+from fuchsiamoor.daemon.upstream_connection import AnswerMatch, WholeAnswer
 from fuchsiamoor.ranges import granting
 from fuchsiamoor.traffic import catalog, requests, upstreams
 
@@ -65,8 +65,8 @@
         Decodes a caller's request from method, target, headers and body.
     write_request : callable
         Encodes a request for an upstream, given its id and the remaining milliseconds.
-    is_answer_to : callable
-        Whether the headers of an answer belong to a request id.
+    match_answer : callable
+        Returns whether the headers of an answer name a request id.
     read_answer : callable
     write_health_check, read_health : callable
     write_request_id : callable
@@ -82,7 +82,7 @@
     write_heartbeat_answer: Callable[[granting.Grants | None], bytes]
     read_request: Callable[[str, str, Headers, bytes], requests.CallerRequest]
     write_request: Callable[[CarriedRequest, str, int], bytes]
-    is_answer_to: Callable[[str, Iterable[tuple[bytes, bytes]]], bool]
+    match_answer: Callable[[str, list[tuple[bytes, bytes]]], AnswerMatch]
     read_answer: Callable[[WholeAnswer], requests.UpstreamAnswer]
     write_health_check: Callable[[str, str], bytes]
     read_health: Callable[[WholeAnswer], Health]
--- a/fuchsiamoor/agent/local_execution.py
+++ b/fuchsiamoor/agent/local_execution.py
@@ -245,7 +245,7 @@
         payload,
         request.method == "HEAD",
         remaining_ms,
-        lambda headers: agent.dialect.is_answer_to(request.request_id, headers),
+        lambda headers: agent.dialect.match_answer(request.request_id, headers),
     )
     run_ms = agent.now_ms() - began_ms
     match received:
--- a/fuchsiamoor/daemon/upstream_client.py
+++ b/fuchsiamoor/daemon/upstream_client.py
@@ -15,7 +15,13 @@
 from fuchsiamoor.core.requests import Answer, Request
 from fuchsiamoor.core.verdicts import MayHaveRun, NotRun, Ran, Reason
 from fuchsiamoor.daemon import http_headers, upstream_pool
-from fuchsiamoor.daemon.upstream_connection import Lost, Received, WholeAnswer
+from fuchsiamoor.daemon.upstream_connection import (
+    AnswerMatch,
+    Lost,
+    Received,
+    WholeAnswer,
+    match_request_id,
+)
 from fuchsiamoor.routing import error_answers
 
 CONTROL_TIMEOUT_MS = 1000
@@ -23,6 +29,8 @@
 CONTROL_CONNECTIONS = 2
 NOT_RUN_STATUS = 503
 
+_REQUEST_ID = b"fuchsiamoor-request-id"
+
 _REASON_BY_NOT_RUN_VALUE = {
     b"shed": Reason.SHED,
     b"fenced": Reason.FENCED,
@@ -106,7 +114,11 @@
             return _refuse(request, NotRun(Reason.BAD_REQUEST, str(error)))
         remaining_ms = deadline_at_unix_ms - time.time_ns() // 1_000_000
         received = await upstream_pool.exchange(
-            self.pool, payload, request.method == "HEAD", remaining_ms
+            self.pool,
+            payload,
+            request.method == "HEAD",
+            remaining_ms,
+            lambda headers: _match_answer(request, headers),
         )
         match received:
             case NotRun():
@@ -234,11 +246,18 @@
     return joined + request.body
 
 
+def _match_answer(request: Request, headers: list[tuple[bytes, bytes]]) -> AnswerMatch:
+    """Return whose an answer is; one to another request ends the exchange too.
+
+    An upstream sends one answer to each request, so that an answer to another request
+    means that the connection is out of step.
+    """
+    match = match_request_id(_REQUEST_ID, request.request_id, headers)
+    return AnswerMatch.OWN if match is AnswerMatch.OWN else AnswerMatch.UNCLEAR
+
+
 def _make_answer(instance: str, request: Request, received: WholeAnswer) -> Answer:
     for name, value in received.headers:
-        if name == b"fuchsiamoor-request-id" and value != request.request_id.encode():
-            crossed = MayHaveRun(Reason.TRUNCATED, "answer to another request")
-            return _refuse(request, crossed)
         if name == b"fuchsiamoor-not-run" and received.status == NOT_RUN_STATUS:
             reason = _REASON_BY_NOT_RUN_VALUE.get(value, Reason.SHED)
             return _refuse(request, NotRun(reason, "refused by the upstream"))
--- a/fuchsiamoor/daemon/upstream_client_test.py
+++ b/fuchsiamoor/daemon/upstream_client_test.py
@@ -14,8 +14,19 @@
 from fuchsiamoor.testing.scripted_server import make_answer, serve_script
 
 METHODS = ["GET", "HEAD", "PUT", "POST", "DELETE", "PATCH", "OPTIONS"]
-OK = make_answer(200, b"ok")
-CHUNKED = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"
+OWN_ID = "Fuchsiamoor-Request-Id: r-1\r\n"
+
+
+def make_own_answer(status, body=b"", headers=""):
+    """Return an answer that names the default request of these tests."""
+    return make_answer(status, body, OWN_ID + headers)
+
+
+OK = make_own_answer(200, b"ok")
+CHUNKED = (
+    b"HTTP/1.1 200 OK\r\nfuchsiamoor-request-id: r-1\r\n"
+    b"transfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"
+)
 
 
 def unix_ms():
@@ -96,7 +107,7 @@
 
 def test_hop_by_hop_and_own_headers_of_the_answer_are_dropped():
     headers = "X-A: 1\r\nConnection: x-b\r\nX-B: 2\r\nFuchsiamoor-Verdict: not-run\r\n"
-    answer, _ = run_once(make_answer(200, b"ok", headers))
+    answer, _ = run_once(make_own_answer(200, b"ok", headers))
     assert answer.headers == ((b"x-a", b"1"),)
 
 
@@ -110,12 +121,26 @@
         (b"HTTP/1.1 200 OK\r\n\r\nuntil the end", Reason.TRUNCATED),
         (b"HTTP/1.1 100 Continue\r\n\r\n", Reason.UPSTREAM_LOST),
         (b"garbage\r\n\r\n", Reason.UPSTREAM_LOST),
-        (make_answer(200, bytes(1001)), Reason.TRUNCATED),
-        (make_answer(200, b"", f"x: {'y' * 70_000}\r\n"), Reason.UPSTREAM_LOST),
+        (make_own_answer(200, bytes(1001)), Reason.TRUNCATED),
+        (make_own_answer(200, b"", f"x: {'y' * 70_000}\r\n"), Reason.UPSTREAM_LOST),
         (
             make_answer(200, b"ok", "Fuchsiamoor-Request-Id: r-2\r\n"),
             Reason.TRUNCATED,
         ),
+        (make_answer(200, b"ok"), Reason.TRUNCATED),
+        (make_answer(503, b"", "Fuchsiamoor-Not-Run: shed\r\n"), Reason.TRUNCATED),
+        (
+            make_answer(
+                503,
+                b"",
+                "Fuchsiamoor-Not-Run: shed\r\nFuchsiamoor-Request-Id: r-2\r\n",
+            ),
+            Reason.TRUNCATED,
+        ),
+        (
+            make_own_answer(200, b"ok", "Fuchsiamoor-Request-Id: r-2\r\n"),
+            Reason.TRUNCATED,
+        ),
     ],
 )
 def test_incomplete_or_invalid_answer_may_have_run(step, reason):
@@ -142,14 +167,15 @@
     ],
 )
 def test_upstreams_refusal_is_not_run(value, reason):
-    answer, _ = run_once(make_answer(503, b"", f"Fuchsiamoor-Not-Run: {value}\r\n"))
+    refusal = make_own_answer(503, b"", f"Fuchsiamoor-Not-Run: {value}\r\n")
+    answer, _ = run_once(refusal)
     assert isinstance(answer.verdict, NotRun) and answer.verdict.reason is reason
 
 
 @pytest.mark.parametrize("status", [200, 500, 503])
 def test_answer_without_a_refusal_header_ran(status):
     headers = "Fuchsiamoor-Not-Run: shed\r\n" if status != 503 else ""
-    answer, _ = run_once(make_answer(status, b"ok", headers))
+    answer, _ = run_once(make_own_answer(status, b"ok", headers))
     assert (answer.verdict, answer.status) == (Ran(), status)
 
 
@@ -196,7 +222,8 @@
 
 
 @pytest.mark.parametrize(
-    "step", [make_answer(200, b"ok", "Connection: close\r\n"), OK + b"HTTP/1.1 200"]
+    "step",
+    [make_own_answer(200, b"ok", "Connection: close\r\n"), OK + b"HTTP/1.1 200"],
 )
 def test_connection_is_not_reused_when_closing_or_with_bytes_after_the_answer(step):
     async def scenario(client, server):
@@ -204,7 +231,7 @@
         assert (await run_request(client)).body == b"two"
         assert server.connection_count == 2
 
-    run([step, make_answer(200, b"two")], scenario)
+    run([step, make_own_answer(200, b"two")], scenario)
 
 
 def test_connection_idle_for_too_long_is_not_reused(monkeypatch):
@@ -324,12 +351,25 @@
     run(steps, scenario)
 
 
-REFUSAL = make_answer(503, b"", "Fuchsiamoor-Not-Run: shed\r\n")
+def find_id(request):
+    """Return the id in a raw request."""
+    return re.search(rb"Request-Id: (\S+)", request)[1]
+
+
+def name_request(request):
+    """Return the header line that names a raw request in its answer."""
+    return f"Fuchsiamoor-Request-Id: {find_id(request).decode()}\r\n"
+
+
+def refuse(request):
+    """Answer that the request has not run."""
+    headers = "Fuchsiamoor-Not-Run: shed\r\n" + name_request(request)
+    return make_answer(503, b"", headers)
 
 
 def echo(request):
     """Answer with the request's own id."""
-    return make_answer(200, re.search(rb"Request-Id: (\S+)", request)[1])
+    return make_answer(200, find_id(request), name_request(request))
 
 
 script_steps = st.sampled_from(
@@ -337,7 +377,7 @@
         echo,
         b"",
         None,
-        REFUSAL,
+        refuse,
         lambda request: echo(request)[:-1],
         lambda request: echo(request) + b"x",
     ]
--- a/fuchsiamoor/daemon/upstream_connection.py
+++ b/fuchsiamoor/daemon/upstream_connection.py
@@ -2,12 +2,15 @@
 
 import asyncio
 from collections.abc import Callable
+from enum import Enum
 from typing import NamedTuple
 
 import httptools
 
 from fuchsiamoor.core.verdicts import Reason
 
+# Largest accepted head of an answer. All bytes of an answer that are not part of its
+# body (heads, interim answers, chunk framing, trailers) may exceed the body by as much.
 MAX_HEAD_BYTES = 64 * 1024
 
 _FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
@@ -31,6 +34,38 @@
 Received = WholeAnswer | Lost
 
 
+class AnswerMatch(Enum):
+    """Which request an answer belongs to, by the request ids in its headers."""
+
+    OWN = "own"
+    # It names another request, so the own answer may still follow it.
+    OTHER = "other"
+    # It names no request, or several: nothing on the connection can be trusted.
+    UNCLEAR = "unclear"
+
+
+MatchAnswer = Callable[[list[tuple[bytes, bytes]]], AnswerMatch]
+
+
+def match_request_id(
+    header: bytes, request_id: str, headers: list[tuple[bytes, bytes]]
+) -> AnswerMatch:
+    """Compare the request id in an answer's headers with that of the request.
+
+    Parameters
+    ----------
+    header : bytes
+        Name of the header with the request id, in lower case.
+    request_id : str
+    headers : list of tuple of bytes
+    """
+    found = [value for name, value in headers if name == header]
+    if len(found) != 1:
+        return AnswerMatch.UNCLEAR
+    is_own = found[0] == request_id.encode("latin-1")
+    return AnswerMatch.OWN if is_own else AnswerMatch.OTHER
+
+
 class UpstreamConnection(asyncio.Protocol):
     """Protocol of one connection: writes requests and parses their answers.
 
@@ -57,14 +92,15 @@
         "_body",
         "_body_bytes",
         "_is_close_delimited",
-        "_expects",
         "_future",
         "_has_final_status",
         "_head_bytes",
         "_headers",
         "_is_head",
+        "_match_answer",
         "_on_lost",
         "_parser",
+        "_received_bytes",
         "_accepts_close_delimited",
         "_transport",
         "idle_since_s",
@@ -92,7 +128,7 @@
         payload: bytes,
         is_head: bool,
         future: "asyncio.Future[Received]",
-        expects: Callable[[list[tuple[bytes, bytes]]], bool] | None = None,
+        match_answer: MatchAnswer | None = None,
     ) -> None:
         """Write one request; ``future`` gets its answer or `Lost`.
 
@@ -103,15 +139,18 @@
         is_head : bool
             Whether the answer has no body regardless of its headers.
         future : Future
-        expects : callable, optional
-            Returns whether an answer with these headers belongs to the request. Any
-            other answer is dropped, and the connection is not reused.
+        match_answer : callable, optional
+            Returns which request an answer with these headers belongs to. An answer to
+            another request is dropped, and the connection is not reused; an unclear
+            one ends the exchange with `Lost`.
         """
         self._future = future
-        self._expects = expects
+        self._match_answer = match_answer
         self._is_head = is_head
         self._has_final_status = False
         self._head_bytes = 0
+        self._received_bytes = 0
+        self._body_bytes = 0
         self._transport.write(payload)
 
     def abort(self) -> None:
@@ -144,12 +183,21 @@
         if self._future is None:
             self.abort()
             return
+        self._received_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             if self._future is not None:
                 self._set_lost(f"malformed answer: {error!r}")
             self.abort()
+            return
+        if self._future is None:
+            return
+        overhead_bytes = self._received_bytes - self._body_bytes
+        # The parser keeps an unfinished header without reporting its size.
+        if overhead_bytes > self._body_bytes + MAX_HEAD_BYTES:
+            self._set_lost(f"{overhead_bytes} bytes besides the answer's body")
+            self.abort()
 
     def on_message_begin(self) -> None:
         """Start an answer; a second one to a request ends the connection's reuse."""
@@ -158,7 +206,6 @@
         self._is_close_delimited = False
         self._headers: list[tuple[bytes, bytes]] = []
         self._body: list[bytes] = []
-        self._body_bytes = 0
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store one header, within the size limit."""
@@ -201,9 +248,7 @@
         if self._transport is not None and self._transport.get_write_buffer_size() > 0:
             # The upstream would parse the unsent rest of the request as the next one.
             self.is_reusable = False
-        if self._future is not None and not self._is_expected():
-            self.is_reusable = False
-            self._has_final_status = False
+        if self._future is not None and not self._is_own_answer():
             return
         future, self._future = self._future, None
         if future is None or future.done():
@@ -212,8 +257,19 @@
         status = self._parser.get_status_code()
         future.set_result(WholeAnswer(status, self._headers, b"".join(self._body)))
 
-    def _is_expected(self) -> bool:
-        return self._expects is None or self._expects(self._headers)
+    def _is_own_answer(self) -> bool:
+        """Return whether the parsed answer is the request's; otherwise drop it."""
+        if self._match_answer is None:
+            return True
+        match = self._match_answer(self._headers)
+        if match is AnswerMatch.OWN:
+            return True
+        self.is_reusable = False
+        if match is AnswerMatch.UNCLEAR:
+            self._set_lost("the answer does not name the request")
+            self._transport.abort()
+        self._has_final_status = False
+        return False
 
     def _set_lost(self, detail: str) -> None:
         future, self._future = self._future, None
--- /dev/null
+++ b/fuchsiamoor/daemon/upstream_connection_test.py
@@ -0,0 +1,179 @@
+import asyncio
+
+import pytest
+
+from fuchsiamoor.core.addresses import Address
+from fuchsiamoor.daemon import upstream_connection, upstream_pool
+from fuchsiamoor.daemon.upstream_connection import AnswerMatch, Lost, WholeAnswer
+
+BODY_LIMIT_BYTES = 1_000_000
+# What an endless sender offers before a test gives up on being cut off.
+OFFERED_BYTES = 8_000_000
+HEAD = b"HTTP/1.1 200 OK\r\n"
+CHUNKED_HEAD = HEAD + b"transfer-encoding: chunked\r\n\r\n"
+
+ENDLESS = {
+    "header name": (HEAD, b"x"),
+    "header value": (HEAD + b"x: ", b"y"),
+    "reason": (b"HTTP/1.1 200 ", b"O"),
+    "many headers": (HEAD, b"a: b\r\n"),
+    "chunk extension": (CHUNKED_HEAD + b"1;", b"e"),
+    "trailer name": (CHUNKED_HEAD + b"0\r\n", b"t"),
+    "trailers": (CHUNKED_HEAD + b"0\r\n", b"a: b\r\n"),
+    "interim answers": (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+    "answers to others": (
+        b"",
+        b"HTTP/1.1 200 OK\r\nx-id: 2\r\ncontent-length: 0\r\n\r\n",
+    ),
+    "tiny chunks": (CHUNKED_HEAD, b"1\r\nz\r\n"),
+}
+
+
+class FakeTransport:
+    """Records whether the connection was aborted."""
+
+    def __init__(self):
+        self.is_aborted = False
+
+    def write(self, data):
+        pass
+
+    def abort(self):
+        self.is_aborted = True
+
+    def get_write_buffer_size(self):
+        return 0
+
+
+def match_by_id(headers):
+    return AnswerMatch.OTHER if (b"x-id", b"2") in headers else AnswerMatch.OWN
+
+
+def start_exchange(loop, match_answer=None):
+    connection = upstream_connection.UpstreamConnection(
+        BODY_LIMIT_BYTES, lambda lost: None
+    )
+    transport = FakeTransport()
+    connection.connection_made(transport)
+    future = loop.create_future()
+    connection.exchange(b"request", False, future, match_answer)
+    return connection, transport, future
+
+
+async def feed(pieces, match_answer=None):
+    """Feed pieces until the connection is aborted; return it with the bytes fed."""
+    connection, transport, future = start_exchange(
+        asyncio.get_running_loop(), match_answer
+    )
+    fed = 0
+    for piece in pieces:
+        connection.data_received(piece)
+        fed += len(piece)
+        if transport.is_aborted or fed > OFFERED_BYTES:
+            break
+    return transport, future, fed
+
+
+@pytest.mark.parametrize("piece_bytes", [1, 4_096, 200_000])
+@pytest.mark.parametrize("shape", ENDLESS)
+def test_an_answer_without_end_is_cut_off_after_a_bounded_number_of_bytes(
+    shape, piece_bytes
+):
+    start, unit = ENDLESS[shape]
+
+    def make_pieces():
+        yield start
+        repeated = unit * (piece_bytes // len(unit) + 1)
+        while True:
+            for at in range(0, len(repeated), piece_bytes):
+                yield repeated[at : at + piece_bytes]
+
+    transport, future, fed = asyncio.run(feed(make_pieces(), match_by_id))
+    assert transport.is_aborted
+    assert isinstance(future.result(), Lost)
+    # Chunk framing may take as much again as the part of the body that has arrived.
+    assert fed <= 2 * upstream_connection.MAX_HEAD_BYTES + 2 * piece_bytes + len(start)
+
+
+def test_a_body_in_small_chunks_is_read_whole():
+    body = bytes(range(256)) * 1_000
+    chunks = [
+        b"10\r\n" + body[at : at + 16] + b"\r\n" for at in range(0, len(body), 16)
+    ]
+
+    async def scenario():
+        return await feed([CHUNKED_HEAD, *chunks, b"0\r\n\r\n"])
+
+    transport, future, _ = asyncio.run(scenario())
+    assert future.result() == WholeAnswer(
+        200, [(b"transfer-encoding", b"chunked")], body
+    )
+    assert not transport.is_aborted
+
+
+def test_the_own_answer_is_delivered_after_one_to_another_request():
+    other = b"HTTP/1.1 503 X\r\nx-id: 2\r\ncontent-length: 0\r\n\r\n"
+    own = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
+
+    async def scenario():
+        return await feed([other + other, own], match_by_id)
+
+    _, future, _ = asyncio.run(scenario())
+    assert future.result().status == 200
+
+
+def test_an_unclear_answer_ends_the_exchange_and_the_connection():
+    answer = b"HTTP/1.1 503 X\r\ncontent-length: 0\r\n\r\n"
+
+    async def scenario():
+        return await feed([answer], lambda headers: AnswerMatch.UNCLEAR)
+
+    transport, future, _ = asyncio.run(scenario())
+    assert isinstance(future.result(), Lost) and transport.is_aborted
+
+
+def test_other_requests_are_served_while_an_upstream_never_stops_sending():
+    sent = {"bytes": 0}
+
+    async def serve(reader, writer):
+        head = await reader.readuntil(b"\r\n\r\n")
+        try:
+            if b"/endless" not in head:
+                writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok")
+                await writer.drain()
+                return
+            writer.write(b"HTTP/1.1 200 OK\r\nx: ")
+            while True:
+                writer.write(b"y" * 65_536)
+                sent["bytes"] += 65_536
+                await writer.drain()
+        except ConnectionError:
+            pass
+        finally:
+            writer.close()
+
+    async def scenario():
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        address = Address(*server.sockets[0].getsockname()[:2])
+        pool = upstream_pool.Pool(address, 8, BODY_LIMIT_BYTES)
+
+        async def ask(path):
+            payload = f"GET {path} HTTP/1.1\r\nHost: a\r\n\r\n".encode()
+            return await upstream_pool.exchange(pool, payload, False, 5_000)
+
+        answers = await asyncio.gather(
+            *(ask("/endless") for _ in range(8)), *(ask("/plain") for _ in range(8))
+        )
+        later = await ask("/plain")
+        await asyncio.sleep(0.05)
+        upstream_pool.close(pool)
+        await asyncio.sleep(0)
+        server.close()
+        return answers, later, pool.open_count
+
+    answers, later, open_count = asyncio.run(scenario())
+    assert all(isinstance(answer, Lost) for answer in answers[:8])
+    assert all(answer.body == b"ok" for answer in answers[8:])
+    assert later.body == b"ok" and open_count == 0
+    # Sockets buffer some megabytes of what is never read.
+    assert sent["bytes"] < 8 * 16 * 1024 * 1024
--- a/fuchsiamoor/daemon/upstream_pool.py
+++ b/fuchsiamoor/daemon/upstream_pool.py
@@ -2,13 +2,13 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from fuchsiamoor.core.addresses import Address
 from fuchsiamoor.core.verdicts import NotRun, Reason
 from fuchsiamoor.daemon.upstream_connection import (
     Lost,
+    MatchAnswer,
     Received,
     UpstreamConnection,
 )
@@ -73,7 +73,7 @@
     payload: bytes,
     is_head: bool,
     timeout_ms: int,
-    expects: Callable[[list[tuple[bytes, bytes]]], bool] | None = None,
+    match_answer: MatchAnswer | None = None,
     connection: UpstreamConnection | None = None,
 ) -> Received | NotRun:
     """Write a request once and wait for its answer or loss.
@@ -87,8 +87,8 @@
         Whether the answer has no body regardless of its headers.
     timeout_ms : int
         Time limit, including the time to connect.
-    expects : callable, optional
-        Returns whether an answer with these headers belongs to the request.
+    match_answer : callable, optional
+        Returns which request an answer with these headers belongs to.
     connection : UpstreamConnection, optional
         A connection that was acquired before; by default one from the pool.
     """
@@ -105,7 +105,7 @@
     future = loop.create_future()
     timer = loop.call_at(deadline_s, _expire, future)
     try:
-        connection.exchange(payload, is_head, future, expects)
+        connection.exchange(payload, is_head, future, match_answer)
         received = await future
     except BaseException:
         connection.abort()
--- a/fuchsiamoor/platform/dialect.py
+++ b/fuchsiamoor/platform/dialect.py
@@ -16,7 +16,7 @@
         write_heartbeat_answer=heartbeats.write_answer,
         read_request=wire.read_request,
         write_request=wire.write_request,
-        is_answer_to=wire.is_answer_to,
+        match_answer=wire.match_answer,
         read_answer=wire.read_answer,
         write_health_check=wire.write_health_check,
         read_health=wire.read_health,
--- a/fuchsiamoor/platform/wire.py
+++ b/fuchsiamoor/platform/wire.py
@@ -1,12 +1,14 @@
 """Encodes and decodes HTTP requests and answers with the platform's headers."""
 
-from collections.abc import Iterable
-
 from fuchsiamoor.agent import dialect
 from fuchsiamoor.core import carried
 from fuchsiamoor.core.requests import Headers
 from fuchsiamoor.daemon import http_headers
-from fuchsiamoor.daemon.upstream_connection import WholeAnswer
+from fuchsiamoor.daemon.upstream_connection import (
+    AnswerMatch,
+    WholeAnswer,
+    match_request_id,
+)
 from fuchsiamoor.traffic import catalog, requests, upstreams
 
 _REQUEST_ID = b"fuchsiamoor-request-id"
@@ -144,10 +146,9 @@
     return head + b"\r\n\r\n" + request.body
 
 
-def is_answer_to(request_id: str, headers: Iterable[tuple[bytes, bytes]]) -> bool:
-    """Return whether an upstream's answer names this request or no request."""
-    expected = request_id.encode("latin-1")
-    return all(value == expected for name, value in headers if name == _REQUEST_ID)
+def match_answer(request_id: str, headers: list[tuple[bytes, bytes]]) -> AnswerMatch:
+    """Return which request an upstream's answer belongs to."""
+    return match_request_id(_REQUEST_ID, request_id, headers)
 
 
 def read_answer(whole: WholeAnswer) -> requests.UpstreamAnswer:
--- a/fuchsiamoor/platform/wire_test.py
+++ b/fuchsiamoor/platform/wire_test.py
@@ -2,7 +2,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from fuchsiamoor.daemon.upstream_connection import WholeAnswer
+from fuchsiamoor.daemon.upstream_connection import AnswerMatch, WholeAnswer
 from fuchsiamoor.platform import (
     heartbeats,
     operator_entries,
@@ -105,9 +105,18 @@
     assert SIGNATURE in answer.headers
 
 
-def test_answer_to_another_request_is_detected():
-    assert wire.is_answer_to("a", [(b"fuchsiamoor-request-id", b"a")])
-    assert not wire.is_answer_to("a", [(b"fuchsiamoor-request-id", b"b")])
+@pytest.mark.parametrize(
+    ("named", "match"),
+    [
+        ([b"a"], AnswerMatch.OWN),
+        ([b"b"], AnswerMatch.OTHER),
+        ([], AnswerMatch.UNCLEAR),
+        ([b"a", b"b"], AnswerMatch.UNCLEAR),
+    ],
+)
+def test_only_an_answer_that_names_the_request_is_its_own(named, match):
+    headers = [(b"fuchsiamoor-request-id", value) for value in named]
+    assert wire.match_answer("a", headers) is match
 
 
 def test_heartbeat_is_decoded_and_its_answer_encoded():
--- a/fuchsiamoor/testing/traffic_data.py
+++ b/fuchsiamoor/testing/traffic_data.py
@@ -6,6 +6,7 @@
 from fuchsiamoor.core import agent_settings
 from fuchsiamoor.core.addresses import Address
 from fuchsiamoor.core.carried import NO_KEY, CarriedRequest
+from fuchsiamoor.daemon.upstream_connection import AnswerMatch
 from fuchsiamoor.traffic import catalog, requests, upstreams
 
 KEYED_SERVICE = "stock"
@@ -129,7 +130,7 @@
         write_heartbeat_answer=lambda grants: b"{}",
         read_request=_read_request,
         write_request=_write_request,
-        is_answer_to=lambda request_id, headers: True,
+        match_answer=lambda request_id, headers: AnswerMatch.OWN,
         read_answer=_read_answer,
         write_health_check=lambda path, host: b"GET / HTTP/1.1\r\nHost: a\r\n\r\n",
         read_health=lambda whole: dialects.Health("", 0, None),
