Bound what callers may send besides a body, and survive malformed documents of store and peers

Cause: a caller's chunk extensions and trailers were read without limit after the head, and a body that stopped half-way was held for ever. A store's answer that was a list, an infinite number or deeply nested raised AttributeError, OverflowError or RecursionError out of the store client, and a peer's malformed relayed answer raised CBOR errors: the watch or the registration task failed and started anew. A duration of 400 digits raised OverflowError in the reader of heartbeats and configurations.

Change: the same bound as for upstreams' answers on callers' requests, and 408 after the idle timeout without a byte of the body; each decoder raises its own error only.

--- a/fuchsiamoor/agent/http_server.py
+++ b/fuchsiamoor/agent/http_server.py
@@ -115,6 +115,9 @@
         self._pending: deque[asyncio.Task] = deque()
         self._timer: asyncio.TimerHandle | None = None
         self._is_reading_request = False
+        # Bytes of the request being read, without those of the read that began it.
+        self._received_bytes = 0
+        self._read_bytes = 0
         self._is_closing = False
         self._is_paused = False
         self._loop = asyncio.get_running_loop()
@@ -160,6 +163,7 @@
             self._set_timer(self._limits.header_timeout_ms, self._handle_head_timeout)
         if not self._body and self._is_reading_head():
             self._head_bytes += len(data)
+        self._read_bytes = len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -170,6 +174,16 @@
                 self._refuse(HTTPStatus.BAD_REQUEST)
         if self._is_reading_head() and self._head_bytes > self._limits.header_bytes:
             self._refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+        elif self._is_reading_request and self._is_head_complete:
+            self._received_bytes += len(data)
+            self._check_body_framing()
+
+    def _check_body_framing(self) -> None:
+        """Bound chunk framing and trailers, and the time between parts of a body."""
+        self._set_timer(self._limits.idle_timeout_ms, self._handle_body_timeout)
+        overhead_bytes = self._received_bytes - self._body_bytes
+        if overhead_bytes > self._body_bytes + self._limits.header_bytes:
+            self._refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
 
     def _is_reading_head(self) -> bool:
         return self._is_reading_request and not self._is_head_complete
@@ -179,6 +193,7 @@
         self._reset_request()
         self._is_reading_request = True
         self._is_head_complete = False
+        self._received_bytes = -self._read_bytes
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the target."""
@@ -305,6 +320,10 @@
         if self._is_reading_head() or not self.is_busy:
             self._refuse(HTTPStatus.REQUEST_TIMEOUT)
 
+    def _handle_body_timeout(self) -> None:
+        if self._is_reading_request:
+            self._refuse(HTTPStatus.REQUEST_TIMEOUT)
+
     def _set_timer(self, delay_ms: int, callback: Callable[[], None]) -> None:
         self._clear_timer()
         self._timer = self._loop.call_later(delay_ms / 1000, callback)
--- a/fuchsiamoor/agent/http_server_test.py
+++ b/fuchsiamoor/agent/http_server_test.py
@@ -105,6 +105,52 @@
     assert handler.received == []
 
 
+CHUNKED_POST = b"POST /1 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("start", "unit"),
+    [
+        (b"GET /", b"u"),
+        (b"GET / HTTP/1.1\r\n", b"n"),
+        (b"GET / HTTP/1.1\r\nx: ", b"v"),
+        (CHUNKED_POST + b"1;", b"e"),
+        (CHUNKED_POST + b"0\r\n", b"t"),
+        (CHUNKED_POST + b"0\r\n", b"a: b\r\n"),
+        (CHUNKED_POST, b"1\r\nz\r\n"),
+    ],
+)
+@pytest.mark.parametrize("piece_bytes", [1, 50_000])
+def test_a_request_without_end_is_refused_after_a_bounded_number_of_bytes(
+    start, unit, piece_bytes
+):
+    async def play():
+        handler = DelayHandler()
+        server, reader, writer = await _connect(handler)
+        connection = next(iter(server.connections))
+        connection.data_received(start)
+        piece = unit * (piece_bytes // len(unit) + 1)
+        fed = 0
+        while not connection._is_closing and fed < 1_000_000:
+            connection.data_received(piece)
+            fed += len(piece)
+        received = await reader.read()
+        writer.close()
+        server.close()
+        return fed, received, handler.received
+
+    fed, received, handled = asyncio.run(play())
+    assert fed <= 2 * LIMITS.header_bytes + 2 * LIMITS.body_bytes + 2 * piece_bytes
+    assert received.startswith(b"HTTP/1.1 4") and handled == []
+
+
+def test_a_body_that_stops_half_way_is_refused_after_the_idle_timeout():
+    sent = b"POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nab"
+    handler = DelayHandler()
+    assert asyncio.run(_exchange(sent, handler)).startswith(b"HTTP/1.1 408")
+    assert handler.received == []
+
+
 def test_a_refusal_is_sent_after_pending_answers():
     received = asyncio.run(_exchange(_get("/30") + b"nonsense\r\n\r\n"))
     assert received.startswith(b"HTTP/1.1 200")
--- a/fuchsiamoor/platform/heartbeats.py
+++ b/fuchsiamoor/platform/heartbeats.py
@@ -57,7 +57,7 @@
                 _read_released(row) for row in document.get("released") or ()
             ),
         )
-    except (LookupError, TypeError, AttributeError, RecursionError) as error:
+    except scalars.MALFORMED as error:
         raise ValueError(f"heartbeat: malformed: {error!r:.200}") from error
 
 
--- a/fuchsiamoor/platform/operator_entries.py
+++ b/fuchsiamoor/platform/operator_entries.py
@@ -48,7 +48,7 @@
                 idle_timeout_ms=scalars.read_duration_ms(limits["idle_timeout"]),
             ),
         )
-    except (LookupError, TypeError, AttributeError) as error:
+    except scalars.MALFORMED as error:
         raise ValueError(f"configuration: malformed: {error!r}") from error
 
 
--- a/fuchsiamoor/platform/scalars.py
+++ b/fuchsiamoor/platform/scalars.py
@@ -4,8 +4,18 @@
 
 from fuchsiamoor.core import addresses
 
-_DURATION = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s)")
-_VERSION = re.compile(r"r([0-9]+)")
+# What decoding a malformed document may raise besides `ValueError`: a field that is
+# missing, of another type or out of range, or lists nested too deeply.
+MALFORMED = (
+    LookupError,
+    TypeError,
+    AttributeError,
+    ArithmeticError,
+    RecursionError,
+)
+
+_DURATION = re.compile(r"([0-9]{1,12}(?:\.[0-9]{1,12})?)(ms|s)")
+_VERSION = re.compile(r"r([0-9]{1,18})")
 
 
 def read_duration_ms(text: object) -> int:
--- a/fuchsiamoor/platform/store.py
+++ b/fuchsiamoor/platform/store.py
@@ -18,6 +18,7 @@
 from fuchsiamoor.core.verdicts import NotRun
 from fuchsiamoor.daemon import upstream_pool
 from fuchsiamoor.daemon.upstream_connection import Lost, WholeAnswer
+from fuchsiamoor.platform import scalars
 from fuchsiamoor.store import port
 
 # One watch and a few calls at the same time.
@@ -107,7 +108,7 @@
         if answer.status in (404, 412):
             return port.PreconditionFailed()
         return _parse_write(
-            lambda document: port.Committed(document["revision"]), answer
+            lambda document: port.Committed(int(document["revision"])), answer
         )
 
     async def grant_lease(self, ttl_ms: int) -> str:
@@ -200,7 +201,7 @@
         raise StoreOutcomeUnknownError(f"status {answer.status}: {answer.body!r:.200}")
     try:
         return parse(json.loads(answer.body) if answer.body else {})
-    except (LookupError, TypeError, ValueError) as error:
+    except (ValueError, *scalars.MALFORMED) as error:
         raise StoreOutcomeUnknownError(f"malformed answer: {error!r}") from error
 
 
--- a/fuchsiamoor/platform/wire_test.py
+++ b/fuchsiamoor/platform/wire_test.py
@@ -163,6 +163,27 @@
             continue
 
 
+NESTED = b"[" * 100_000
+LARGE_DURATION = f"{'9' * 400}s"
+
+
+@pytest.mark.parametrize(
+    "read",
+    [
+        lambda: heartbeats.read_heartbeat("i-1", NESTED),
+        lambda: operator_entries.read_catalog(NESTED),
+        lambda: heartbeats.read_heartbeat(
+            "i-1", wire_data.encode_heartbeat(cold_left=LARGE_DURATION)
+        ),
+        lambda: scalars.read_duration_ms(LARGE_DURATION),
+        lambda: scalars.read_version(f"r{'9' * 5_000}"),
+    ],
+)
+def test_values_out_of_range_raise_only_value_error(read):
+    with pytest.raises(ValueError, match=r"\w"):
+        read()
+
+
 json_values = st.recursive(
     st.none() | st.booleans() | st.integers() | st.text(max_size=5),
     lambda inner: (
--- a/fuchsiamoor/store/relayed.py
+++ b/fuchsiamoor/store/relayed.py
@@ -168,11 +168,28 @@
 
 
 def read_answer(name: str, answer: messages.StoreAnswer):
-    """Return the result of a relayed call, or raise what the direct call would have."""
-    content = cbor2.loads(answer.content)
-    match answer.outcome:
-        case "done":
+    """Return the result of a relayed call, or raise what the direct call would have.
+
+    Raises
+    ------
+    StoreError
+        Also if the answer is malformed.
+    """
+    try:
+        content = cbor2.loads(answer.content)
+        if answer.outcome == "done":
             return _RESULT_READERS[name](content)
+    except (
+        cbor2.CBORDecodeError,
+        LookupError,
+        TypeError,
+        ValueError,
+        RecursionError,
+    ) as error:
+        raise errors.StoreOutcomeUnknownError(
+            f"malformed answer of a peer: {error!r:.200}"
+        ) from error
+    match answer.outcome:
         case "forgotten":
             raise errors.StoreHistoryLostError(content)
         case "refused":
--- a/fuchsiamoor/store/relayed_test.py
+++ b/fuchsiamoor/store/relayed_test.py
@@ -2,8 +2,10 @@
 import random
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
-from fuchsiamoor.core import errors
+from fuchsiamoor.core import errors, messages
 from fuchsiamoor.store import port, relayed
 from fuchsiamoor.testing import transactional_store, virtual_time
 
@@ -97,5 +99,17 @@
 def test_unknown_call_name_is_refused():
     with pytest.raises(ValueError, match="store call"):
         virtual_time.run(
-            relayed.handle_call(None, relayed.messages.StoreCall("close", b""))
+            relayed.handle_call(None, messages.StoreCall("close", b""))
         )
+
+
+@given(
+    st.sampled_from(["done", "forgotten", "refused", "unknown", "other"]),
+    st.sampled_from(["get", "list_prefix", "watch", "transact", "grant_lease"]),
+    st.binary(max_size=40) | st.just(b"\x81" * 5_000),
+)
+def test_a_malformed_answer_of_a_peer_raises_only_store_errors(outcome, name, content):
+    try:
+        relayed.read_answer(name, messages.StoreAnswer(outcome, content))
+    except errors.StoreError:
+        pass
