Plan a range table only after a change, not every 50 ms

Cause: every daemon of a service with keys assessed all owners and planned the next table 20 times a second, whether or not anything had changed.

Ruled out: the watch relay, the first table's wait, and renewals, which together took the rest.

Change: the cache counts its changes; a plan is made again after one, and at the time at which an owner next counts as lost or warm, or its turn to write comes.

The new test asserts at 13, 60 and 195 that plans, store calls and messages of a daemon do not grow; it fails on the code before.

--- /dev/null
+++ b/fuchsiamoor/agent/fleet_growth_test.py
@@ -0,0 +1,62 @@
+"""What a fleet does at its start and at rest, and how that grows with its size."""
+
+import asyncio
+
+import pytest
+
+from fuchsiamoor.agent import watch_relay
+from fuchsiamoor.ranges import planning
+from fuchsiamoor.testing import fleet_data, range_simulation, virtual_time
+
+SIZES = (13, 60, 195)
+REST_S = 5
+
+
+def _count_plans(monkeypatch):
+    """Return a list that grows by one with each plan of a table."""
+    plans = []
+    plan_next_table = planning.plan_next_table
+
+    def count(table, owners):
+        plans.append(table.version)
+        return plan_next_table(table, owners)
+
+    monkeypatch.setattr(planning, "plan_next_table", count)
+    return plans
+
+
+def _play(count, monkeypatch):
+    async def run():
+        plans = _count_plans(monkeypatch)
+        fleet = await fleet_data.start_fleet(count)
+        started = (
+            dict(fleet.store_calls),
+            range_simulation.holds_all_keys(fleet.world),
+        )
+        plans.clear()
+        fleet.store_calls.clear()
+        fleet.messages.clear()
+        await asyncio.sleep(REST_S)
+        await range_simulation.close(fleet.world)
+        return started, fleet, len(plans)
+
+    return virtual_time.run(run())
+
+
+@pytest.mark.parametrize("count", SIZES)
+def test_work_of_one_daemon_does_not_grow_with_the_fleet(count, monkeypatch):
+    (start_calls, is_held), fleet, plans = _play(count, monkeypatch)
+    assert is_held
+    # A start takes a lease, a listing, a registration and a table for each daemon;
+    # the store answers watches until the watchers of each region are known.
+    assert start_calls["grant_lease"] == start_calls["list_prefix"] == count
+    assert start_calls["transact"] <= count + 4
+    assert start_calls["watch"] <= 3 * count
+    # At rest, tables are planned anew once in a while only, the watchers alone watch,
+    # and a follower asks one of them at a time.
+    assert plans <= count
+    watchers = len(fleet_data.REGIONS) * watch_relay.WATCHERS_PER_REGION
+    assert fleet.store_calls["watch"] <= watchers * (REST_S * 1000 // 3_000 + 1)
+    assert fleet.store_calls["transact"] == 0
+    asked = fleet.messages["StoreCall"] / (count * REST_S)
+    assert asked <= 1000 / watch_relay.PEER_WATCH_MS
--- a/fuchsiamoor/agent/state.py
+++ b/fuchsiamoor/agent/state.py
@@ -103,6 +103,8 @@
         Time at which each owner was first seen.
     is_loaded : bool
         Whether the whole store has been listed at least once.
+    revision : int
+        Number of changes of the copy so far.
     change_waiters : set of Future
         Resolved at the next change of the copy.
     """
@@ -115,6 +117,7 @@
     absent_since_ms: dict[str, int] = field(default_factory=dict)
     first_seen_ms: dict[str, int] = field(default_factory=dict)
     is_loaded: bool = False
+    revision: int = 0
     change_waiters: set[asyncio.Future] = field(default_factory=set)
 
 
@@ -264,7 +267,8 @@
 
 
 def notify_change(agent: Agent) -> None:
-    """Wake all tasks that wait for a change of the cache."""
+    """Count a change of the cache, and wake all tasks that wait for one."""
+    agent.cache.revision += 1
     for waiter in agent.cache.change_waiters:
         if not waiter.done():
             waiter.set_result(None)
--- a/fuchsiamoor/agent/table_writer.py
+++ b/fuchsiamoor/agent/table_writer.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from dataclasses import dataclass
 
 from loguru import logger
 
@@ -31,42 +32,108 @@
 # Owners that one write may declare lost: each takes two of the 32 entries that a store
 # transaction may have.
 LOST_MAX = 12
+# Interval of checks without a change, in case none was announced.
+RECHECK_MS = 10_000
 
 
-async def maintain_table(agent: state.Agent) -> None:
-    """Write the table of this daemon's service whenever it is due, until the stop."""
-    # For the first table, the time since which the candidates have not changed; for a
-    # later one, the time since which a change has been due.
+@dataclass(slots=True)
+class _DueCheck:
+    """When a table was found due, and when to look again.
+
+    Parameters
+    ----------
+    revision : int
+        Revision of the cache at the last look; negative before the first one.
+    again_ms : int
+        Time of the next look if the cache does not change.
+    due_since_ms : int or None
+        For the first table, the time since which the candidates have not changed; for a
+        later one, the time since which a change has been due.
+    settling_since_ms : int or None
+        Time at which the first candidate was seen.
+    candidates : frozenset of str
+        Candidates for the first table at the last look.
+    """
+
+    revision: int = -1
+    again_ms: int = 0
     due_since_ms: int | None = None
     settling_since_ms: int | None = None
     candidates: frozenset[str] = frozenset()
+
+
+async def maintain_table(agent: state.Agent) -> None:
+    """Write the table of this daemon's service whenever it is due, until the stop."""
+    check = _DueCheck()
     while not agent.stopped.is_set():
         await asyncio.sleep(TICK_MS / 1000)
         service = agent.settings.service
         if not state.is_keyed(agent, service) or not may_write(agent):
-            due_since_ms = None
+            check = _DueCheck()
             continue
-        now_ms = agent.now_ms()
-        table = agent.cache.tables.get(service) or tables.make_empty_table(service)
-        owner_states = assess_owners(agent, table, now_ms)
-        if table.version == 0:
-            found = frozenset(candidate.owner for candidate in owner_states.candidates)
-            if found != candidates or not found:
-                candidates, due_since_ms = found, now_ms
-                settling_since_ms = settling_since_ms or now_ms
-            is_settled = now_ms - due_since_ms >= SETTLE_MS
-            if not is_settled and now_ms - (settling_since_ms or 0) < MAX_SETTLE_MS:
-                continue
-        planned = planning.plan_next_table(table, owner_states)
-        if planned is None:
-            due_since_ms = None
+        # A plan costs time in proportion to the owners, so it is made again only after
+        # a change, or at a time at which the passing of time alone makes one due.
+        if check.revision == agent.cache.revision and agent.now_ms() < check.again_ms:
             continue
-        due_since_ms = due_since_ms if due_since_ms is not None else now_ms
-        if now_ms - due_since_ms < _compute_turn(agent, owner_states) * TURN_MS:
-            continue
-        await _write_plan(agent, table, planned, owner_states)
-        due_since_ms = None
-        await asyncio.sleep(PAUSE_MS / 1000)
+        check.revision = agent.cache.revision
+        await _write_if_due(agent, check)
+
+
+async def _write_if_due(agent: state.Agent, check: _DueCheck) -> None:
+    """Write the next table if one is due and it is this daemon's turn."""
+    now_ms, service = agent.now_ms(), agent.settings.service
+    table = agent.cache.tables.get(service) or tables.make_empty_table(service)
+    owner_states = assess_owners(agent, table, now_ms)
+    if table.version == 0 and not _is_settled(check, owner_states, now_ms):
+        return
+    planned = planning.plan_next_table(table, owner_states)
+    if planned is None:
+        check.due_since_ms = None
+        check.again_ms = _find_next_expiry_ms(agent, table, now_ms)
+        return
+    if check.due_since_ms is None:
+        check.due_since_ms = now_ms
+    turn_ms = check.due_since_ms + _compute_turn(agent, owner_states) * TURN_MS
+    if now_ms < turn_ms:
+        check.again_ms = turn_ms
+        return
+    await _write_plan(agent, table, planned, owner_states)
+    check.due_since_ms, check.again_ms = None, 0
+    await asyncio.sleep(PAUSE_MS / 1000)
+
+
+def _is_settled(
+    check: _DueCheck, owner_states: planning.OwnerStates, now_ms: int
+) -> bool:
+    """Return whether the first table may be written."""
+    found = frozenset(candidate.owner for candidate in owner_states.candidates)
+    if found != check.candidates or not found:
+        check.candidates, check.due_since_ms = found, now_ms
+        check.settling_since_ms = check.settling_since_ms or now_ms
+    settled_ms = min(
+        check.due_since_ms + SETTLE_MS, (check.settling_since_ms or 0) + MAX_SETTLE_MS
+    )
+    check.again_ms = settled_ms
+    return now_ms >= settled_ms
+
+
+def _find_next_expiry_ms(
+    agent: state.Agent, table: tables.RangeTable, now_ms: int
+) -> int:
+    """Return when an owner next counts as lost or warm without any change."""
+    cache = agent.cache
+    cold_start_ms = _find_cold_start_ms(agent)
+    expiries_ms = [
+        cache.absent_since_ms[owner] + LOST_AFTER_MS + 1
+        for owner in tables.list_owners(table)
+        if owner in cache.absent_since_ms
+    ]
+    expiries_ms += [
+        seen_ms + cold_start_ms
+        for owner, seen_ms in cache.first_seen_ms.items()
+        if seen_ms + cold_start_ms > now_ms
+    ]
+    return min(expiries_ms, default=now_ms + RECHECK_MS)
 
 
 def may_write(agent: state.Agent) -> bool:
@@ -100,11 +167,13 @@
         for found in directory.registered.values()
         if found.service == table.service and found.owner
     ]
+    cold_start_ms = _find_cold_start_ms(agent)
     candidates = tuple(
         planning.Candidate(
             found.owner,
             float(max(found.slots, 1)),
-            _is_cold(agent, found.owner, now_ms),
+            now_ms - cache.first_seen_ms.setdefault(found.owner, now_ms)
+            < cold_start_ms,
         )
         for found in sorted(registered)
         if found.is_open and found.data_centre not in cache.evacuated
@@ -124,13 +193,10 @@
     )
 
 
-def _is_cold(agent: state.Agent, owner: str, now_ms: int) -> bool:
-    """Return whether an owner was first seen less than a cold start ago."""
-    seen_ms = agent.cache.first_seen_ms.setdefault(owner, now_ms)
+def _find_cold_start_ms(agent: state.Agent) -> int:
+    """Return for how long an owner counts as cold after it was first seen."""
     service_settings = state.find_service_settings(agent, agent.settings.service)
-    return now_ms - seen_ms < (
-        service_settings.cold_start_ms if service_settings else 0
-    )
+    return service_settings.cold_start_ms if service_settings else 0
 
 
 async def _write_plan(
--- a/fuchsiamoor/store/relayed_test.py
+++ b/fuchsiamoor/store/relayed_test.py
@@ -98,9 +98,7 @@
 
 def test_unknown_call_name_is_refused():
     with pytest.raises(ValueError, match="store call"):
-        virtual_time.run(
-            relayed.handle_call(None, messages.StoreCall("close", b""))
-        )
+        virtual_time.run(relayed.handle_call(None, messages.StoreCall("close", b"")))
 
 
 @given(
