Choose among a stable few instances, by loads that are asked for where reports are old

Cause: a daemon looked at every instance of the service for each request (42, 130, 390 and 841 us at 13, 40, 119 and 255 instances). At hundreds of instances it hears of each every few seconds only, so that all reports have lost their weight and all instances look alike; and equal ones were chosen in the order of the directory, the same everywhere. The load of the upstream beside the daemon, which is known exactly, was taken from old answers as well.

Ruled out: two random choices by reports as they come (they are older than their half life for nearly all of the fleet); asking always (at a high rate reports are fresh).

Change: each daemon considers eight instances of its region and two of eight of other regions, by rendezvous hashing, derived again after a change of the directory; the instance beside it always, by its present load; all others only if none of these can be used. The two best of the own region are asked for their load if its report is older than 200 ms; one that does not answer within 40 ms is passed over.

--- a/fuchsiamoor/agent/caller_requests.py
+++ b/fuchsiamoor/agent/caller_requests.py
@@ -96,7 +96,7 @@
         remaining_ms = deadlines.answer_by_ms - agent.now_ms()
         if remaining_ms < target_selection.REMAINING_MIN_MS:
             break
-        target = target_selection.find_target(
+        target = await target_selection.find_target(
             agent, request, route, service, attempts, deadlines
         )
         if target is None:
--- a/fuchsiamoor/agent/lifecycle.py
+++ b/fuchsiamoor/agent/lifecycle.py
@@ -98,6 +98,8 @@
             if task is not None:
                 task.cancel()
             return messages.Done()
+        case messages.AskLoad():
+            return messages.LoadReport(local_execution.read_load(agent))
         case messages.AskUtilization():
             return balancing.report_utilization(agent)
         case messages.StoreCall(watch_relay.FOLLOW):
--- a/fuchsiamoor/agent/registrations.py
+++ b/fuchsiamoor/agent/registrations.py
@@ -73,12 +73,15 @@
     lapsed : dict of str to (Registration, int)
         Registrations whose lease ended, with the time; their daemons may still be
         reachable.
+    revision : int
+        Number of changes of the registrations so far.
     """
 
     registered: dict[str, Registration] = field(default_factory=dict)
     versions: dict[str, int] = field(default_factory=dict)
     run_versions: dict[str, int] = field(default_factory=dict)
     lapsed: dict[str, tuple[Registration, int]] = field(default_factory=dict)
+    revision: int = 0
 
 
 def registration_key(instance: str) -> str:
@@ -122,6 +125,7 @@
         directory.registered[instance] = found
         directory.versions[instance] = entry.version
         directory.lapsed.pop(instance, None)
+        directory.revision += 1
     return True
 
 
@@ -132,6 +136,7 @@
     instance = key.removeprefix(REGISTRATION_PREFIX)
     found = directory.registered.pop(instance, None)
     directory.versions.pop(instance, None)
+    directory.revision += 1
     if found is not None:
         directory.lapsed[instance] = (found, now_ms)
 
@@ -155,6 +160,7 @@
     ]
     for instance in expired:
         del directory.lapsed[instance]
+        directory.revision += 1
     return expired
 
 
--- a/fuchsiamoor/agent/state.py
+++ b/fuchsiamoor/agent/state.py
@@ -5,7 +5,7 @@
 import secrets
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, NamedTuple
 
 from fuchsiamoor.agent import dialect as dialects
 from fuchsiamoor.agent import event_log, registrations
@@ -121,6 +121,21 @@
     change_waiters: set[asyncio.Future] = field(default_factory=set)
 
 
+class CandidateSet(NamedTuple):
+    """The instances that may serve a route, and what they were derived from.
+
+    Parameters
+    ----------
+    directory_revision : int
+    evacuated : frozenset of str
+    candidates : Candidates
+    """
+
+    directory_revision: int
+    evacuated: frozenset[str]
+    candidates: instance_selection.Candidates
+
+
 @dataclass(slots=True)
 class RegistrationState:
     """State of this daemon process's registration in the store.
@@ -165,6 +180,8 @@
     registration : RegistrationState
     selection_stats : SelectionStats
         Measurements of instances, by which one is chosen.
+    candidates : dict of (str, frozenset) to CandidateSet
+        Instances of each service that may serve a route, by service and home regions.
     delay_estimator : DelayEstimator
         Estimates the delays of messages from other daemons.
     retry_budgets : dict of str to Budget
@@ -214,6 +231,9 @@
     selection_stats: instance_selection.SelectionStats = field(
         default_factory=instance_selection.make_selection_stats
     )
+    candidates: dict[tuple[str, frozenset[str]], CandidateSet] = field(
+        default_factory=dict
+    )
     delay_estimator: one_way_delay.DelayEstimator = field(
         default_factory=one_way_delay.DelayEstimator
     )
--- a/fuchsiamoor/agent/target_selection.py
+++ b/fuchsiamoor/agent/target_selection.py
@@ -1,7 +1,11 @@
 """Selects the target instance of a request and computes the request's deadlines."""
 
-from fuchsiamoor.agent import registrations, state, table_writer
+import asyncio
+from collections.abc import Collection, Iterable
+
+from fuchsiamoor.agent import local_execution, registrations, state, table_writer
 from fuchsiamoor.agent.attempts import Attempts, Deadlines
+from fuchsiamoor.core import errors, messages
 from fuchsiamoor.core.carried import NO_KEY, CarriedAnswer
 from fuchsiamoor.core.verdicts import NotRun
 from fuchsiamoor.ranges import table as tables
@@ -20,6 +24,8 @@
 # Shares of the caller's time that may pass before the key has an owner.
 OWNERLESS_WAIT_SHARE = 0.4
 CALL_WAIT_SHARE = 0.8
+# Several round trips within a region.
+ASK_TIMEOUT_MS = 40
 
 
 def compute_deadlines(
@@ -51,7 +57,7 @@
     )
 
 
-def find_target(
+async def find_target(
     agent: state.Agent,
     request: requests.CallerRequest,
     route: catalog.Route,
@@ -60,27 +66,117 @@
     deadlines: Deadlines,
 ) -> registrations.Registration | None:
     """Return the instance to send a request to, None if there is none now."""
-    directory = agent.cache.directory
     if state.is_keyed(agent, service):
         return _find_owner(agent, request, route, service)
-    candidates = {
-        registration.instance: registration
-        for registration in registrations.list_service(directory, service)
-        if registration.data_centre not in agent.cache.evacuated
-        and catalog.allows_region(route.home_regions, registration.region)
-    }
     if attempts.refusals >= REFUSALS_MAX:
         return None
-    place = instance_selection.choose_instance(
+    candidates = _find_candidates(agent, service, route)
+    now_ms = agent.now_ms()
+    if candidates.own is not None:
+        load = local_execution.read_load(agent)
+        instance_selection.update_load(
+            agent.selection_stats, candidates.own.name, load, now_ms
+        )
+    drawn = instance_selection.draw_locations(
+        agent.selection_stats, candidates, attempts.tried, now_ms, agent.rng
+    )
+    chosen = _choose(agent, drawn, attempts.tried, route, deadlines)
+    if chosen is None:
+        return None
+    own = agent.settings
+    if chosen.name != own.instance and chosen.region == own.region:
+        second = _choose(agent, drawn, {*attempts.tried, chosen.name}, route, deadlines)
+        asked = [chosen, second] if second is not None else [chosen]
+        if await _refresh_loads(agent, asked):
+            chosen = _choose(agent, asked, attempts.tried, route, deadlines)
+    return registrations.find_registration(agent.cache.directory, chosen.name)
+
+
+def _choose(
+    agent: state.Agent,
+    locations: Iterable[instance_selection.Location],
+    tried: Collection[str],
+    route: catalog.Route,
+    deadlines: Deadlines,
+) -> instance_selection.Location | None:
+    return instance_selection.choose_instance(
         agent.selection_stats,
         state.make_own_location(agent),
-        [state.make_location(registration) for registration in candidates.values()],
-        attempts.tried,
+        locations,
+        tried,
         route.name,
         deadlines.in_time_by_ms - agent.now_ms(),
         agent.now_ms(),
     )
-    return candidates[place.name] if place is not None else None
+
+
+def _find_candidates(
+    agent: state.Agent, service: str, route: catalog.Route
+) -> instance_selection.Candidates:
+    """Return the instances that may serve a route, derived anew after a change."""
+    directory, evacuated = agent.cache.directory, frozenset(agent.cache.evacuated)
+    key = (service, route.home_regions)
+    known = agent.candidates.get(key)
+    if known is not None and known[:2] == (directory.revision, evacuated):
+        return known.candidates
+    locations = [
+        state.make_location(registration)
+        for registration in registrations.list_service(directory, service)
+        if registration.data_centre not in evacuated
+        and catalog.allows_region(route.home_regions, registration.region)
+    ]
+    candidates = instance_selection.make_candidates(
+        state.make_own_location(agent), locations
+    )
+    agent.candidates[key] = state.CandidateSet(
+        directory.revision, evacuated, candidates
+    )
+    return candidates
+
+
+async def _refresh_loads(
+    agent: state.Agent, locations: Collection[instance_selection.Location]
+) -> bool:
+    """Ask instances of this region for their load if it is not known well enough.
+
+    Returns
+    -------
+    bool
+        Whether any was asked. One that does not answer is avoided for a moment.
+    """
+    stats, own = agent.selection_stats, agent.settings
+    asked = [
+        location
+        for location in locations
+        if location.region == own.region
+        and location.name != own.instance
+        and not instance_selection.has_fresh_report(
+            stats, location.name, agent.now_ms()
+        )
+    ]
+    await asyncio.gather(*(_refresh_load(agent, location) for location in asked))
+    return bool(asked)
+
+
+async def _refresh_load(
+    agent: state.Agent, location: instance_selection.Location
+) -> None:
+    found = registrations.find_registration(agent.cache.directory, location.name)
+    if found is None:
+        return
+    member = registrations.make_peer(found)
+    try:
+        report = await agent.links.call(member, messages.AskLoad(), ASK_TIMEOUT_MS)
+    except errors.PeerError:
+        agent.metrics.count("selection.unanswered")
+        instance_selection.record_refusal(
+            agent.selection_stats, location.name, agent.now_ms()
+        )
+        return
+    agent.metrics.count("selection.asked")
+    instance_selection.update_load(
+        agent.selection_stats, location.name, report.load, agent.now_ms()
+    )
 
 
 def _find_owner(
--- a/fuchsiamoor/core/messages.py
+++ b/fuchsiamoor/core/messages.py
@@ -6,7 +6,7 @@
 
 from typing import NamedTuple
 
-from fuchsiamoor.core.carried import CarriedAnswer, CarriedRequest
+from fuchsiamoor.core.carried import CarriedAnswer, CarriedRequest, Load
 from fuchsiamoor.core.requests import Answer, Request
 
 
@@ -338,6 +338,16 @@
     report_in_ms: int
 
 
+class AskLoad(NamedTuple):
+    """Asks for the load of the upstream beside the receiver."""
+
+
+class LoadReport(NamedTuple):
+    """The load of the upstream beside the sender."""
+
+    load: Load
+
+
 Message = (
     Forward
     | Answered
@@ -366,6 +376,8 @@
     | StoreAnswer
     | AskUtilization
     | Utilization
+    | AskLoad
+    | LoadReport
 )
 
 KINDS: dict[int, type] = {
@@ -396,4 +408,6 @@
     26: StoreAnswer,
     27: AskUtilization,
     28: Utilization,
+    29: AskLoad,
+    30: LoadReport,
 }
--- a/fuchsiamoor/testing/caller_requests_data.py
+++ b/fuchsiamoor/testing/caller_requests_data.py
@@ -4,7 +4,7 @@
 
 from fuchsiamoor.agent import lifecycle, registrations
 from fuchsiamoor.agent.http_server import HttpRequest
-from fuchsiamoor.core import carried
+from fuchsiamoor.core import carried, errors, messages
 from fuchsiamoor.core.verdicts import MayHaveRun, NotRun, Ran, Reason
 from fuchsiamoor.testing import traffic_data, virtual_time
 
@@ -18,9 +18,23 @@
         self.script = script
         self.calls = []
         self.sent = []
+        self.asked = []
+        self.loads = {}
+        self.silent = set()
 
     async def call(self, member, message, timeout_ms):
-        """Record a call and return the script's outcome for the instance."""
+        """Record a call and return the script's outcome for the instance.
+
+        A question for the load of an instance is answered from ``loads``; those that
+        are not in there are open and idle.
+        """
+        if isinstance(message, messages.AskLoad):
+            self.asked.append(member.instance)
+            if member.instance in self.silent:
+                await asyncio.sleep(timeout_ms / 1000)
+                raise errors.PeerTimeoutError(member.instance)
+            await asyncio.sleep(0.001)
+            return messages.LoadReport(self.loads.get(member.instance, OPEN))
         self.calls.append((member.instance, message))
         await asyncio.sleep(0.005)
         return await self.script(member.instance, message)
--- a/fuchsiamoor/traffic/instance_selection.py
+++ b/fuchsiamoor/traffic/instance_selection.py
@@ -6,11 +6,15 @@
 a report loses weight with age, and requests sent since it are added to it.
 """
 
+import heapq
 import math
+import random
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
+import xxhash
+
 from fuchsiamoor.core.carried import Load
 
 # Value of a late answer; an answer in time has the value 1.
@@ -39,6 +43,17 @@
 SUSPECT_FAILURES = 3
 
 
+# Instances of its own region, and of other regions, that a daemon usually considers.
+# Fewer instances mean more recent reports of each, and fewer links.
+NEAR_MAX = 8
+FAR_MAX = 8
+# Instances of other regions considered for one request, drawn at random.
+FAR_DRAWN = 2
+# An older load report is renewed before a request is sent: half the time after which
+# it has half its weight.
+FRESH_REPORT_MS = 200
+
+
 class Location(NamedTuple):
     """An instance with its region and data centre."""
 
@@ -47,6 +62,26 @@
     data_centre: str
 
 
+class Candidates(NamedTuple):
+    """The instances of a service to which one daemon may send a request.
+
+    Parameters
+    ----------
+    own : Location or None
+        The instance beside the daemon, if it belongs to the service.
+    near, far : tuple of Location
+        The instances usually considered in the own region and in others. Each daemon
+        has its own choice of them, so that all instances have about as many daemons.
+    rest : tuple of Location
+        The others, considered if all of these have been tried or are avoided.
+    """
+
+    own: Location | None
+    near: tuple[Location, ...]
+    far: tuple[Location, ...]
+    rest: tuple[Location, ...]
+
+
 @dataclass(slots=True)
 class InstanceStats:
     """Statistics of this daemon about one instance.
@@ -231,6 +266,72 @@
     return wait_ms + contention_ms + slowdown_ms
 
 
+def make_candidates(own: Location, locations: Iterable[Location]) -> Candidates:
+    """Divide a service's instances into those usually considered and the rest.
+
+    The choice is by rendezvous hashing: if an instance comes or goes, only the daemons
+    that choose it are affected, each with one instance.
+    """
+    own_name = own.name.encode()
+
+    def score(location: Location) -> int:
+        return xxhash.xxh3_64_intdigest(b"%b|%b" % (own_name, location.name.encode()))
+
+    beside, near, far = None, [], []
+    for location in locations:
+        if location.name == own.name:
+            beside = location
+        elif location.region == own.region:
+            near.append(location)
+        else:
+            far.append(location)
+    chosen_near = heapq.nlargest(NEAR_MAX, near, key=score)
+    chosen_far = heapq.nlargest(FAR_MAX, far, key=score)
+    chosen = {*chosen_near, *chosen_far}
+    rest = tuple(location for location in (*near, *far) if location not in chosen)
+    return Candidates(beside, tuple(chosen_near), tuple(chosen_far), rest)
+
+
+def draw_locations(
+    stats: SelectionStats,
+    candidates: Candidates,
+    tried: Collection[str],
+    now_ms: int,
+    rng: random.Random,
+) -> list[Location]:
+    """Return the instances to choose from for one request, in random order.
+
+    The instance beside the daemon comes first. The number of instances is bounded,
+    unless none of the usual ones can be used.
+    """
+    beside = [candidates.own] if candidates.own is not None else []
+    far = candidates.far
+    if len(far) > FAR_DRAWN:
+        far = rng.sample(far, FAR_DRAWN)
+    usual = [*candidates.near, *far]
+    rng.shuffle(usual)
+    drawn = beside + usual
+    if any(
+        location.name not in tried and not _is_avoided(stats, location.name, now_ms)
+        for location in drawn
+    ):
+        return drawn
+    return [*drawn, *candidates.far, *candidates.rest]
+
+
+def has_fresh_report(stats: SelectionStats, name: str, now_ms: int) -> bool:
+    """Return whether the load of an instance is known well enough to send to it."""
+    instance = find_instance_stats(stats, name)
+    return instance.load is not None and now_ms - instance.reported_ms < FRESH_REPORT_MS
+
+
+def _is_avoided(stats: SelectionStats, name: str, now_ms: int) -> bool:
+    instance = find_instance_stats(stats, name)
+    return now_ms < instance.avoid_until_ms or (
+        instance.load is not None and not instance.load.is_open
+    )
+
+
 def choose_instance(
     stats: SelectionStats,
     own: Location,
@@ -248,10 +349,7 @@
     for location in locations:
         if location.name in tried:
             continue
-        instance = find_instance_stats(stats, location.name)
-        is_avoided = now_ms < instance.avoid_until_ms or (
-            instance.load is not None and not instance.load.is_open
-        )
+        is_avoided = _is_avoided(stats, location.name, now_ms)
         value = estimate_value(stats, own, location, route, in_time_ms, now_ms)
         key = (not is_avoided, value)
         if best_key is None or key > best_key:
--- a/fuchsiamoor/traffic/instance_selection_test.py
+++ b/fuchsiamoor/traffic/instance_selection_test.py
@@ -1,3 +1,8 @@
+import random
+from collections import Counter
+
+import pytest
+
 from fuchsiamoor.core.carried import Load
 from fuchsiamoor.traffic import instance_selection
 
@@ -72,3 +77,77 @@
     for _ in range(instance_selection.SUSPECT_FAILURES):
         instance_selection.record_failure(stats, "own", 0)
     assert choose(stats, OWN, NEAR) == "near"
+
+
+def make_fleet(count):
+    return [
+        instance_selection.Location(
+            f"10.0.{n // 200}.{n % 200}",
+            ("north", "south", "east")[n % 3],
+            f"centre-{n % 9}",
+        )
+        for n in range(count)
+    ]
+
+
+@pytest.mark.parametrize("count", [60, 195, 510])
+def test_instances_considered_for_a_request_do_not_grow_with_the_fleet(count):
+    fleet = make_fleet(count)
+    candidates = instance_selection.make_candidates(fleet[0], fleet)
+    drawn = instance_selection.draw_locations(
+        make_stats(), candidates, (), 0, random.Random(1)
+    )
+    assert drawn[0] == fleet[0]
+    assert len(drawn) == 1 + instance_selection.NEAR_MAX + instance_selection.FAR_DRAWN
+
+
+@pytest.mark.parametrize("count", [60, 195, 510])
+def test_daemons_share_the_instances_of_their_region_evenly(count):
+    fleet = make_fleet(count)
+    chosen = Counter()
+    for own in fleet:
+        chosen.update(instance_selection.make_candidates(own, fleet).near)
+    assert set(chosen) == set(fleet)
+    assert max(chosen.values()) <= 2.5 * instance_selection.NEAR_MAX
+
+
+def test_a_lost_instance_changes_one_candidate_of_the_daemons_that_had_it():
+    fleet = make_fleet(195)
+    for own in fleet[1:]:
+        before = set(instance_selection.make_candidates(own, fleet).near)
+        after = set(instance_selection.make_candidates(own, fleet[1:]).near)
+        assert len(after - before) == (fleet[0] in before)
+
+
+def test_all_instances_are_considered_once_the_usual_ones_are_tried_or_avoided():
+    fleet = make_fleet(60)
+    stats, candidates = make_stats(), instance_selection.make_candidates(OWN, fleet)
+    tried = {location.name for location in candidates.near}
+    for location in candidates.far:
+        instance_selection.record_refusal(stats, location.name, 0)
+    drawn = instance_selection.draw_locations(
+        stats, candidates, tried, 0, random.Random(1)
+    )
+    assert set(drawn) == set(fleet)
+
+
+def test_daemons_that_know_nothing_do_not_all_choose_the_same_instance():
+    fleet = [
+        instance_selection.Location(f"10.0.0.{n}", "north", "north-1")
+        for n in range(40)
+    ]
+    chosen = Counter()
+    for seed in range(400):
+        own = instance_selection.Location(f"10.9.0.{seed}", "north", "north-1")
+        candidates = instance_selection.make_candidates(own, fleet)
+        drawn = instance_selection.draw_locations(
+            make_stats(), candidates, (), 0, random.Random(seed)
+        )
+        chosen[choose_from(drawn)] += 1
+    assert max(chosen.values()) <= 25
+
+
+def choose_from(drawn):
+    return instance_selection.choose_instance(
+        make_stats(), OWN, drawn, (), "r", IN_TIME_MS, 0
+    ).name
