Log when a lease of shards ends unrenewed, with the longest pause of the loop

Change: a short timer measures pauses of the event loop; the end of an owner's lease without renewal, and its next renewal, are logged once each with the longest pause of the last 5 s. The builder of nodes moves out of registration_test.py.

--- a/fuchsiamoor/daemon/node.py
+++ b/fuchsiamoor/daemon/node.py
@@ -13,9 +13,9 @@
 
 from fuchsiamoor.core import clock, keys, members, messages, settings, tables
 from fuchsiamoor.daemon import cluster_state as cluster_states
+from fuchsiamoor.daemon import loop_pauses, store_metrics
 from fuchsiamoor.daemon import metrics as metrics_module
 from fuchsiamoor.daemon import serving as servings
-from fuchsiamoor.daemon import store_metrics
 from fuchsiamoor.ownership.lease_holder import LeaseHolder
 
 
@@ -60,6 +60,8 @@
     metrics : Metrics
     holders : dict of str to LeaseHolder
         Lease holder of each domain in which this daemon may own shards.
+    lapsed_domains : set of str
+        Domains in which this daemon owns shards and its lease has ended.
     coordinator_roles : dict of str to CoordinatorRole
         Role in each domain that this daemon coordinates.
     coordinator_hints : dict of str to str
@@ -92,6 +94,8 @@
         Set when the registration may be outdated and should be checked.
     last_exchange_ms : int
         Monotonic time of the last gossip exchange with a peer.
+    pause_history : PauseHistory
+        Recent pauses of the event loop.
     rng : random.Random
     now_ms : callable
         Returns monotonic time.
@@ -106,6 +110,7 @@
     metrics: metrics_module.Metrics
     links: Any = None
     holders: dict[str, LeaseHolder] = field(default_factory=dict)
+    lapsed_domains: set[str] = field(default_factory=set)
     coordinator_roles: dict[str, Any] = field(default_factory=dict)
     coordinator_hints: dict[str, str] = field(default_factory=dict)
     resigned_ms: dict[str, int] = field(default_factory=dict)
@@ -124,6 +129,9 @@
     upstream_suspect: asyncio.Event = field(default_factory=asyncio.Event)
     register_now: asyncio.Event = field(default_factory=asyncio.Event)
     last_exchange_ms: int = 0
+    pause_history: loop_pauses.PauseHistory = field(
+        default_factory=loop_pauses.make_history
+    )
     rng: random.Random = field(default_factory=random.Random)
     now_ms: Callable[[], int] = clock.read_clock_ms
     tasks: set[asyncio.Task] = field(default_factory=set)
--- a/fuchsiamoor/daemon/registration_test.py
+++ b/fuchsiamoor/daemon/registration_test.py
@@ -1,36 +1,10 @@
 import asyncio
 
-from fuchsiamoor.core import errors, settings
-from fuchsiamoor.core.addresses import Address
-from fuchsiamoor.daemon import metrics, registration, store_metrics
-from fuchsiamoor.daemon import node as nodes
+from fuchsiamoor.core import errors
+from fuchsiamoor.daemon import registration
 from fuchsiamoor.peers import codec
 from fuchsiamoor.testing import fake_store, ownership_data
-
-
-def make_settings(port=1):
-    address = Address("127.0.0.1", port)
-    return settings.Settings(
-        "a-1",
-        "stock",
-        "a",
-        "a-1",
-        *[address] * 5,
-        "",
-        None,
-        (),
-        (),
-        ownership_data.TIMING,
-    )
-
-
-def make_node(store, port=1):
-    node_metrics = metrics.make_metrics(None)
-    return nodes.make_node(
-        make_settings(port),
-        store_metrics.make_counted_store(store, node_metrics),
-        node_metrics,
-    )
+from fuchsiamoor.testing.node_data import make_node
 
 
 def read_registered(store):
--- a/fuchsiamoor/daemon/serving_leases.py
+++ b/fuchsiamoor/daemon/serving_leases.py
@@ -2,9 +2,11 @@
 
 import asyncio
 
+from loguru import logger
+
 from fuchsiamoor.core import configuration as configurations
 from fuchsiamoor.core import errors, keys, messages
-from fuchsiamoor.daemon import calls, coordinator_role, state_sync
+from fuchsiamoor.daemon import calls, coordinator_role, loop_pauses, state_sync
 from fuchsiamoor.daemon import node as nodes
 from fuchsiamoor.daemon import serving as servings
 from fuchsiamoor.ownership import lease_holder as holders
@@ -63,6 +65,7 @@
         if node.member.registered_version:
             for holder in list(node.holders.values()):
                 _start_due_requests(node, holder)
+                log_lapse(node, holder)
         try:
             await asyncio.wait_for(
                 node.renew_now.wait(), _compute_pause_ms(node) / 1000
@@ -72,6 +75,32 @@
         node.renew_now.clear()
 
 
+def log_lapse(node: nodes.Node, holder: holders.LeaseHolder) -> None:
+    """Log once when an owner's lease has ended unrenewed, and when it is renewed.
+
+    A pause of the event loop as long as the lease explains the lapse.
+    """
+    now_ms, lease_until_ms = node.now_ms(), holders.lease_until_ms(holder)
+    is_lapsed = holder.owns_any and holders.NO_LEASE_MS < lease_until_ms <= now_ms
+    if is_lapsed == (holder.domain in node.lapsed_domains):
+        return
+    if not is_lapsed:
+        node.lapsed_domains.discard(holder.domain)
+        logger.bind(domain=holder.domain).info("serving lease renewed")
+        return
+    node.lapsed_domains.add(holder.domain)
+    node.metrics.count("lease.lapsed")
+    pause = loop_pauses.find_longest(node.pause_history)
+    logger.bind(
+        domain=holder.domain,
+        ended_before_ms=now_ms - lease_until_ms,
+        coordinator=holder.table.coordinator,
+        is_refused=holder.refused,
+        loop_pause_ms=pause.duration_ms if pause else 0,
+        loop_pause_ended_before_ms=now_ms - pause.ended_ms if pause else 0,
+    ).warning("serving lease lapsed")
+
+
 def _compute_pause_ms(node: nodes.Node) -> int:
     """Return the time until the next lease is due, in milliseconds."""
     pause_max_ms = node.settings.timing.renew_every_ms
--- a/fuchsiamoor/daemon/supervisor_tree.py
+++ b/fuchsiamoor/daemon/supervisor_tree.py
@@ -4,7 +4,7 @@
       state sync   gossip, store reads, watches, upstream, registration
       ownership    renewals, candidacies (coordinator elections)
       servers      callers, operators, announcements
-      housekeeping metrics
+      housekeeping metrics, pauses of the event loop
 
 The peer server is opened before the tree and closed after it.
 """
@@ -18,6 +18,7 @@
 from fuchsiamoor.daemon import (
     coordinator_election,
     http_servers,
+    loop_pauses,
     operator_backend,
     registration,
     serving_leases,
@@ -45,7 +46,7 @@
         ("carrying", _list_sync_children(node)),
         ("ownership", _list_ownership_children(node)),
         ("surfaces", _list_server_children(node, servers)),
-        ("housekeeping", [supervisor.Child("metrics", lambda: _flush_metrics(node))]),
+        ("housekeeping", _list_housekeeping_children(node)),
     ]
     group_children = [
         supervisor.Child(name, lambda children=children: _supervise(node, children))
@@ -103,6 +104,15 @@
     ]
 
 
+def _list_housekeeping_children(node: nodes.Node) -> list[supervisor.Child]:
+    return [
+        supervisor.Child("metrics", lambda: _flush_metrics(node)),
+        supervisor.Child(
+            "loop pauses", lambda: loop_pauses.measure(node.pause_history, node.now_ms)
+        ),
+    ]
+
+
 async def _run_server(node: nodes.Node, server) -> None:
     node.open_servers += 1
     try:
--- a/fuchsiamoor/reports/metric_names.py
+++ b/fuchsiamoor/reports/metric_names.py
@@ -69,6 +69,7 @@
     "serving.ramp_restarted": "Ramps begun again because the upstream turned cold.",
     UPSTREAM_SERVED: "Whole answers of the upstream beside the daemon.",
     "lease.ask_failed": "Renewals and vouches asked for in vain.",
+    "lease.lapsed": "Times at which a lease of shards ended unrenewed.",
     "lease.refused": "Renewals and vouches that were refused.",
     SHARDS_MOVED_PLANNED: "Shards moved after a release by their owner.",
     SHARDS_MOVED_UNPLANNED: "Shards moved after the loss of their owner.",
