Give released shards back when the store refuses their move, and retry evacuations soon

The old owner had released them, the coordinator held on to the moves until its store lease was known to be lost, 3.6 s later, and the keys were served by nobody until a new coordinator wrote a table, 5.1 s after the release. No lease lapsed and no loop paused (new log lines): the load only made the outage and a move meet.

For test_data_centre_out_of_service (9.37 s, listed before): a failed release of any kind kept its owner from being asked again for 5 s, an evacuation too: the configuration was in force at 4.44 s, the moves came at 9.37 s. Not seen again here; the new unit test shows the order of events.

Ruled out: leases that are too short (none lapsed), pauses of the loop (none over 20 ms before the failed requests).

Change: without a valid store lease a coordinator aborts the moves that no write of its own may still complete, and raises the term before its next table. A required move is asked for again after 500 ms, a balancing one after 5 s as before.

Before: two of the three new tests fail. After: ownership/ passes, random schedules of the interlock included.

--- a/fuchsiamoor/ownership/coordinator.py
+++ b/fuchsiamoor/ownership/coordinator.py
@@ -258,14 +258,13 @@
     actions = transfer.abort_move(
         coordinator.transfers, coordinator.table, move_id, now_ms
     )
-    if actions:
-        coordinator.needs_new_term = True
+    _prepare_for_retry(coordinator, actions, now_ms)
     return actions
 
 
 def _advance(coordinator: Coordinator, now_ms: int) -> list[events.Action]:
     if not state.has_valid_store_lease(coordinator, now_ms):
-        return []
+        return _give_up_moves(coordinator, now_ms)
     if coordinator.table is not None:
         acknowledgements.update_acknowledged(
             coordinator.acks,
@@ -299,8 +298,32 @@
     actions = transfer.abort_overdue_moves(
         coordinator.transfers, coordinator.table, now_ms
     )
-    if actions:
-        coordinator.needs_new_term = True
+    _prepare_for_retry(coordinator, actions, now_ms)
+    return actions
+
+
+def _prepare_for_retry(
+    coordinator: Coordinator, aborts: list[events.Action], now_ms: int
+) -> None:
+    """Raise the term after aborted moves, and plan again when owners may be asked."""
+    if not aborts:
+        return
+    coordinator.needs_new_term = True
+    retry_ms = now_ms + transfer.REQUIRED_RETRY_AFTER_MS
+    coordinator.plan_due_ms = min(coordinator.plan_due_ms, retry_ms)
+
+
+def _give_up_moves(coordinator: Coordinator, now_ms: int) -> list[events.Action]:
+    """Abort the moves that cannot be written without a store lease.
+
+    Their shards would be served by nobody until the store is back.
+    """
+    if not coordinator.transfers.in_progress:
+        return []
+    actions = transfer.abort_unwritten_moves(
+        coordinator.transfers, coordinator.table, now_ms
+    )
+    _prepare_for_retry(coordinator, actions, now_ms)
     return actions
 
 
--- a/fuchsiamoor/ownership/coordinator_test.py
+++ b/fuchsiamoor/ownership/coordinator_test.py
@@ -90,3 +90,92 @@
     coordinators.handle_event(machine, events.RenewReceived(make_renew("b#1")), 0)
     assert machine.acks.acknowledged_ms == {9: 0}
     assert "b#1" not in machine.roster.last_heard_ms
+
+
+def keep_renewing(machine, from_ms, until_ms):
+    """Renew the store lease and all members' leases; return all actions."""
+    actions = []
+    for now_ms in range(from_ms, until_ms, 100):
+        actions += coordinators.handle_event(
+            machine, events.StoreLeaseRenewed(now_ms), now_ms
+        )
+        for name in ("a#1", "b#1", "c#1"):
+            renew = make_renew(name, machine.table.revision)
+            actions += coordinators.handle_event(
+                machine, events.RenewReceived(renew), now_ms
+            )
+        actions += confirm_write(machine, now_ms)
+    return actions
+
+
+def confirm_write(machine, now_ms):
+    """Confirm the write in flight, if there is one; return the actions."""
+    written = machine.in_flight
+    if written is None:
+        return []
+    confirmed = events.TableWritten(written.revision, written.revision * 10)
+    return coordinators.handle_event(machine, confirmed, now_ms)
+
+
+def take_out(machine, data_centre, now_ms):
+    """Take a data centre out of service; return the actions."""
+    configuration = builders.make_configuration(2, frozenset({data_centre}))
+    return coordinators.handle_event(
+        machine, events.ConfigurationChanged(configuration), now_ms
+    )
+
+
+def list_actions(actions, kind):
+    return [action for action in actions if isinstance(action, kind)]
+
+
+def make_coordinator_that_moves_away(data_centre):
+    """Return a coordinator that asked for the shards of a data centre, and the ask."""
+    machine = make_coordinator_with_term()
+    keep_renewing(machine, 0, 300)
+    actions = take_out(machine, data_centre, 300)
+    actions += confirm_write(machine, 300)
+    [ask] = list_actions(actions, events.AskRelease)
+    return machine, ask
+
+
+def release(machine, ask, now_ms):
+    """Answer that the owner has released its shards."""
+    prepare = ask.prepare
+    released = messages.Released(
+        prepare.domain, prepare.term, prepare.move_id, prepare.shards
+    )
+    return coordinators.handle_event(
+        machine, events.ReleasedReceived(ask.member_id, released), now_ms
+    )
+
+
+def test_a_released_shard_is_given_back_when_the_store_refuses_its_move():
+    machine, ask = make_coordinator_that_moves_away("astana-1")
+    [write] = list_actions(release(machine, ask, 320), events.WriteTable)
+    refused = events.TableNotWritten(write.table.revision)
+    coordinators.handle_event(machine, refused, 330)
+    [abort] = coordinators.handle_event(machine, events.Tick(), 900)
+    assert (abort.member_id, abort.abort.move_id) == ("c#1", ask.prepare.move_id)
+    write, *_ = list_actions(keep_renewing(machine, 1_000, 1_100), events.WriteTable)
+    assert write.table.term == 3
+    assert "c#1" in write.table.owners
+
+
+def test_a_release_whose_write_may_have_taken_effect_is_not_given_back():
+    machine, ask = make_coordinator_that_moves_away("astana-1")
+    [write] = list_actions(release(machine, ask, 320), events.WriteTable)
+    unknown = events.TableOutcomeUnknown(write.table.revision)
+    coordinators.handle_event(machine, unknown, 330)
+    assert coordinators.handle_event(machine, events.Tick(), 900) == []
+
+
+def test_evacuation_is_asked_for_again_soon_after_a_release_failed():
+    machine, ask = make_coordinator_that_moves_away("astana-1")
+    failed = events.ReleaseFailed("c#1", ask.prepare.move_id)
+    coordinators.handle_event(machine, failed, 350)
+    confirm_write(machine, 350)
+    actions = keep_renewing(machine, 400, 1_000)
+    assert [again.member_id for again in list_actions(actions, events.AskRelease)] == [
+        "c#1"
+    ]
--- a/fuchsiamoor/ownership/planning.py
+++ b/fuchsiamoor/ownership/planning.py
@@ -53,6 +53,7 @@
         ready,
         service.longest_run_ms,
         now_ms,
+        is_required=bool(required),
     )
     if not required:
         _record_balancing_moves(coordinator, actions, now_ms)
--- a/fuchsiamoor/ownership/transfer.py
+++ b/fuchsiamoor/ownership/transfer.py
@@ -7,7 +7,11 @@
 from fuchsiamoor.core import messages, tables
 from fuchsiamoor.ownership import events, placement
 
-RETRY_AFTER_MS = 5_000
+# Earliest next request to an owner after one failed: for a move that evens out load,
+# and for one that an evacuation or an override requires. An owner that lacked the
+# newest table has it after two renewals.
+BALANCING_RETRY_AFTER_MS = 5_000
+REQUIRED_RETRY_AFTER_MS = 500
 _ANSWER_MARGIN_MS = 1_000
 
 
@@ -46,14 +50,14 @@
     move_ids_in_write : frozenset of int
         Moves that the write in flight completes.
     last_move_id : int
-    retry_at_ms : dict of str to int
-        Earliest next request to each owner that failed to release.
+    failed_at_ms : dict of str to int
+        Time of the latest request to each owner that failed to release.
     """
 
     in_progress: dict[int, Transfer] = field(default_factory=dict)
     move_ids_in_write: frozenset[int] = frozenset()
     last_move_id: int = 0
-    retry_at_ms: dict[str, int] = field(default_factory=dict)
+    failed_at_ms: dict[str, int] = field(default_factory=dict)
 
 
 def request_releases(
@@ -62,6 +66,7 @@
     moves: Iterable[placement.Move],
     run_ms: int,
     now_ms: int,
+    is_required: bool = False,
 ) -> list[events.Action]:
     """Request the release of shards, with one request to each owner.
 
@@ -76,6 +81,8 @@
         Longest time that work running at the owner may take, in milliseconds.
     now_ms : int
         Monotonic time, in milliseconds.
+    is_required : bool
+        Whether the shards must move, so that an owner is asked again soon.
 
     Returns
     -------
@@ -86,7 +93,8 @@
         if move.source != move.target and move.shard not in table.pending:
             targets_of.setdefault(move.source, {})[move.shard] = move.target
     actions: list[events.Action] = []
-    for source in sorted(targets_of.keys() - _list_unavailable(transfers, now_ms)):
+    unavailable = _list_unavailable(transfers, now_ms, is_required)
+    for source in sorted(targets_of.keys() - unavailable):
         transfers.last_move_id += 1
         timeout_ms = run_ms + _ANSWER_MARGIN_MS
         transfer = Transfer(
@@ -147,7 +155,7 @@
     if move_id in transfers.move_ids_in_write or move_id not in transfers.in_progress:
         return []
     transfer = transfers.in_progress.pop(move_id)
-    transfers.retry_at_ms[transfer.source] = now_ms + RETRY_AFTER_MS
+    transfers.failed_at_ms[transfer.source] = now_ms
     abort = messages.AbortMove(table.domain, transfer.term, move_id)
     return [events.SendAbort(transfer.source, abort)]
 
@@ -161,9 +169,22 @@
         for transfer in transfers.in_progress.values()
         if not transfer.released and now_ms >= transfer.deadline_ms
     ]
+    return _abort_moves(transfers, table, overdue, now_ms)
+
+
+def abort_unwritten_moves(
+    transfers: Transfers, table: tables.ShardTable, now_ms: int
+) -> list[events.Action]:
+    """Abort all moves that no write in flight may complete."""
+    return _abort_moves(transfers, table, list(transfers.in_progress), now_ms)
+
+
+def _abort_moves(
+    transfers: Transfers, table: tables.ShardTable, move_ids: list[int], now_ms: int
+) -> list[events.Action]:
     return [
         action
-        for move_id in overdue
+        for move_id in move_ids
         for action in abort_move(transfers, table, move_id, now_ms)
     ]
 
@@ -178,11 +199,14 @@
     }
 
 
-def _list_unavailable(transfers: Transfers, now_ms: int) -> set[str]:
+def _list_unavailable(transfers: Transfers, now_ms: int, is_required: bool) -> set[str]:
+    retry_after_ms = (
+        REQUIRED_RETRY_AFTER_MS if is_required else BALANCING_RETRY_AFTER_MS
+    )
     asked = {transfer.source for transfer in transfers.in_progress.values()}
     backing_off = {
         source
-        for source, retry_at_ms in transfers.retry_at_ms.items()
-        if now_ms < retry_at_ms
+        for source, failed_ms in transfers.failed_at_ms.items()
+        if now_ms < failed_ms + retry_after_ms
     }
     return asked | backing_off
