Run the relays of end-to-end tests in processes of their own

Cause: the relays in front of three daemons ran in the test process, whose loop stands still between two tests while the checker reads all records.

Ruled out: pauses of the daemons' loops (logged with the lapse), the store.

Change: each relay is a process, as standins.relay already was on its command line.

--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -14,12 +14,12 @@
 from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Any
+from typing import Any, NamedTuple
 
 import aiohttp
 
 from fuchsiamoor.core import addresses
-from standins import programs, relay
+from standins import programs
 
 ADDRESS_KINDS = ("caller", "peer", "operator", "announce", "upstream")
 PARTS = ("daemon", "upstream")
@@ -50,6 +50,18 @@
     processes: dict[str, asyncio.subprocess.Process] = field(default_factory=dict)
 
 
+class RelayProcess(NamedTuple):
+    """A relay in a process of its own.
+
+    It goes on while the loop of the process that uses the deployment stands still, as
+    it does between two tests.
+    """
+
+    process: asyncio.subprocess.Process
+    port: int
+    control_url: str
+
+
 @dataclass(slots=True)
 class Deployment:
     """A running deployment.
@@ -66,7 +78,7 @@
     store_url: str = ""
     store: asyncio.subprocess.Process | None = None
     instances: dict[str, Instance] = field(default_factory=dict)
-    relays: dict[str, relay.Relay] = field(default_factory=dict)
+    relays: dict[str, RelayProcess] = field(default_factory=dict)
     reserved_sockets: list[socket.socket] = field(default_factory=list)
     log_files: list[Any] = field(default_factory=list)
 
@@ -109,7 +121,10 @@
 
 async def _add_relay(deployment: Deployment, name: str, target: str) -> str:
     """Start a relay to an address; return the relay's address."""
-    started_relay = await relay.start_relay(addresses.parse_address(target))
+    process = await programs.start_program("standins.relay", "--target", target)
+    ports = json.loads(await process.stdout.readline())
+    control_url = f"http://{HOST}:{ports['port']}/control"
+    started_relay = RelayProcess(process, ports["relay_port"], control_url)
     deployment.relays[name] = started_relay
     return f"{HOST}:{started_relay.port}"
 
@@ -286,6 +301,17 @@
         response.raise_for_status()
 
 
+async def set_relay_mode(
+    deployment: Deployment, name: str, mode: str, delay_ms: int = 0
+) -> None:
+    """Set the mode of a relay, one of `standins.relay.MODES`, and its delay."""
+    async with deployment.client.post(
+        deployment.relays[name].control_url,
+        json={"mode": mode, "delay_ms": delay_ms},
+    ) as response:
+        response.raise_for_status()
+
+
 async def count_store_calls(deployment: Deployment) -> dict:
     """Return the store's call counts by kind and the time over which it counted."""
     async with deployment.client.get(
@@ -339,7 +365,7 @@
 
 
 async def stop_deployment(deployment: Deployment) -> None:
-    """Kill every process of the deployment and close its relays and files."""
+    """Kill every process of the deployment and close its files."""
     processes = [
         process
         for instance in deployment.instances.values()
@@ -347,12 +373,11 @@
     ]
     if deployment.store is not None:
         processes.append(deployment.store)
+    processes += [started_relay.process for started_relay in deployment.relays.values()]
     for process in processes:
         if process.returncode is None:
             process.kill()
     await asyncio.gather(*(process.wait() for process in processes))
-    for started_relay in deployment.relays.values():
-        await relay.stop_relay(started_relay)
     for resource in [*deployment.reserved_sockets, *deployment.log_files]:
         resource.close()
     await deployment.client.close()
--- a/standins/whole_path_test.py
+++ b/standins/whole_path_test.py
@@ -6,7 +6,7 @@
 import pytest
 
 from fuchsiamoor.core import keys, members
-from standins import caller, deployment, programs, relay
+from standins import caller, deployment, programs
 from standins.testing import end_to_end
 
 OUTAGE_CALLS = 250
@@ -137,6 +137,16 @@
     return candidates[0]
 
 
+async def set_modes(started, instance, links, mode):
+    """Set the mode of the relays in front of an instance's links."""
+    await asyncio.gather(
+        *(
+            deployment.set_relay_mode(started, f"{instance}/{link}", mode)
+            for link in links
+        )
+    )
+
+
 @pytest.mark.parametrize(
     ("role", "links", "mode"),
     [
@@ -155,15 +165,10 @@
         async with end_to_end.open_caller(started, name, deadline_ms=2000) as sender:
             instance = await choose_instance(started, role)
             sender.urls.remove(deployment.list_urls(started)[instance])
-            selected_relays = [started.relays[f"{instance}/{link}"] for link in links]
-            await asyncio.gather(
-                *(relay.set_mode(link, mode) for link in selected_relays)
-            )
+            await set_modes(started, instance, links, mode)
             await end_to_end.wait_for_calls(sender, BROKEN_LINK_CALLS)
             await end_to_end.wait_until_all_keys_served(sender, programs.monotonic_ms())
-            await asyncio.gather(
-                *(relay.set_mode(link, "pass") for link in selected_relays)
-            )
+            await set_modes(started, instance, links, "pass")
             await end_to_end.wait_until_all_keys_served(sender, programs.monotonic_ms())
 
     run(scenario)
