--- a/fuchsiamoor/agent/lifecycle.py
+++ b/fuchsiamoor/agent/lifecycle.py
@@ -62,6 +62,7 @@
         store,
         lambda call, timeout_ms: call_any_peer(agent, call, timeout_ms),
         lambda: agent.now_ms(),
+        agent.metrics.count,
     )
     agent.events = event_log.EventLog(lambda: agent.now_ms())
     agent.ask_health = upstream_lifecycle.ask_health
@@ -105,7 +106,7 @@
         case messages.StoreCall(watch_relay.FOLLOW):
             return await watch_relay.handle_follow_call(agent, message)
         case messages.StoreCall():
-            return await relayed.handle_call(agent.store.direct, message)
+            return await relayed.handle_call(agent.store, message)
         case _:
             raise ValueError(f"{type(message).__name__}: not expected here")
 
--- a/fuchsiamoor/reports/metric_names_test.py
+++ b/fuchsiamoor/reports/metric_names_test.py
@@ -19,7 +19,7 @@
 
 
 def _find_names(path):
-    """Yield metric names used in a file, as literals or by their constants."""
+    """Yield metric names used in a file; ``*`` stands for a part that varies."""
     for node in ast.walk(ast.parse(path.read_text())):
         match node:
             case ast.Call(
@@ -30,6 +30,13 @@
                 args=[ast.Constant(value=str(name)), *_],
             ):
                 yield name
+            case ast.Call(
+                func=ast.Attribute(attr="count"), args=[ast.JoinedStr(values=parts)]
+            ):
+                yield "".join(
+                    part.value if isinstance(part, ast.Constant) else "*"
+                    for part in parts
+                )
             case ast.Attribute(value=ast.Name(id="metric_names"), attr=constant):
                 if constant in CONSTANTS:
                     yield CONSTANTS[constant]
--- a/fuchsiamoor/store/relayed.py
+++ b/fuchsiamoor/store/relayed.py
@@ -8,7 +8,7 @@
 (`StoreOutcomeUnknownError`) or ``forgotten`` (`StoreHistoryLostError`).
 """
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass
 
 import cbor2
@@ -25,6 +25,11 @@
 RELAYED_WATCH_MS = 1_000
 CALL_TIMEOUT_MS = 2_500
 
+
+def _ignore(name: str) -> None:
+    """Count nothing."""
+
+
 CallPeer = Callable[[messages.StoreCall, int], Awaitable[messages.StoreAnswer]]
 
 
@@ -39,6 +44,8 @@
     call_peer : callable
         ``async call_peer(call, timeout_ms)``; raises `PeerError`.
     now_ms : callable
+    count : callable
+        Counts an event by name: each direct call, and each one that was refused.
     prefer_relay_until_ms : int
         Time until which calls go to a peer first.
     relay_backoff_until_ms : int
@@ -50,6 +57,7 @@
     direct: port.TransactionalStore
     call_peer: CallPeer
     now_ms: Callable[[], int]
+    count: Callable[[str], None] = _ignore
     prefer_relay_until_ms: int = 0
     relay_backoff_until_ms: int = 0
     relayed_calls: int = 0
@@ -95,7 +103,7 @@
         if now_ms < self.prefer_relay_until_ms and may_relay:
             return await self._relay(name, arguments)
         try:
-            answer = await getattr(self.direct, name)(*arguments)
+            answer = await self.call_direct(name, arguments)
         except errors.StoreUnavailableError:
             self.prefer_relay_until_ms = self.now_ms() + PREFER_RELAY_MS
             if not may_relay:
@@ -104,6 +112,15 @@
         self.prefer_relay_until_ms = 0
         return answer
 
+    async def call_direct(self, name: str, arguments: Iterable):
+        """Call the store itself, and count the call."""
+        self.count(f"store.call.{name}")
+        try:
+            return await getattr(self.direct, name)(*arguments)
+        except errors.StoreUnavailableError:
+            self.count(f"store.refused.{name}")
+            raise
+
     async def _relay(self, name: str, arguments: tuple):
         if name == "watch":
             prefix, after_version, wait_ms = arguments
@@ -127,7 +144,7 @@
 
 
 async def handle_call(
-    store: port.TransactionalStore, call: messages.StoreCall
+    store: RelayedStore, call: messages.StoreCall
 ) -> messages.StoreAnswer:
     """Make a peer's call to the store and return its answer.
 
@@ -140,7 +157,7 @@
         raise ValueError(f"store call: unknown name {call.name!r:.40}")
     arguments = _read_arguments(call)
     try:
-        answer = await getattr(store, call.name)(*arguments)
+        answer = await store.call_direct(call.name, arguments)
     except errors.StoreHistoryLostError as error:
         return messages.StoreAnswer("forgotten", cbor2.dumps(str(error)))
     except errors.StoreUnavailableError as error:
--- a/fuchsiamoor/store/relayed_test.py
+++ b/fuchsiamoor/store/relayed_test.py
@@ -1,5 +1,6 @@
 import asyncio
 import random
+from collections import Counter
 
 import pytest
 from hypothesis import given
@@ -15,8 +16,10 @@
     own_client = transactional_store.StoreClient(state)
     peer_client = transactional_store.StoreClient(state)
 
+    peer_store = relayed.RelayedStore(peer_client, None, virtual_time.now_ms)
+
     async def call_peer_store(call, timeout_ms):
-        return await relayed.handle_call(peer_client, call)
+        return await relayed.handle_call(peer_store, call)
 
     store = relayed.RelayedStore(
         own_client, call_peer or call_peer_store, virtual_time.now_ms
@@ -52,6 +55,20 @@
     assert virtual_time.run(scenario()) == 11
 
 
+def test_direct_calls_are_counted_by_kind_and_refused_ones_besides():
+    async def scenario():
+        _, own_client, _, store = _make()
+        counts = Counter()
+        store.count = lambda name: counts.update([name])
+        await store.get("a")
+        own_client.cut_until_ms = 60_000
+        await store.get("a")
+        await store.get("a")
+        return counts
+
+    assert virtual_time.run(scenario()) == {"store.call.get": 2, "store.refused.get": 1}
+
+
 def test_direct_calls_resume_once_the_store_is_reachable():
     async def scenario():
         _, own_client, peer_client, store = _make()
