Bound the answers that the store client and the operators' tool read

Cause: httpx reads a body of any size and interim answers without end; the tool's timeouts hold for one read each, so that an endless 103 kept it for ever (test: still reading after 20 s). A compressed answer's size was unknown.

Ruled out: heads, chunk extensions and trailers, which the library bounds.

Change: one transport for both clients limits the body's bytes, the time of head and body, and refuses encoded answers.

--- a/fuchsiamoor/cli/client.py
+++ b/fuchsiamoor/cli/client.py
@@ -9,9 +9,12 @@
 from fuchsiamoor.cli.exit_status import ExitStatus, ToolError
 from fuchsiamoor.core import errors, faults
 from fuchsiamoor.reports import codec, response_bodies, status
+from fuchsiamoor.store import bounded_transport
 
 REQUEST_TIMEOUT_S = 5.0
 MAX_CONCURRENT_CALLS = 32
+# The report of a whole deployment is the largest answer.
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
 
 T = TypeVar("T")
 
@@ -48,10 +51,15 @@
     urls: tuple[str, ...], key: str, transport: httpx.AsyncBaseTransport | None = None
 ) -> Client:
     """Return a client that authenticates with an operator key."""
+    bounded = bounded_transport.BoundedTransport(
+        transport or httpx.AsyncHTTPTransport(trust_env=False),
+        MAX_ANSWER_BYTES,
+        REQUEST_TIMEOUT_S,
+    )
     http = httpx.AsyncClient(
-        headers={"Authorization": f"Bearer {key}"},
+        headers={"Authorization": f"Bearer {key}", "Accept-Encoding": "identity"},
         timeout=REQUEST_TIMEOUT_S,
-        transport=transport,
+        transport=bounded,
         trust_env=False,
     )
     return Client(http, tuple(url.rstrip("/") for url in urls))
--- a/fuchsiamoor/store/http_store.py
+++ b/fuchsiamoor/store/http_store.py
@@ -18,9 +18,13 @@
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
-from fuchsiamoor.store import port
+from fuchsiamoor.store import bounded_transport, port
 
 MAX_CONNECTIONS = 16
+# A listing of a whole deployment is the largest answer.
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+# Time limit of any answer, also of the longest watch.
+MAX_ANSWER_S = 120.0
 
 _CONNECT_ERRORS = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
 
@@ -104,10 +108,16 @@
         Timeout of one call in milliseconds, connecting included; a watch may take its
         ``wait_ms`` longer.
     """
+    transport = httpx.AsyncHTTPTransport(
+        limits=httpx.Limits(max_connections=MAX_CONNECTIONS), trust_env=False
+    )
     client = httpx.AsyncClient(
         base_url=url,
+        headers={"Accept-Encoding": "identity"},
         timeout=None,
-        limits=httpx.Limits(max_connections=MAX_CONNECTIONS),
+        transport=bounded_transport.BoundedTransport(
+            transport, MAX_ANSWER_BYTES, MAX_ANSWER_S
+        ),
         trust_env=False,
         follow_redirects=False,
     )
