Let a coordinator whose store lease lapsed take the role again at once

Whoever resigns leaves the role to others for 10 s. In the outage before, the three members' store leases lapsed one after the other (47:17.4, 47:20.8, 47:25.3): then nobody stood for the role, for 5 s until the test's end, and the owner that was taken out kept its shards.

Ruled out: pauses of loops (none logged), the store (up again 0.9 s before).

Change: only a coordinator that would have to resign again (it reaches too few members, or its member leaves) pauses its candidacy.

--- a/fuchsiamoor/daemon/coordinator_election.py
+++ b/fuchsiamoor/daemon/coordinator_election.py
@@ -20,7 +20,7 @@
 CHECK_INTERVAL_MS = 50
 FIRST_RETRY_MS = 100
 MAX_RETRY_MS = 10_000
-RESIGNED_COOLDOWN_MS = 10_000
+CANDIDACY_PAUSE_MS = 10_000
 RANK_DELAY_MS = 150
 MAX_RANK_DELAY_MS = 5_000
 
@@ -78,8 +78,8 @@
         return False
     if node.member.registered_version == 0 or _is_data_centre_out(node):
         return False
-    resigned_ms = node.resigned_ms.get(domain)
-    if resigned_ms is not None and node.now_ms() - resigned_ms < RESIGNED_COOLDOWN_MS:
+    paused_ms = node.candidacy_paused_ms.get(domain)
+    if paused_ms is not None and node.now_ms() - paused_ms < CANDIDACY_PAUSE_MS:
         return False
     renewed_ms = holder.renewed_sent_ms
     return (
--- a/fuchsiamoor/daemon/coordinator_role.py
+++ b/fuchsiamoor/daemon/coordinator_role.py
@@ -200,14 +200,18 @@
         ):
             nodes.spawn(node, _ping_member(node, role, member_id), "ping")
     if reachability.has_lost_inbound(role.probes, last_heard_ms, own_id, now_ms):
-        await _resign_with_reason(
-            node, role, "members answer pings, but their messages do not arrive"
+        await give_up_role(
+            node, role, "members answer pings, but their messages do not arrive", True
         )
 
 
-async def _resign_with_reason(node, role: CoordinatorRole, reason: str) -> None:
+async def give_up_role(
+    node: nodes.Node, role: CoordinatorRole, reason: str, pauses_candidacy: bool
+) -> None:
+    """Resign for a reason that is logged; see `events.Resign`."""
     logger.bind(domain=role.domain).info(f"resigning: {reason}")
-    node.resigned_ms[role.domain] = node.now_ms()
+    if pauses_candidacy:
+        node.candidacy_paused_ms[role.domain] = node.now_ms()
     await resign(node, role)
 
 
@@ -238,8 +242,8 @@
             await _request_release(node, role, action)
         case events.SendAbort():
             await _send_abort(node, action)
-        case events.Resign(reason):
-            await _resign_with_reason(node, role, reason)
+        case events.Resign(reason, pauses_candidacy):
+            await give_up_role(node, role, reason, pauses_candidacy)
 
 
 async def _write_table(node, role, action: events.WriteTable) -> None:
--- a/fuchsiamoor/daemon/node.py
+++ b/fuchsiamoor/daemon/node.py
@@ -66,8 +66,9 @@
         Role in each domain that this daemon coordinates.
     coordinator_hints : dict of str to str
         Last coordinator read from the store or reported by a peer, by domain.
-    resigned_ms : dict of str to int
-        Monotonic time at which this daemon last resigned as coordinator, by domain.
+    candidacy_paused_ms : dict of str to int
+        Monotonic time at which this daemon last gave up the role of a domain's
+        coordinator to leave it to others, by domain.
     upstream : UpstreamState
     serving, entry, client : object
         Owner's side of requests, callers' side, and client of the upstream; set during
@@ -113,7 +114,7 @@
     lapsed_domains: set[str] = field(default_factory=set)
     coordinator_roles: dict[str, Any] = field(default_factory=dict)
     coordinator_hints: dict[str, str] = field(default_factory=dict)
-    resigned_ms: dict[str, int] = field(default_factory=dict)
+    candidacy_paused_ms: dict[str, int] = field(default_factory=dict)
     upstream: UpstreamState = field(default_factory=UpstreamState)
     serving: Any = None
     entry: Any = None
--- a/fuchsiamoor/ownership/coordinator.py
+++ b/fuchsiamoor/ownership/coordinator.py
@@ -338,7 +338,7 @@
     elif coordinator.quorum_lost_since_ms is None:
         coordinator.quorum_lost_since_ms = now_ms
     elif now_ms - coordinator.quorum_lost_since_ms > MAX_QUORUM_LOSS_MS:
-        return state.resign(coordinator, "it reaches less than half of the votes")
+        return state.resign(coordinator, "it reaches less than half of the votes", True)
     if planning.is_own_member_drained(coordinator, now_ms):
-        return state.resign(coordinator, "its member leaves")
+        return state.resign(coordinator, "its member leaves", True)
     return []
--- a/fuchsiamoor/ownership/events.py
+++ b/fuchsiamoor/ownership/events.py
@@ -149,9 +149,18 @@
 
 
 class Resign(NamedTuple):
-    """Resign as coordinator: revoke the store lease and pause candidacy for a while."""
+    """Resign as coordinator and revoke the store lease.
+
+    Parameters
+    ----------
+    reason : str
+    pauses_candidacy : bool
+        Whether this daemon leaves the role to others for a while, as it would have to
+        resign again.
+    """
 
     reason: str
+    pauses_candidacy: bool
 
 
 Action = WriteTable | PushTable | AskRelease | SendAbort | Resign
--- a/fuchsiamoor/ownership/state.py
+++ b/fuchsiamoor/ownership/state.py
@@ -194,10 +194,12 @@
     coordinator.quorum_lost_since_ms = None
 
 
-def resign(coordinator: Coordinator, reason: str) -> list[events.Action]:
+def resign(
+    coordinator: Coordinator, reason: str, pauses_candidacy: bool = False
+) -> list[events.Action]:
     """Stop handling events and return the action that gives up the role."""
     coordinator.resigned = True
-    return [events.Resign(reason)]
+    return [events.Resign(reason, pauses_candidacy)]
 
 
 def _is_lost_predecessor(coordinator: Coordinator, owner: str, now_ms: int) -> bool:
