Remember across restarts of the daemon that its upstream has announced to leave

Cause (a report of other operators: after a restart of a process, a server that had left was in use again): the announcement was kept in the daemon's memory only. A restarted daemon took an upstream that had deregistered for open, as its heartbeats do not say that it leaves; one whose heartbeats say so got a second drain time.

Ruled out: requests before the store is listed (no catalog, and peers' links name the run).

Change: the record of the daemon's run, which outlives its lease, names the incarnation that leaves; a restarted daemon reads it before it registers and sends that incarnation nothing. A deregistration is acknowledged once it is recorded, after 300 ms at most. An upstream that is leaving when its daemon first hears of it gets nothing either.

--- a/fuchsiamoor/agent/endpoints.py
+++ b/fuchsiamoor/agent/endpoints.py
@@ -3,10 +3,13 @@
 from loguru import logger
 
 from fuchsiamoor.agent import dialect as dialects
-from fuchsiamoor.agent import state, table_writer, upstream_lifecycle
+from fuchsiamoor.agent import state, store_sync, table_writer, upstream_lifecycle
 from fuchsiamoor.agent.http_server import HttpAnswer, HttpRequest
 
 JSON_HEADERS = ((b"Content-Type", b"application/json"),)
+# Longest time that the acknowledgement of a deregistration waits for the store; the
+# upstream waits for a second.
+LEAVE_RECORDED_MS = 300
 METRICS_HEADERS = ((b"Content-Type", b"text/plain; version=0.0.4"),)
 
 
@@ -34,6 +37,7 @@
             return _handle_heartbeat(agent, upstream_id, request.body)
         case dialects.DeregisterCall(upstream_id):
             upstream_lifecycle.handle_deregistration(agent, upstream_id)
+            await store_sync.wait_until_leave_is_recorded(agent, LEAVE_RECORDED_MS)
             return HttpAnswer(200, JSON_HEADERS, b"{}")
         case None:
             return HttpAnswer(404)
--- a/fuchsiamoor/agent/registrations.py
+++ b/fuchsiamoor/agent/registrations.py
@@ -58,6 +58,22 @@
     lease_id: str
 
 
+class RunRecord(NamedTuple):
+    """The latest daemon process of an instance; its record outlives its lease.
+
+    Parameters
+    ----------
+    run : str
+        Nonce that identifies the daemon process.
+    left_owner : str
+        Incarnation of the upstream that has announced to leave, so that a restarted
+        daemon sends it nothing; empty if none has.
+    """
+
+    run: str
+    left_owner: str
+
+
 @dataclass(slots=True)
 class Directory:
     """Registrations of all instances, by instance.
@@ -70,6 +86,8 @@
         Store version of each of these.
     run_versions : dict of str to int
         Store version of each instance's record of its latest daemon process.
+    left_owners : dict of str to str
+        Incarnation of each instance's upstream that has announced to leave.
     lapsed : dict of str to (Registration, int)
         Registrations whose lease ended, with the time; their daemons may still be
         reachable.
@@ -80,6 +98,7 @@
     registered: dict[str, Registration] = field(default_factory=dict)
     versions: dict[str, int] = field(default_factory=dict)
     run_versions: dict[str, int] = field(default_factory=dict)
+    left_owners: dict[str, str] = field(default_factory=dict)
     lapsed: dict[str, tuple[Registration, int]] = field(default_factory=dict)
     revision: int = 0
 
@@ -104,6 +123,11 @@
     return codec.encode_record(registration)
 
 
+def encode_run_record(record: RunRecord) -> bytes:
+    """Return a run's record encoded in CBOR."""
+    return codec.encode_record(record)
+
+
 def apply_entry(directory: Directory, entry: port.Entry) -> bool:
     """Apply a store entry to the directory; return False if its key is of another kind.
 
@@ -113,9 +137,7 @@
         If a registration is malformed.
     """
     if entry.key.startswith(RUNS_PREFIX):
-        instance = entry.key.removeprefix(RUNS_PREFIX)
-        previous = directory.run_versions.get(instance, 0)
-        directory.run_versions[instance] = max(previous, entry.version)
+        _apply_run_record(directory, entry)
         return True
     if not entry.key.startswith(REGISTRATION_PREFIX):
         return False
@@ -129,6 +151,17 @@
     return True
 
 
+def _apply_run_record(directory: Directory, entry: port.Entry) -> None:
+    instance = entry.key.removeprefix(RUNS_PREFIX)
+    if entry.version < directory.run_versions.get(instance, 0):
+        return
+    directory.run_versions[instance] = entry.version
+    directory.left_owners.pop(instance, None)
+    left_owner = codec.decode_record(RunRecord, entry.value).left_owner
+    if left_owner:
+        directory.left_owners[instance] = left_owner
+
+
 def apply_deletion(directory: Directory, key: str, now_ms: int) -> None:
     """Apply the deletion of a store key to the directory."""
     if not key.startswith(REGISTRATION_PREFIX):
--- a/fuchsiamoor/agent/store_sync.py
+++ b/fuchsiamoor/agent/store_sync.py
@@ -102,26 +102,29 @@
     sent_ms = agent.now_ms()
     key = registrations.registration_key(settings.instance)
     value = registrations.encode_registration(desired)
+    run_value = registrations.encode_run_record(_make_run_record(agent))
     try:
         result = await agent.store.transact(
             (port.Precondition(runs_key, run_version),),
             (
                 port.Put(key, value, registration.lease_id),
-                port.Put(runs_key, agent.run.encode()),
+                port.Put(runs_key, run_value),
             ),
         )
     except errors.StoreOutcomeUnknownError:
         result = await _resolve_outcome(agent, key, value, runs_key)
     match result:
         case port.PreconditionFailed():
-            await _reload_run_version(agent, runs_key)
+            await _reload_run_record(agent, runs_key)
             registration.lease_id, registration.confirmed = "", None
             registration.update_due.set()
             return
         case port.Committed(version):
             directory = agent.cache.directory
-            directory.run_versions[settings.instance] = version
             registrations.apply_entry(directory, port.Entry(key, value, version))
+            registrations.apply_entry(
+                directory, port.Entry(runs_key, run_value, version)
+            )
     registration.confirmed = desired
     if is_new:
         # Grants under an earlier registration are void, so the table is read again.
@@ -134,6 +137,28 @@
     state.notify_change(agent)
 
 
+def _make_run_record(agent: state.Agent) -> registrations.RunRecord:
+    """Return the record of this run; it keeps what an earlier run wrote of a leave."""
+    upstream = agent.upstream
+    if upstream.incarnation is None:
+        known = agent.cache.directory.left_owners
+        return registrations.RunRecord(
+            agent.run, known.get(agent.settings.instance, "")
+        )
+    is_leaving = upstream.draining_since_ms is not None
+    return registrations.RunRecord(agent.run, upstream.owner if is_leaving else "")
+
+
+async def wait_until_leave_is_recorded(agent: state.Agent, timeout_ms: int) -> None:
+    """Wait until the store holds that the upstream leaves, or the time is over."""
+    ends_by_ms = agent.now_ms() + timeout_ms
+    while agent.upstream.draining_since_ms is not None:
+        confirmed, left_ms = agent.registration.confirmed, ends_by_ms - agent.now_ms()
+        if left_ms <= 0 or (confirmed is not None and not confirmed.is_open):
+            return
+        await state.wait_for_change(agent, left_ms)
+
+
 async def _resolve_outcome(
     agent: state.Agent, key: str, value: bytes, runs_key: str
 ) -> port.TransactResult:
@@ -145,13 +170,12 @@
     return port.Committed(run_entry.version)
 
 
-async def _reload_run_version(agent: state.Agent, runs_key: str) -> None:
+async def _reload_run_record(agent: state.Agent, runs_key: str) -> None:
     found = await agent.store.get(runs_key)
-    versions = agent.cache.directory.run_versions
     if found is None:
-        versions.pop(agent.settings.instance, None)
+        agent.cache.directory.run_versions.pop(agent.settings.instance, None)
     else:
-        versions[agent.settings.instance] = found.version
+        apply_entry(agent, found)
 
 
 async def _wait_for_listing(agent: state.Agent) -> None:
@@ -318,6 +342,7 @@
     """Update the state that depends on the cache, and wake its waiters."""
     now_ms = agent.now_ms()
     upstream_lifecycle.update_cold_rate(agent)
+    upstream_lifecycle.resume_drain(agent)
     cache = agent.cache
     registrations.drop_lapsed(cache.directory, KEEP_LAPSED_MS, now_ms)
     registered = {found.owner for found in cache.directory.registered.values()}
--- a/fuchsiamoor/agent/upstream_lifecycle.py
+++ b/fuchsiamoor/agent/upstream_lifecycle.py
@@ -45,8 +45,10 @@
         agent.metrics.count("heartbeat.stale")
         return None
     now_ms = agent.now_ms()
-    if heartbeat.incarnation != upstream.incarnation:
+    is_new = heartbeat.incarnation != upstream.incarnation
+    if is_new:
         _start_incarnation(agent, heartbeat)
+        resume_drain(agent)
     upstream.sequence = heartbeat.sequence
     upstream.last_seen_ms = upstream.last_heartbeat_ms = now_ms
     if upstream.is_down:
@@ -58,7 +60,7 @@
         upstream.admission_queue, now_ms + heartbeat.cold_for_ms
     )
     if heartbeat.is_draining:
-        start_drain(agent)
+        start_drain(agent, is_over=is_new)
     elif upstream.slots != heartbeat.slots:
         upstream.slots = upstream.admission_queue.slots = max(heartbeat.slots, 1)
         agent.registration.update_due.set()
@@ -170,16 +172,34 @@
             waiter.set_result(admission.Refused(verdict, 0))
 
 
-def start_drain(agent: state.Agent) -> None:
-    """Start the upstream's drain, unless it has started."""
+def start_drain(agent: state.Agent, is_over: bool = False) -> None:
+    """Start the upstream's drain, unless it has started.
+
+    Parameters
+    ----------
+    agent : Agent
+    is_over : bool, optional
+        Whether its time has passed already: an upstream that was leaving when this
+        daemon started may have announced that to an earlier run, long ago.
+    """
     upstream = agent.upstream
     if upstream.draining_since_ms is not None:
         return
     upstream.draining_since_ms = agent.now_ms()
+    if is_over:
+        upstream.draining_since_ms -= agent.settings.bounds.drain_ms
     agent.registration.update_due.set()
     logger.bind(owner=upstream.owner).info("upstream leaves")
 
 
+def resume_drain(agent: state.Agent) -> None:
+    """End the drain of an upstream whose leave an earlier run has recorded."""
+    owner = agent.upstream.owner
+    left_owners = agent.cache.directory.left_owners
+    if owner and left_owners.get(agent.settings.instance) == owner:
+        start_drain(agent, is_over=True)
+
+
 def handle_deregistration(agent: state.Agent, upstream_id: str) -> None:
     """Handle an upstream's deregistration.
 
--- a/fuchsiamoor/testing/traffic_data.py
+++ b/fuchsiamoor/testing/traffic_data.py
@@ -13,6 +13,7 @@
 PLAIN_SERVICE = "desk"
 CATALOG_KEY = "operators/catalog"
 EVACUATED_PREFIX = "operators/out/"
+DEREGISTER_PREFIX = "/deregister/"
 ADDRESS = Address("127.0.0.1", 1)
 
 
@@ -125,7 +126,7 @@
         catalog_key=CATALOG_KEY,
         read_catalog=lambda value: make_catalog(json.loads(value)),
         read_evacuated=_read_evacuated,
-        read_upstream_call=lambda method, path: None,
+        read_upstream_call=_read_upstream_call,
         read_heartbeat=lambda upstream_id, body: make_heartbeat(upstream_id),
         write_heartbeat_answer=lambda grants: b"{}",
         read_request=_read_request,
@@ -138,6 +139,12 @@
     )
 
 
+def _read_upstream_call(method: str, path: str) -> dialects.DeregisterCall | None:
+    if not path.startswith(DEREGISTER_PREFIX):
+        return None
+    return dialects.DeregisterCall(path.removeprefix(DEREGISTER_PREFIX))
+
+
 def _read_evacuated(key: str) -> str | None:
     if not key.startswith(EVACUATED_PREFIX):
         return None
