Check a request again after it has waited for a connection to the upstream

Cause (seen by readers before, without a test): ownership, drain and evacuation were checked when a request was handed to the connection pool, where it may wait up to a second for a connection; it was then written without another look.

Change: a connection is acquired first; the checks and the write follow in one step.

Before: the new test finds the request at an upstream that had drained. After: agent/ passes.

--- a/fuchsiamoor/agent/local_execution.py
+++ b/fuchsiamoor/agent/local_execution.py
@@ -2,7 +2,7 @@
 
 Only this module sends requests to the upstream, so that drain, evacuation, home
 regions, cold start and ownership are checked here, in the same event loop step in which
-the request is handed to the connection pool.
+the request is written.
 """
 
 import asyncio
@@ -11,7 +11,7 @@
 from fuchsiamoor.core.carried import NO_KEY, CarriedAnswer, CarriedRequest, Load
 from fuchsiamoor.core.verdicts import MayHaveRun, NotRun, Ran, Reason
 from fuchsiamoor.daemon import upstream_pool
-from fuchsiamoor.daemon.upstream_connection import Lost, WholeAnswer
+from fuchsiamoor.daemon.upstream_connection import Lost, Received, WholeAnswer
 from fuchsiamoor.ranges import demand as demands
 from fuchsiamoor.ranges import granting
 from fuchsiamoor.traffic import admission, catalog, upstreams
@@ -72,12 +72,10 @@
         return _log_refusal(agent, request, rejected.verdict, rejected.retry_after_ms)
     waited_ms = agent.now_ms() - now_ms
     try:
-        refusal = _check_admission(agent, request)
-        if refusal is None and upstream.owner != owner:
-            refusal = NotRun(Reason.NO_UPSTREAM, "another incarnation has started")
+        refusal = _check_still_admitted(agent, request, owner)
         if refusal is not None:
             return _log_refusal(agent, request, refusal)
-        outcome = await _send(agent, request, ends_by_ms)
+        outcome = await _send(agent, request, owner, ends_by_ms)
         if isinstance(outcome.verdict, Ran):
             _log_run(agent, request, outcome, waited_ms)
         return outcome
@@ -155,6 +153,16 @@
     return None
 
 
+def _check_still_admitted(
+    agent: state.Agent, request: CarriedRequest, owner: str
+) -> NotRun | None:
+    """Check again, after a wait, a request that was admitted for an incarnation."""
+    refusal = _check_admission(agent, request)
+    if refusal is None and agent.upstream.owner != owner:
+        return NotRun(Reason.NO_UPSTREAM, "another incarnation has started")
+    return refusal
+
+
 async def _acquire_slot(
     agent: state.Agent,
     request: CarriedRequest,
@@ -227,11 +235,19 @@
 
 
 async def _send(
-    agent: state.Agent, request: CarriedRequest, ends_by_ms: int
+    agent: state.Agent, request: CarriedRequest, owner: str, ends_by_ms: int
 ) -> CarriedAnswer:
     """Send a request that has a slot to the upstream."""
     upstream = agent.upstream
     pool, queue = upstream.pool, upstream.admission_queue
+    ends_by_s = asyncio.get_running_loop().time() + (ends_by_ms - agent.now_ms()) / 1000
+    connection = await upstream_pool.acquire(pool, ends_by_s)
+    if isinstance(connection, NotRun):
+        return _handle_outcome(agent, queue, request, connection, 0)
+    refusal = _check_still_admitted(agent, request, owner)
+    if refusal is not None:
+        upstream_pool.release(pool, connection)
+        return _log_refusal(agent, request, refusal)
     began_ms = agent.now_ms()
     remaining_ms = ends_by_ms - began_ms - RETURN_MARGIN_MS
     try:
@@ -239,6 +255,7 @@
             request, upstream.incarnation.upstream_id, remaining_ms
         )
     except ValueError as error:
+        upstream_pool.release(pool, connection)
         return _make_refusal(agent, NotRun(Reason.BAD_REQUEST, str(error)))
     received = await upstream_pool.exchange(
         pool,
@@ -246,8 +263,20 @@
         request.method == "HEAD",
         remaining_ms,
         lambda headers: agent.dialect.match_answer(request.request_id, headers),
+        connection,
     )
     run_ms = agent.now_ms() - began_ms
+    return _handle_outcome(agent, queue, request, received, run_ms)
+
+
+def _handle_outcome(
+    agent: state.Agent,
+    queue: admission.AdmissionQueue,
+    request: CarriedRequest,
+    received: Received | NotRun,
+    run_ms: int,
+) -> CarriedAnswer:
+    """Turn the result of an exchange with the upstream into a request's outcome."""
     match received:
         case NotRun(Reason.CONNECT_FAILED):
             agent.metrics.count("upstream.not_connected")
--- a/fuchsiamoor/agent/local_execution_test.py
+++ b/fuchsiamoor/agent/local_execution_test.py
@@ -136,6 +136,24 @@
     assert received == 1
 
 
+def test_a_request_that_waited_for_a_connection_is_checked_again():
+    async def scenario(upstream, agent):
+        agent.upstream.pool.connections = 1
+        slow = asyncio.ensure_future(_execute(agent, "/read/slow"))
+        await asyncio.sleep(0.1)
+        waiting = asyncio.ensure_future(_execute(agent, "/read/2"))
+        await asyncio.sleep(0.1)
+        upstream_lifecycle.start_drain(agent, is_over=True)
+        slow.cancel()
+        outcome = await waiting
+        return outcome.verdict, outcome.has_arrived, upstream.received
+
+    verdict, has_arrived, received = _play(scenario)
+    assert verdict.reason is Reason.SHUTTING_DOWN
+    assert not has_arrived
+    assert received == ["/read/slow"]
+
+
 def test_an_evacuated_data_centre_gets_no_request():
     async def scenario(upstream, agent):
         agent.cache.evacuated.add(agent.settings.data_centre)
