--- a/fuchsiamoor/agent/target_selection.py
+++ b/fuchsiamoor/agent/target_selection.py
@@ -80,16 +80,17 @@
     drawn = instance_selection.draw_locations(
         agent.selection_stats, candidates, attempts.tried, now_ms, agent.rng
     )
-    chosen = _choose(agent, drawn, attempts.tried, route, deadlines)
-    if chosen is None:
+    best = _choose(agent, drawn, attempts.tried, route, deadlines, 2)
+    if not best:
         return None
     own = agent.settings
-    if chosen.name != own.instance and chosen.region == own.region:
-        second = _choose(agent, drawn, {*attempts.tried, chosen.name}, route, deadlines)
-        asked = [chosen, second] if second is not None else [chosen]
-        if await _refresh_loads(agent, asked):
-            chosen = _choose(agent, asked, attempts.tried, route, deadlines)
-    return registrations.find_registration(agent.cache.directory, chosen.name)
+    if (
+        best[0].name != own.instance
+        and best[0].region == own.region
+        and await _refresh_loads(agent, best)
+    ):
+        best = _choose(agent, best, attempts.tried, route, deadlines)
+    return registrations.find_registration(agent.cache.directory, best[0].name)
 
 
 def _choose(
@@ -98,8 +99,9 @@
     tried: Collection[str],
     route: catalog.Route,
     deadlines: Deadlines,
-) -> instance_selection.Location | None:
-    return instance_selection.choose_instance(
+    count: int = 1,
+) -> list[instance_selection.Location]:
+    return instance_selection.choose_instances(
         agent.selection_stats,
         state.make_own_location(agent),
         locations,
@@ -107,6 +109,7 @@
         route.name,
         deadlines.in_time_by_ms - agent.now_ms(),
         agent.now_ms(),
+        count,
     )
 
 
--- a/fuchsiamoor/daemon/log_stream.py
+++ b/fuchsiamoor/daemon/log_stream.py
@@ -1,8 +1,9 @@
 """Non-blocking log stream with a bounded buffer.
 
 Standard output may be a pipe whose reader has stalled. Lines are buffered in memory up
-to a limit and written when the descriptor is writable. Lines beyond the limit are
-dropped and counted; the count is logged once the buffer has been written.
+to a limit and written when the descriptor is writable, several at a time if a delay is
+given. Lines beyond the limit are dropped and counted; the count is logged once the
+buffer has been written.
 """
 
 import asyncio
@@ -22,15 +23,25 @@
         File descriptor; it is switched to non-blocking mode.
     max_buffered_bytes : int
         Size of the buffer.
+    delay_ms : int
+        Longest time for which a line is held back to be written with others, while an
+        event loop runs. The owner calls `flush` before the process ends.
     """
 
-    def __init__(self, descriptor: int, max_buffered_bytes: int = MAX_BUFFERED_BYTES):
+    def __init__(
+        self,
+        descriptor: int,
+        max_buffered_bytes: int = MAX_BUFFERED_BYTES,
+        delay_ms: int = 0,
+    ):
         os.set_blocking(descriptor, False)
         self._descriptor = descriptor
         self._max_buffered_bytes = max_buffered_bytes
         self._buffer: deque[bytes] = deque()
         self._buffered_bytes = 0
         self._is_watched = False
+        self._delay_ms = delay_ms
+        self._flush_timer: asyncio.TimerHandle | None = None
         self.dropped = 0
 
     def write(self, line: str) -> None:
@@ -41,11 +52,31 @@
             return
         self._buffer.append(encoded)
         self._buffered_bytes += len(encoded)
-        if not self._is_watched:
+        if self._is_watched or self._flush_timer is not None:
+            return
+        if not self._schedule_flush():
             self.flush()
 
+    def _schedule_flush(self) -> bool:
+        """Schedule a flush after the delay; return False if it is due now."""
+        if not self._delay_ms:
+            return False
+        try:
+            loop = asyncio.get_running_loop()
+        except RuntimeError:
+            return False
+        self._flush_timer = loop.call_later(self._delay_ms / 1000, self.flush)
+        return True
+
     def flush(self) -> None:
         """Write as much of the buffer as the descriptor accepts now."""
+        if self._flush_timer is not None:
+            self._flush_timer.cancel()
+            self._flush_timer = None
+        if len(self._buffer) > 1:
+            joined = b"".join(self._buffer)
+            self._buffer.clear()
+            self._buffer.append(joined)
         while self._buffer:
             chunk = self._buffer[0]
             try:
--- a/fuchsiamoor/daemon/log_stream_test.py
+++ b/fuchsiamoor/daemon/log_stream_test.py
@@ -45,6 +45,29 @@
     assert len(numbers) < 20_000
 
 
+def test_lines_within_the_delay_are_written_together():
+    async def main():
+        reader, writer = os.pipe()
+        stream = log_stream.LogStream(writer, delay_ms=30)
+        stream.write("a\n")
+        stream.write("b\n")
+        at_once = _read_available(reader)
+        await asyncio.sleep(0.1)
+        delayed = _read_available(reader)
+        stream.write("c\n")
+        stream.flush()
+        return at_once, delayed, _read_available(reader)
+
+    assert asyncio.run(main()) == (b"", b"a\nb\n", b"c\n")
+
+
+def test_a_delayed_line_is_written_at_once_without_an_event_loop():
+    reader, writer = os.pipe()
+    stream = log_stream.LogStream(writer, delay_ms=30)
+    stream.write("a\n")
+    assert _read_available(reader) == b"a\n"
+
+
 def test_line_for_a_closed_reader_is_dropped():
     reader, writer = os.pipe()
     os.close(reader)
--- a/fuchsiamoor/platform/__main__.py
+++ b/fuchsiamoor/platform/__main__.py
@@ -13,6 +13,8 @@
 
 EXIT_INVALID_SETTINGS = 2
 STORE_TIMEOUT_MS = 1_500
+# Lines are written ten times a second at most, as each write costs a system call.
+LOG_DELAY_MS = 100
 
 
 def main() -> None:
@@ -23,8 +25,12 @@
         for fault in error.faults:
             print(faults.format_fault(fault), file=sys.stderr)
         sys.exit(EXIT_INVALID_SETTINGS)
-    logs.make_logger(loaded.instance, log_stream.LogStream(sys.stdout.fileno()))
-    uvloop.run(_run(loaded))
+    stream = log_stream.LogStream(sys.stdout.fileno(), delay_ms=LOG_DELAY_MS)
+    logs.make_logger(loaded.instance, stream)
+    try:
+        uvloop.run(_run(loaded))
+    finally:
+        stream.flush()
 
 
 async def _run(loaded: agent_settings.AgentSettings) -> None:
--- a/fuchsiamoor/traffic/instance_selection.py
+++ b/fuchsiamoor/traffic/instance_selection.py
@@ -332,7 +332,7 @@
     )
 
 
-def choose_instance(
+def choose_instances(
     stats: SelectionStats,
     own: Location,
     locations: Iterable[Location],
@@ -340,18 +340,34 @@
     route: str,
     in_time_ms: int,
     now_ms: int,
-) -> Location | None:
-    """Return the instance with the highest expected value, None if all were tried.
+    count: int = 1,
+) -> list[Location]:
+    """Return the instances of the highest expected value, best first.
+
+    Avoided and closed instances come after all others.
 
-    Avoided and closed instances are chosen only if no other is left.
+    Parameters
+    ----------
+    stats : SelectionStats
+    own : Location
+    locations : iterable of Location
+    tried : collection of str
+        Names of instances that are left out.
+    route : str
+    in_time_ms : int
+        Time left for an answer in time.
+    now_ms : int
+    count : int, optional
+        Largest number of instances returned.
     """
-    best, best_key = None, None
-    for location in locations:
-        if location.name in tried:
-            continue
-        is_avoided = _is_avoided(stats, location.name, now_ms)
-        value = estimate_value(stats, own, location, route, in_time_ms, now_ms)
-        key = (not is_avoided, value)
-        if best_key is None or key > best_key:
-            best, best_key = location, key
-    return best
+
+    def rate(location: Location) -> tuple[bool, float]:
+        return (
+            not _is_avoided(stats, location.name, now_ms),
+            estimate_value(stats, own, location, route, in_time_ms, now_ms),
+        )
+
+    left = [location for location in locations if location.name not in tried]
+    if count == 1:
+        return [max(left, key=rate)] if left else []
+    return heapq.nlargest(count, left, key=rate)
--- a/fuchsiamoor/traffic/instance_selection_test.py
+++ b/fuchsiamoor/traffic/instance_selection_test.py
@@ -25,16 +25,25 @@
 
 
 def choose(stats, *locations, in_time_ms=IN_TIME_MS, tried=()):
-    chosen = instance_selection.choose_instance(
+    chosen = instance_selection.choose_instances(
         stats, OWN, locations, tried, "r", in_time_ms, 0
     )
-    return chosen.name if chosen else None
+    return chosen[0].name if chosen else None
 
 
 def test_nearest_instance_is_chosen_while_it_has_free_slots():
     assert choose(make_stats(), FAR, NEAR, OWN) == "own"
 
 
+def test_instances_are_ranked_by_value_and_avoided_ones_come_last():
+    stats = make_stats()
+    instance_selection.record_refusal(stats, OWN.name, 0)
+    ranked = instance_selection.choose_instances(
+        stats, OWN, [FAR, OWN, NEAR], (), "r", IN_TIME_MS, 0, 3
+    )
+    assert ranked == [NEAR, FAR, OWN]
+
+
 def test_queue_at_the_nearest_instance_favours_the_next_data_centre():
     stats = make_stats()
     report_load(stats, OWN, running=18, waiting=9, wait_ms=200)
@@ -148,6 +157,7 @@
 
 
 def choose_from(drawn):
-    return instance_selection.choose_instance(
+    [chosen] = instance_selection.choose_instances(
         make_stats(), OWN, drawn, (), "r", IN_TIME_MS, 0
-    ).name
+    )
+    return chosen.name
