Bound the request bodies that a daemon holds at a time

Cause: a body may be 64 MB and nothing bounded all of them together: a few callers end a daemon of 200 MB (bodies of callers, and of requests that other daemons forward).

Change: an eighth of the machine's memory, as each body exists up to four times. What has no room is refused with 503 and a Retry-After, before it is read if its length is known, and has not run; a forwarded one is refused as over the limit. Bytes are released with the answer, or when the caller leaves.

Before: no such limit (the new tests need the new argument).

--- a/fuchsiamoor/agent/http_server.py
+++ b/fuchsiamoor/agent/http_server.py
@@ -16,12 +16,15 @@
 
 from fuchsiamoor.core.addresses import Address
 from fuchsiamoor.core.requests import Headers
+from fuchsiamoor.traffic import body_budget
 from fuchsiamoor.traffic.catalog import CallerLimits
 
 # Requests of one connection that run concurrently; at this number the server stops
 # reading from the connection.
 PIPELINED_MAX = 16
 BACKLOG = 1_024
+# Sent with the refusal of a body for which there is no room: about the time of one run.
+RETRY_AFTER = (b"Retry-After", b"0.3")
 
 
 class HttpRequest(NamedTuple):
@@ -69,11 +72,20 @@
         ``async handler(request)``; raises nothing but `asyncio.CancelledError`.
     get_limits : callable
         Returns the limits in force, read once for each connection.
+    budget : BodyBudget
+        Bodies are held until their request is answered; one for which there is no room
+        is refused, before it is read if its length is known.
     """
 
-    def __init__(self, handler: Handler, get_limits: Callable[[], CallerLimits]):
+    def __init__(
+        self,
+        handler: Handler,
+        get_limits: Callable[[], CallerLimits],
+        budget: body_budget.BodyBudget,
+    ):
         self.handler = handler
         self.get_limits = get_limits
+        self.budget = budget
         self.is_closing = False
         self.connections: set[HttpConnection] = set()
         self._server: asyncio.Server | None = None
@@ -118,6 +130,8 @@
         # Bytes of the request being read, without those of the read that began it.
         self._received_bytes = 0
         self._read_bytes = 0
+        # Bytes of bodies of this connection that count in the server's budget.
+        self._held_bytes = 0
         self._is_closing = False
         self._is_paused = False
         self._loop = asyncio.get_running_loop()
@@ -149,6 +163,7 @@
         for task in self._pending:
             task.cancel()
         self._pending.clear()
+        self._release(self._held_bytes)
         self._parser = None
 
     def eof_received(self) -> bool:
@@ -215,20 +230,33 @@
         if len(lengths) > 1 or (lengths and codings) or not _is_chunked(codings):
             self._refuse(HTTPStatus.BAD_REQUEST)
             return
-        if lengths and int(lengths[0]) > self._limits.body_bytes:
+        length_bytes = int(lengths[0]) if lengths else 0
+        if length_bytes > self._limits.body_bytes:
             self._refuse(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
             return
+        if not body_budget.has_room(self._http_server.budget, length_bytes):
+            self._refuse(HTTPStatus.SERVICE_UNAVAILABLE, (RETRY_AFTER,))
+            return
         if any(n == b"expect" for n, _ in self._headers) and not self._pending:
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, data: bytes) -> None:
         """Append a part of the body."""
         self._body_bytes += len(data)
+        if self._is_closing:
+            return
         if self._body_bytes > self._limits.body_bytes:
             self._refuse(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
-        elif not self._is_closing:
+        elif not body_budget.hold(self._http_server.budget, len(data)):
+            self._refuse(HTTPStatus.SERVICE_UNAVAILABLE, (RETRY_AFTER,))
+        else:
+            self._held_bytes += len(data)
             self._body.append(data)
 
+    def _release(self, size_bytes: int) -> None:
+        body_budget.release(self._http_server.budget, size_bytes)
+        self._held_bytes -= size_bytes
+
     def on_message_complete(self) -> None:
         """Start the handler of a complete request."""
         self._is_reading_request = False
@@ -245,6 +273,7 @@
         self._reset_request()
         task = self._loop.create_task(self._http_server.handler(request))
         task.keep_alive = keep_alive
+        task.body_bytes = len(request.body)
         self._pending.append(task)
         task.add_done_callback(self._write_finished)
         if not keep_alive:
@@ -257,6 +286,7 @@
         """Write finished answers up to the first unfinished request, in order."""
         while self._pending and self._pending[0].done():
             task = self._pending.popleft()
+            self._release(task.body_bytes)
             if task.cancelled() or task.exception() is not None:
                 self._abort(task)
                 return
@@ -283,7 +313,7 @@
             return
         self._transport.write(encode_answer(answer, closes))
 
-    def _refuse(self, status: HTTPStatus) -> None:
+    def _refuse(self, status: HTTPStatus, headers: Headers = ()) -> None:
         """Answer an invalid request after all pending answers, and close."""
         if self._is_closing:
             return
@@ -291,10 +321,11 @@
         self._clear_timer()
 
         async def make_refusal() -> HttpAnswer:
-            return HttpAnswer(status)
+            return HttpAnswer(status, headers)
 
         task = self._loop.create_task(make_refusal())
         task.keep_alive = False
+        task.body_bytes = 0
         self._pending.append(task)
         task.add_done_callback(self._write_finished)
 
--- a/fuchsiamoor/agent/http_server_test.py
+++ b/fuchsiamoor/agent/http_server_test.py
@@ -4,8 +4,10 @@
 
 from fuchsiamoor.agent import http_server
 from fuchsiamoor.core.addresses import Address
+from fuchsiamoor.traffic import body_budget
 from fuchsiamoor.traffic.catalog import CallerLimits
 
+BUDGET_BYTES = 100
 LIMITS = CallerLimits(
     header_bytes=500, body_bytes=64, header_timeout_ms=200, idle_timeout_ms=400
 )
@@ -30,7 +32,9 @@
 
 
 async def _connect(handler):
-    server = http_server.HttpServer(handler, lambda: LIMITS)
+    server = http_server.HttpServer(
+        handler, lambda: LIMITS, body_budget.BodyBudget(BUDGET_BYTES)
+    )
     address = await server.listen(Address("127.0.0.1", 0))
     reader, writer = await asyncio.open_connection(*address)
     return server, reader, writer
@@ -195,3 +199,55 @@
         raise RuntimeError("fault")
 
     assert asyncio.run(_exchange(_get("/1"), fail)) == b""
+
+
+def _post(target, body, *headers):
+    lines = [f"POST {target} HTTP/1.1", "Host: a", f"Content-Length: {len(body)}"]
+    return ("\r\n".join([*lines, *headers]) + "\r\n\r\n").encode() + body
+
+
+async def _send_many(count, body, is_chunked):
+    """Send bodies on connections of their own; return the answers and the budget."""
+    server, _, first = await _connect(DelayHandler())
+    first.close()
+    address = server._server.sockets[0].getsockname()
+
+    async def send():
+        reader, writer = await asyncio.open_connection(*address)
+        if is_chunked:
+            head = b"POST /100 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n"
+            end = b"Connection: close\r\n\r\n%x\r\n%b\r\n0\r\n\r\n" % (len(body), body)
+            writer.write(head + end)
+        else:
+            writer.write(_post("/100", body, "Connection: close"))
+        received = await reader.read()
+        writer.close()
+        return received
+
+    answers = await asyncio.gather(*(send() for _ in range(count)))
+    server.close()
+    return answers, server.budget
+
+
+@pytest.mark.parametrize("is_chunked", [False, True])
+def test_bodies_beyond_the_budget_are_refused_with_a_time_to_come_back(is_chunked):
+    answers, budget = asyncio.run(_send_many(5, b"z" * 40, is_chunked))
+    served = [answer for answer in answers if answer.startswith(b"HTTP/1.1 200")]
+    refused = [answer for answer in answers if answer.startswith(b"HTTP/1.1 503")]
+    assert (len(served), len(refused)) == (BUDGET_BYTES // 40, 3)
+    assert all(b"Retry-After" in answer for answer in refused)
+    assert budget.held_bytes == 0
+
+
+def test_the_body_of_a_caller_that_leaves_half_way_is_released():
+    async def play():
+        server, reader, writer = await _connect(DelayHandler())
+        writer.write(_post("/100", b"z" * 40)[:-10])
+        await asyncio.sleep(0.05)
+        held = server.budget.held_bytes
+        writer.transport.abort()
+        await asyncio.sleep(0.05)
+        server.close()
+        return held, server.budget.held_bytes
+
+    assert asyncio.run(play()) == (30, 0)
--- a/fuchsiamoor/agent/lifecycle.py
+++ b/fuchsiamoor/agent/lifecycle.py
@@ -33,10 +33,12 @@
 )
 from fuchsiamoor.core import agent_settings, errors, messages
 from fuchsiamoor.core.carried import CarriedRequest
+from fuchsiamoor.core.verdicts import NotRun, Reason
 from fuchsiamoor.daemon import supervisor
 from fuchsiamoor.peers import links as peer_links
 from fuchsiamoor.ranges import table as tables
 from fuchsiamoor.store import port, relayed
+from fuchsiamoor.traffic import body_budget
 from fuchsiamoor.traffic.catalog import CallerLimits
 
 # The network is private to the deployment, so this key is not secret: it only rejects
@@ -58,6 +60,7 @@
 ) -> state.Agent:
     """Return a daemon that does not listen yet."""
     agent = state.Agent(settings, deployment_dialect, store, metrics.Metrics())
+    agent.body_budget = body_budget.make_body_budget(settings.memory_bytes)
     agent.store = relayed.RelayedStore(
         store,
         lambda call, timeout_ms: call_any_peer(agent, call, timeout_ms),
@@ -152,6 +155,11 @@
     )
     if request.catalog_version > agent.cache.catalog.version:
         agent.catalog_refresh_due.set()
+    size_bytes = len(request.body)
+    if not body_budget.hold(agent.body_budget, size_bytes):
+        return local_execution.refuse(
+            agent, request, NotRun(Reason.OVER_LIMIT, "too many bodies are held")
+        )
     task = asyncio.ensure_future(local_execution.execute(agent, request))
     agent.carried_tasks[request.request_id] = task
     try:
@@ -162,6 +170,7 @@
             raise
         return messages.Done()
     finally:
+        body_budget.release(agent.body_budget, size_bytes)
         if agent.carried_tasks.get(request.request_id) is task:
             del agent.carried_tasks[request.request_id]
 
@@ -198,7 +207,9 @@
     def get_limits() -> CallerLimits:
         return agent.cache.catalog.limits
 
-    return http_server.HttpServer(functools.partial(handle, agent), get_limits)
+    return http_server.HttpServer(
+        functools.partial(handle, agent), get_limits, agent.body_budget
+    )
 
 
 async def run_tree(agent: state.Agent) -> None:
--- a/fuchsiamoor/agent/local_execution.py
+++ b/fuchsiamoor/agent/local_execution.py
@@ -53,10 +53,10 @@
     ends_by_ms = now_ms + request.remaining_ms
     if request.remaining_ms <= RETURN_MARGIN_MS:
         refusal = NotRun(Reason.DEADLINE_PASSED, "on its way here")
-        return _log_refusal(agent, request, refusal)
+        return refuse(agent, request, refusal)
     refusal = _check_admission(agent, request)
     if refusal is not None:
-        return _log_refusal(agent, request, refusal)
+        return refuse(agent, request, refusal)
     upstream = agent.upstream
     owner, queue = upstream.owner, upstream.admission_queue
     if state.is_keyed(agent, request.service):
@@ -69,12 +69,12 @@
     in_time_by_ms = now_ms + request.in_time_ms
     rejected = await _acquire_slot(agent, request, ends_by_ms, in_time_by_ms)
     if rejected is not None:
-        return _log_refusal(agent, request, rejected.verdict, rejected.retry_after_ms)
+        return refuse(agent, request, rejected.verdict, rejected.retry_after_ms)
     waited_ms = agent.now_ms() - now_ms
     try:
         refusal = _check_still_admitted(agent, request, owner)
         if refusal is not None:
-            return _log_refusal(agent, request, refusal)
+            return refuse(agent, request, refusal)
         outcome = await _send(agent, request, owner, ends_by_ms)
         if isinstance(outcome.verdict, Ran):
             _log_run(agent, request, outcome, waited_ms)
@@ -84,13 +84,13 @@
         admit_next(agent, queue)
 
 
-def _log_refusal(
+def refuse(
     agent: state.Agent,
     request: CarriedRequest,
     verdict: NotRun,
     retry_after_ms: int = 0,
 ) -> CarriedAnswer:
-    """Log why a request was not sent to the upstream, and return its refusal."""
+    """Log why a request is not sent to the upstream, and return its refusal."""
     queue, now_ms = agent.upstream.admission_queue, agent.now_ms()
     table = agent.cache.tables.get(request.service)
     agent.events.emit(
@@ -247,7 +247,7 @@
     refusal = _check_still_admitted(agent, request, owner)
     if refusal is not None:
         upstream_pool.release(pool, connection)
-        return _log_refusal(agent, request, refusal)
+        return refuse(agent, request, refusal)
     began_ms = agent.now_ms()
     remaining_ms = ends_by_ms - began_ms - RETURN_MARGIN_MS
     try:
--- a/fuchsiamoor/agent/state.py
+++ b/fuchsiamoor/agent/state.py
@@ -18,6 +18,7 @@
 from fuchsiamoor.store import feed as feeds
 from fuchsiamoor.store import port
 from fuchsiamoor.traffic import admission, instance_selection, one_way_delay, upstreams
+from fuchsiamoor.traffic import body_budget as body_budgets
 from fuchsiamoor.traffic import catalog as catalogs
 
 
@@ -190,6 +191,8 @@
         Requests forwarded by other daemons that run here, by request id.
     longest_wait_ms : dict of str to int
         Longest time that a caller of each route waits, in milliseconds.
+    body_budget : BodyBudget
+        Bodies of requests, of callers and of other daemons, that are held now.
     stopping_since_ms : int or None
         Time at which a stop was requested.
     stop_requested : asyncio.Event
@@ -246,6 +249,9 @@
     retry_budgets: dict[str, retry_budget.Budget] = field(default_factory=dict)
     carried_tasks: dict[str, asyncio.Task] = field(default_factory=dict)
     longest_wait_ms: dict[str, int] = field(default_factory=dict)
+    body_budget: body_budgets.BodyBudget = field(
+        default_factory=lambda: body_budgets.make_body_budget(0)
+    )
     stopping_since_ms: int | None = None
     stop_requested: asyncio.Event = field(default_factory=asyncio.Event)
     caller_tasks: set[asyncio.Task] = field(default_factory=set)
--- a/fuchsiamoor/core/agent_settings.py
+++ b/fuchsiamoor/core/agent_settings.py
@@ -60,6 +60,8 @@
         Usual interval between two heartbeats of an upstream.
     lease_min_ms : int
         Shortest lease that the store grants.
+    memory_bytes : int
+        Memory of the machine that the daemon may use.
     bounds : Bounds
     """
 
@@ -76,4 +78,5 @@
     store_address: Address
     heartbeat_ms: int
     lease_min_ms: int
+    memory_bytes: int
     bounds: Bounds
--- a/fuchsiamoor/platform/settings.py
+++ b/fuchsiamoor/platform/settings.py
@@ -64,6 +64,8 @@
         store_address=scalars.read_address(store["address"]),
         heartbeat_ms=scalars.read_duration_ms(fields["heartbeat"]),
         lease_min_ms=scalars.read_duration_ms(store["ttl_min"]),
+        memory_bytes=scalars.read_int(fields["limits"]["memory_mb"], "memory_mb")
+        * 1_000_000,
         bounds=_read_bounds(fields["bounds"]),
     )
 
--- a/fuchsiamoor/platform/wire_data.py
+++ b/fuchsiamoor/platform/wire_data.py
@@ -89,6 +89,7 @@
 SETTINGS = {
     "metrics_port": 9464,
     "fields": {
+        "limits": {"memory_mb": 300},
         "ip_addr": "10.1.0.38",
         "zone": "almaty-a",
         "region": "almaty",
--- a/fuchsiamoor/platform/wire_test.py
+++ b/fuchsiamoor/platform/wire_test.py
@@ -219,6 +219,7 @@
     assert found.peer_address.port == 7_380
     assert found.bounds.cold_ratio == 1.5
     assert found.store_address.port == 8_142
+    assert found.memory_bytes == 300_000_000
 
 
 @pytest.mark.parametrize("text", ["", "5", "5m", "-1s", "1e3ms", " 1s", 5, None])
--- a/fuchsiamoor/testing/traffic_data.py
+++ b/fuchsiamoor/testing/traffic_data.py
@@ -75,6 +75,7 @@
         store_address=ADDRESS,
         heartbeat_ms=870,
         lease_min_ms=1_000,
+        memory_bytes=200_000_000,
         bounds=agent_settings.Bounds(),
     )
 
