Leave runs that failed for their calls to the caller, and charge the calls of repeats

Change: the daemon beside the upstream knows the runs and their calls. It tells the entry daemon that a call failed, which then leaves the repeat to the caller (it costs no budget); calls made by a repeated run are charged to the budget of the service they call.

--- a/fuchsiamoor/agent/caller_requests.py
+++ b/fuchsiamoor/agent/caller_requests.py
@@ -4,7 +4,13 @@
 
 from loguru import logger
 
-from fuchsiamoor.agent import forwarding, retrying, state, target_selection
+from fuchsiamoor.agent import (
+    forwarding,
+    nested_calls,
+    retrying,
+    state,
+    target_selection,
+)
 from fuchsiamoor.agent.attempts import Attempts, Deadlines
 from fuchsiamoor.agent.http_server import HttpAnswer, HttpRequest
 from fuchsiamoor.core.carried import CarriedAnswer
@@ -91,7 +97,10 @@
     """Try instances until one has answered or no further attempt is allowed."""
     service = catalog.choose_service(route, agent.rng)
     deadlines = target_selection.compute_deadlines(agent, request, route, arrived_ms)
-    retrying.credit_budget(agent, service)
+    if nested_calls.is_made_by_repeat(agent.runs, request.parent_id):
+        retrying.charge_budget(agent, service)
+    else:
+        retrying.credit_budget(agent, service)
     while True:
         remaining_ms = deadlines.answer_by_ms - agent.now_ms()
         if remaining_ms < target_selection.REMAINING_MIN_MS:
@@ -108,7 +117,7 @@
         attempts.target = target.instance
         attempts.is_in_flight = True
         outcome = await forwarding.forward(
-            agent, request, route, service, target, deadlines
+            agent, request, route, service, target, deadlines, attempts.arrivals
         )
         attempts.is_in_flight = False
         arrivals, attempts.last_outcome = attempts.arrivals, outcome
@@ -122,6 +131,8 @@
         ):
             break
     answer = _make_final_answer(agent, request, service, attempts, deadlines)
+    if answer.status >= 400:
+        nested_calls.record_failed_call(agent.runs, request.parent_id)
     _log_outcome(agent, request, route, service, attempts, answer.status, arrived_ms)
     return answer
 
--- a/fuchsiamoor/agent/forwarding.py
+++ b/fuchsiamoor/agent/forwarding.py
@@ -28,8 +28,12 @@
     service: str,
     target: registrations.Registration,
     deadlines: Deadlines,
+    arrivals: int,
 ) -> CarriedAnswer:
-    """Send a request to the daemon beside an instance, or run it locally."""
+    """Send a request to the daemon beside an instance, or run it locally.
+
+    ``arrivals`` is the number of earlier attempts that reached an upstream.
+    """
     now_ms = agent.now_ms()
     carried = CarriedRequest(
         request_id=request.request_id,
@@ -43,6 +47,7 @@
         route=route.name,
         rank=CALL_RANK if request.is_nested else route.rank,
         is_idempotent=route.is_idempotent,
+        is_repeat=arrivals > 0,
         home_regions=tuple(sorted(route.home_regions)),
         remaining_ms=deadlines.answer_by_ms - now_ms,
         in_time_ms=deadlines.in_time_by_ms - now_ms,
@@ -85,7 +90,7 @@
 
 
 def _make_failure(verdict: NotRun | MayHaveRun, has_arrived: bool) -> CarriedAnswer:
-    return CarriedAnswer(verdict, 0, (), b"", has_arrived, 0, 0, UNKNOWN_LOAD, 0)
+    return CarriedAnswer(verdict, 0, (), b"", has_arrived, 0, False, 0, UNKNOWN_LOAD, 0)
 
 
 def _record_outcome(
--- a/fuchsiamoor/agent/local_execution.py
+++ b/fuchsiamoor/agent/local_execution.py
@@ -7,7 +7,7 @@
 
 import asyncio
 
-from fuchsiamoor.agent import state, upstream_lifecycle
+from fuchsiamoor.agent import nested_calls, state, upstream_lifecycle
 from fuchsiamoor.core.carried import NO_KEY, CarriedAnswer, CarriedRequest, Load
 from fuchsiamoor.core.verdicts import MayHaveRun, NotRun, Ran, Reason
 from fuchsiamoor.daemon import upstream_pool
@@ -257,16 +257,21 @@
     except ValueError as error:
         upstream_pool.release(pool, connection)
         return _make_refusal(agent, NotRun(Reason.BAD_REQUEST, str(error)))
-    received = await upstream_pool.exchange(
-        pool,
-        payload,
-        request.method == "HEAD",
-        remaining_ms,
-        lambda headers: agent.dialect.match_answer(request.request_id, headers),
-        connection,
-    )
+    run = nested_calls.start_run(agent.runs, request)
+    try:
+        received = await upstream_pool.exchange(
+            pool,
+            payload,
+            request.method == "HEAD",
+            remaining_ms,
+            lambda headers: agent.dialect.match_answer(request.request_id, headers),
+            connection,
+        )
+    finally:
+        nested_calls.end_run(agent.runs, request, run)
     run_ms = agent.now_ms() - began_ms
-    return _handle_outcome(agent, queue, request, received, run_ms)
+    outcome = _handle_outcome(agent, queue, request, received, run_ms)
+    return outcome._replace(has_failed_call=run.has_failed_call)
 
 
 def _handle_outcome(
@@ -368,6 +373,7 @@
         body=body,
         has_arrived=has_arrived,
         run_ms=run_ms,
+        has_failed_call=False,
         retry_after_ms=retry_after_ms,
         load=read_load(agent),
         catalog_version=agent.cache.catalog.version,
--- a/fuchsiamoor/agent/retrying.py
+++ b/fuchsiamoor/agent/retrying.py
@@ -28,6 +28,7 @@
             # With requests waiting, a retry would delay another request's first run.
             has_room = outcome.load.waiting == 0
             failed = outcome.status == 500 and route.is_idempotent and has_room
+            failed = failed and not outcome.has_failed_call
             return failed and _spend_retry(agent, route, service, attempts)
         case MayHaveRun():
             attempts.may_have_run = outcome.verdict
@@ -78,6 +79,11 @@
     return found
 
 
+def charge_budget(agent: state.Agent, service: str) -> None:
+    """Charge the retry budget for a request that counts as a retry at the service."""
+    retry_budget.charge(find_budget(agent, service))
+
+
 def credit_budget(agent: state.Agent, service: str) -> None:
     """Credit the retry budget for one request, with a fraction of a retry."""
     ratio = BUDGET_SHARE * agent.settings.bounds.retry_ratio
--- a/fuchsiamoor/agent/state.py
+++ b/fuchsiamoor/agent/state.py
@@ -8,7 +8,7 @@
 from typing import Any, NamedTuple
 
 from fuchsiamoor.agent import dialect as dialects
-from fuchsiamoor.agent import event_log, registrations
+from fuchsiamoor.agent import event_log, nested_calls, registrations
 from fuchsiamoor.core import agent_settings, clock
 from fuchsiamoor.daemon import upstream_pool
 from fuchsiamoor.ranges import demand as demands
@@ -191,6 +191,8 @@
         Requests forwarded by other daemons that run here, by request id.
     longest_wait_ms : dict of str to int
         Longest time that a caller of each route waits, in milliseconds.
+    runs : dict of str to ParentRun
+        Runs of the local upstream, by request id.
     body_budget : BodyBudget
         Bodies of requests, of callers and of other daemons, that are held now.
     stopping_since_ms : int or None
@@ -249,6 +251,7 @@
     retry_budgets: dict[str, retry_budget.Budget] = field(default_factory=dict)
     carried_tasks: dict[str, asyncio.Task] = field(default_factory=dict)
     longest_wait_ms: dict[str, int] = field(default_factory=dict)
+    runs: nested_calls.Runs = field(default_factory=dict)
     body_budget: body_budgets.BodyBudget = field(
         default_factory=lambda: body_budgets.make_body_budget(0)
     )
--- a/fuchsiamoor/core/carried.py
+++ b/fuchsiamoor/core/carried.py
@@ -46,6 +46,8 @@
     route : str
     rank : int
     is_idempotent : bool
+    is_repeat : bool
+        Whether an earlier attempt has reached an upstream.
     home_regions : tuple of str
         Regions that may handle it; empty for all.
     remaining_ms : int
@@ -69,6 +71,7 @@
     route: str
     rank: int
     is_idempotent: bool
+    is_repeat: bool
     home_regions: tuple[str, ...]
     remaining_ms: int
     in_time_ms: int
@@ -90,6 +93,8 @@
         Whether the request was sent to an upstream.
     run_ms : int
         Time for which the upstream ran it.
+    has_failed_call : bool
+        Whether a call that the run made was refused or failed.
     retry_after_ms : int
         With `NotRun`, time until capacity is likely to be free; 0 if unknown.
     load : Load
@@ -104,6 +109,7 @@
     body: bytes
     has_arrived: bool
     run_ms: int
+    has_failed_call: bool
     retry_after_ms: int
     load: Load
     catalog_version: int
--- a/fuchsiamoor/platform/wire.py
+++ b/fuchsiamoor/platform/wire.py
@@ -84,7 +84,7 @@
         key=_read_key(routing_headers.get(_KEY)),
         # An upstream names a nested request by the id of the request that it runs, then
         # a dot and a suffix.
-        is_nested="." in request_id,
+        parent_id=request_id.rpartition(".")[0],
     )
 
 
--- a/fuchsiamoor/routing/retry_budget.py
+++ b/fuchsiamoor/routing/retry_budget.py
@@ -7,6 +7,8 @@
 from dataclasses import dataclass
 
 RESERVE_TOKENS = 10.0
+# Largest number of tokens owed for retries that could not be refused.
+DEBT_MAX_TOKENS = 10.0
 
 
 @dataclass(slots=True)
@@ -27,6 +29,11 @@
     budget.tokens = min(budget.tokens_max, budget.tokens + ratio)
 
 
+def charge(budget: Budget) -> None:
+    """Take one token for a retry that is sent in any case; the budget may owe it."""
+    budget.tokens = max(budget.tokens - 1.0, -DEBT_MAX_TOKENS)
+
+
 def spend(budget: Budget) -> bool:
     """Take one token for a retry or hedge; False if there is none.
 
--- a/fuchsiamoor/testing/caller_requests_data.py
+++ b/fuchsiamoor/testing/caller_requests_data.py
@@ -46,7 +46,9 @@
 
 def make_outcome(verdict, status=0, **changes) -> carried.CarriedAnswer:
     """Return the outcome of a request at an open instance, with fields changed."""
-    outcome = carried.CarriedAnswer(verdict, status, (), b"x", True, 50, 0, OPEN, 1)
+    outcome = carried.CarriedAnswer(
+        verdict, status, (), b"x", True, 50, False, 0, OPEN, 1
+    )
     return outcome._replace(**changes)
 
 
@@ -89,13 +91,14 @@
     )
 
 
-def make_request(target="/read/1", key=-1, wait_ms=1_000) -> HttpRequest:
+def make_request(target="/read/1", key=-1, wait_ms=1_000, parent_id="") -> HttpRequest:
     """Return a caller's request in the format of the plain test dialect."""
     headers = (
         (b"host", b"shop.example"),
         (b"x-request", b"a1"),
         (b"x-key", b"%d" % key),
         (b"x-wait", b"%d" % wait_ms),
+        (b"x-parent", parent_id.encode()),
     )
     return HttpRequest("GET", target, headers, b"")
 
--- a/fuchsiamoor/testing/traffic_data.py
+++ b/fuchsiamoor/testing/traffic_data.py
@@ -111,6 +111,7 @@
         route="read",
         rank=1,
         is_idempotent=True,
+        is_repeat=False,
         home_regions=(),
         remaining_ms=1_000,
         in_time_ms=600,
@@ -163,7 +164,7 @@
         body=body,
         wait_ms=int(found.get(b"x-wait", b"1000")),
         key=int(found.get(b"x-key", b"-1")),
-        is_nested=False,
+        parent_id=found.get(b"x-parent", b"").decode(),
     )
 
 
--- a/fuchsiamoor/traffic/requests.py
+++ b/fuchsiamoor/traffic/requests.py
@@ -24,8 +24,9 @@
         How long the caller waits for the answer.
     key : int
         `carried.NO_KEY` if the request has none.
-    is_nested : bool
-        Whether an upstream sent it on behalf of a request that the upstream runs.
+    parent_id : str
+        Id of the request that an upstream runs and on whose behalf it sent this one;
+        empty for any other caller.
     """
 
     request_id: str
@@ -36,7 +37,12 @@
     body: bytes
     wait_ms: int
     key: int
-    is_nested: bool
+    parent_id: str
+
+    @property
+    def is_nested(self) -> bool:
+        """Whether an upstream sent it on behalf of a request that the upstream runs."""
+        return bool(self.parent_id)
 
 
 class UpstreamAnswer(NamedTuple):
