--- a/fuchsiamoor/agent/transfers.py
+++ b/fuchsiamoor/agent/transfers.py
@@ -26,28 +26,40 @@
 TRANSFER_MS_WEIGHT = 0.2
 
 
+@dataclass(slots=True)
+class GrantedBody:
+    """A body that is on its way.
+
+    Parameters
+    ----------
+    granted_ms : int
+    heard_ms : int
+        Time of the grant, or of the latest part.
+    parts : dict of int to bytes
+        Parts that have arrived, by offset.
+    """
+
+    granted_ms: int
+    heard_ms: int
+    parts: dict[int, bytes] = field(default_factory=dict)
+
+
 @dataclass(slots=True)
 class Transfers:
     """Bodies that are on their way to this daemon, and those that wait for a grant.
 
     Parameters
     ----------
-    granted_ms : OrderedDict of str to int
-        Time of the grant of each body on its way, by request id, oldest first.
+    granted : dict of str to GrantedBody
+        Bodies on their way, by request id.
     waiting : OrderedDict of str to Future
         Grants that are waited for, by request id, oldest first.
-    heard_ms : dict of str to int
-        Time of the grant, or of the latest part, of each body on its way.
-    parts : dict of str to dict of int to bytes
-        Parts of each body on its way that have arrived, by offset.
     transfer_ms : float
         Moving average of the time from a grant to the arrival of the request.
     """
 
-    granted_ms: OrderedDict[str, int] = field(default_factory=OrderedDict)
+    granted: dict[str, GrantedBody] = field(default_factory=dict)
     waiting: OrderedDict[str, asyncio.Future] = field(default_factory=OrderedDict)
-    heard_ms: dict[str, int] = field(default_factory=dict)
-    parts: dict[str, dict[int, bytes]] = field(default_factory=dict)
     transfer_ms: float = DEFAULT_TRANSFER_MS
 
 
@@ -77,21 +89,15 @@
 
 def grant_next(transfers: Transfers, now_ms: int) -> None:
     """Grant bodies that wait, in order, as far as there is room."""
-    for request_id, heard_ms in list(transfers.heard_ms.items()):
-        if now_ms - heard_ms >= GRANT_EXPIRY_MS:
-            _drop(transfers, request_id)
-    while transfers.waiting and len(transfers.granted_ms) < GRANTS_MAX:
+    for request_id, body in list(transfers.granted.items()):
+        if now_ms - body.heard_ms >= GRANT_EXPIRY_MS:
+            del transfers.granted[request_id]
+    while transfers.waiting and len(transfers.granted) < GRANTS_MAX:
         request_id, grant = transfers.waiting.popitem(last=False)
-        transfers.granted_ms[request_id] = transfers.heard_ms[request_id] = now_ms
-        transfers.parts[request_id] = {}
+        transfers.granted[request_id] = GrantedBody(now_ms, now_ms)
         grant.set_result(None)
 
 
-def _drop(transfers: Transfers, request_id: str) -> None:
-    for by_request in (transfers.granted_ms, transfers.heard_ms, transfers.parts):
-        by_request.pop(request_id, None)
-
-
 def add_part(
     transfers: Transfers,
     request_id: str,
@@ -100,11 +106,11 @@
     now_ms: int,
 ) -> bool:
     """Keep a part of a body; return False if the body was given up."""
-    parts = transfers.parts.get(request_id)
-    if parts is None:
+    body = transfers.granted.get(request_id)
+    if body is None:
         return False
-    parts[offset_bytes] = content
-    transfers.heard_ms[request_id] = now_ms
+    body.parts[offset_bytes] = content
+    body.heard_ms = now_ms
     return True
 
 
@@ -118,32 +124,34 @@
     bytes or None
         None if the body is not whole.
     """
-    parts = transfers.parts.get(request_id, {})
-    granted_ms = transfers.granted_ms.get(request_id, now_ms)
-    _drop(transfers, request_id)
+    body = transfers.granted.pop(request_id, None)
     grant_next(transfers, now_ms)
-    body = bytearray()
-    for offset_bytes in sorted(parts):
-        if offset_bytes != len(body):
+    if body is None:
+        return None
+    joined = bytearray()
+    for offset_bytes in sorted(body.parts):
+        if offset_bytes != len(joined):
             return None
-        body += parts[offset_bytes]
-    if len(body) != size_bytes:
+        joined += body.parts[offset_bytes]
+    if len(joined) != size_bytes:
         return None
-    elapsed_ms = now_ms - granted_ms
+    elapsed_ms = now_ms - body.granted_ms
     transfers.transfer_ms += TRANSFER_MS_WEIGHT * (elapsed_ms - transfers.transfer_ms)
-    return bytes(body)
+    return bytes(joined)
 
 
 def count_held_bytes(transfers: Transfers) -> int:
     """Return the bytes of all parts that wait for their request."""
     return sum(
-        len(content) for parts in transfers.parts.values() for content in parts.values()
+        len(content)
+        for body in transfers.granted.values()
+        for content in body.parts.values()
     )
 
 
 def cancel(transfers: Transfers, request_id: str, now_ms: int) -> None:
     """Give up the body of a request whose caller has left, granted or not."""
-    _drop(transfers, request_id)
+    transfers.granted.pop(request_id, None)
     grant = transfers.waiting.pop(request_id, None)
     if grant is not None:
         grant.cancel()
@@ -152,5 +160,5 @@
 
 def estimate_transfer_ms(transfers: Transfers) -> float:
     """Return the expected time until one more body has arrived, in milliseconds."""
-    ahead = len(transfers.waiting) + len(transfers.granted_ms)
+    ahead = len(transfers.waiting) + len(transfers.granted)
     return transfers.transfer_ms * max(1.0, (ahead + 1) / GRANTS_MAX)
--- a/fuchsiamoor/daemon/upstream_lifecycle_test.py
+++ b/fuchsiamoor/daemon/upstream_lifecycle_test.py
@@ -1,36 +1,15 @@
-from fuchsiamoor.core import settings
-from fuchsiamoor.core.addresses import Address
 from fuchsiamoor.daemon import cluster_state as cluster_states
-from fuchsiamoor.daemon import metrics, store_metrics, upstream_lifecycle
-from fuchsiamoor.daemon import node as nodes
+from fuchsiamoor.daemon import upstream_lifecycle
 from fuchsiamoor.ownership import lease_holder as holders
 from fuchsiamoor.ownership import tables_codec
-from fuchsiamoor.testing import fake_store, members_data, ownership_data
+from fuchsiamoor.testing import fake_store, members_data, node_data, ownership_data
 
 DOMAIN = "stock@a"
 
 
 def make_owner():
     """Return a node that owns all shards of a domain."""
-    node_settings = settings.Settings(
-        "a-1",
-        "stock",
-        "a",
-        "a-1",
-        *[Address("127.0.0.1", 1)] * 5,
-        "",
-        None,
-        (),
-        (),
-        ownership_data.TIMING,
-    )
-    made_metrics = metrics.make_metrics(None)
-    store = fake_store.FakeStore(fake_store.VirtualClock())
-    node = nodes.make_node(
-        node_settings,
-        store_metrics.make_counted_store(store, made_metrics),
-        made_metrics,
-    )
+    node = node_data.make_node(fake_store.make_fake_store())
     table = ownership_data.make_table((node.member.member_id,))._replace(domain=DOMAIN)
     cluster_states.adopt_table(node.cluster_state, tables_codec.encode_table(table))
     node.holders[DOMAIN] = holders.make_lease_holder(
--- a/fuchsiamoor/traffic/instance_selection.py
+++ b/fuchsiamoor/traffic/instance_selection.py
@@ -378,6 +378,4 @@
         )
 
     left = [location for location in locations if location.name not in tried]
-    if count == 1:
-        return [max(left, key=rate)] if left else []
     return heapq.nlargest(count, left, key=rate)
