Take heartbeats only from the upstream that a daemon runs beside

What callers saw: one readable heartbeat of another writer, with a service that no catalog has, unseated the live owner of a third of the keys. Two upstreams held the same keys for over 3 s, and the real one got no work for the rest of its life.

Cause: service, address, data centre and version of a heartbeat were not compared with the settings, or not read. Any later start counted as a successor, and a successor proves that the owner has ended.

Ruled out: stale sequence numbers, as the id was one that no upstream had.

--- a/fuchsiamoor/agent/endpoints.py
+++ b/fuchsiamoor/agent/endpoints.py
@@ -5,6 +5,7 @@
 from fuchsiamoor.agent import dialect as dialects
 from fuchsiamoor.agent import state, store_sync, table_writer, upstream_lifecycle
 from fuchsiamoor.agent.http_server import HttpAnswer, HttpRequest
+from fuchsiamoor.core import addresses
 
 JSON_HEADERS = ((b"Content-Type", b"application/json"),)
 # Longest time that the acknowledgement of a deregistration waits for the store; the
@@ -50,6 +51,15 @@
         agent.metrics.count("heartbeat.malformed")
         logger.bind(error=str(error)).warning("heartbeat cannot be read")
         return HttpAnswer(400)
+    if not upstream_lifecycle.is_from_local_upstream(agent, heartbeat):
+        agent.metrics.count("heartbeat.foreign")
+        logger.bind(
+            upstream=upstream_id,
+            service=heartbeat.service,
+            address=addresses.format_address(heartbeat.address),
+            data_centre=heartbeat.data_centre,
+        ).warning("heartbeat does not come from the local upstream")
+        return HttpAnswer(400)
     grants = table_writer.handle_heartbeat_and_releases(agent, heartbeat)
     return HttpAnswer(200, JSON_HEADERS, agent.dialect.write_heartbeat_answer(grants))
 
--- a/fuchsiamoor/agent/upstream_lifecycle.py
+++ b/fuchsiamoor/agent/upstream_lifecycle.py
@@ -77,6 +77,18 @@
     )
 
 
+def is_from_local_upstream(
+    agent: state.Agent, heartbeat: upstreams.UpstreamHeartbeat
+) -> bool:
+    """Return whether a heartbeat names the upstream that this daemon runs beside."""
+    settings = agent.settings
+    return (
+        heartbeat.service == settings.service
+        and heartbeat.address == settings.upstream_address
+        and heartbeat.data_centre == settings.data_centre
+    )
+
+
 def has_moving_rows(agent: state.Agent) -> bool:
     """Return whether any keys of the local upstream are to move to another owner."""
     return any(row.moving_to for row in list_own_rows(agent))
--- a/fuchsiamoor/platform/heartbeats.py
+++ b/fuchsiamoor/platform/heartbeats.py
@@ -43,11 +43,14 @@
         document = json.loads(body)
         if document["state"] not in _STATES:
             raise ValueError(f"state: found {document['state']!r:.40}")
+        scalars.read_text(document["version"], "version")
         return upstreams.UpstreamHeartbeat(
             incarnation=upstreams.Incarnation(
                 upstream_id, scalars.read_int(document["born"], "born")
             ),
             service=scalars.read_text(document["service"], "service"),
+            address=scalars.read_address(document["address"]),
+            data_centre=scalars.read_text(document["zone"], "zone"),
             sequence=scalars.read_int(document["sequence"], "sequence"),
             slots=scalars.read_int(document["capacity"], "capacity"),
             is_draining=document["state"] == "draining",
--- a/fuchsiamoor/platform/wire_test.py
+++ b/fuchsiamoor/platform/wire_test.py
@@ -2,6 +2,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from fuchsiamoor.core.addresses import Address
 from fuchsiamoor.daemon.upstream_connection import AnswerMatch, WholeAnswer
 from fuchsiamoor.platform import (
     heartbeats,
@@ -122,6 +123,8 @@
 def test_heartbeat_is_decoded_and_its_answer_encoded():
     found = heartbeats.read_heartbeat("i-1", wire_data.encode_heartbeat())
     assert found.incarnation.started_unix_ms == 1_700_000_000_000
+    assert found.address == Address("10.128.0.9", 8_080)
+    assert found.data_centre == "almaty-a"
     assert found.held[0].fence == 7
     assert found.released[0].handover == "5c0e"
     grants = granting.Grants((granting.Grant(0, 9, 3, ""),), 3_500)
@@ -143,6 +146,11 @@
         {"holds": [[0, 65_536, 1]]},
         {"released": [[0, 1, 7]]},
         {"service": ""},
+        {"address": None},
+        {"address": "10.128.0.9"},
+        {"address": "10.128.0.9:65536"},
+        {"zone": 3},
+        {"version": None},
     ],
 )
 def test_malformed_heartbeat_is_refused(changes):
--- a/fuchsiamoor/reports/metric_names.py
+++ b/fuchsiamoor/reports/metric_names.py
@@ -123,6 +123,7 @@
     "peers.lost": "Carried requests whose link broke or fell silent.",
     "heartbeat.stale": "Heartbeats overtaken, or of an earlier incarnation.",
     "heartbeat.malformed": "Heartbeats that could not be read.",
+    "heartbeat.foreign": "Heartbeats that name another upstream than the local one.",
     "upstream.probed": "Health checks of the upstream beside the daemon.",
     "upstream.ended": "Incarnations of the upstream that ended.",
     "upstream.not_connected": "Requests that met no listening upstream.",
--- a/fuchsiamoor/testing/range_simulation.py
+++ b/fuchsiamoor/testing/range_simulation.py
@@ -205,6 +205,8 @@
     heartbeat = upstreams.UpstreamHeartbeat(
         upstream.incarnation,
         SERVICE,
+        traffic_data.ADDRESS,
+        f"{machine.region}-1",
         upstream.sequence,
         18,
         upstream.is_draining,
--- a/fuchsiamoor/testing/traffic_data.py
+++ b/fuchsiamoor/testing/traffic_data.py
@@ -13,8 +13,11 @@
 PLAIN_SERVICE = "desk"
 CATALOG_KEY = "operators/catalog"
 EVACUATED_PREFIX = "operators/out/"
+HEARTBEAT_PREFIX = "/heartbeat/"
 DEREGISTER_PREFIX = "/deregister/"
 ADDRESS = Address("127.0.0.1", 1)
+REGION = "north"
+DATA_CENTRE = f"{REGION}-1"
 
 
 def make_route(name: str = "read", service: str = PLAIN_SERVICE, **changes):
@@ -58,7 +61,7 @@
 
 
 def make_settings(
-    instance: str = "10.0.0.1", region: str = "north", service: str = KEYED_SERVICE
+    instance: str = "10.0.0.1", region: str = REGION, service: str = KEYED_SERVICE
 ) -> agent_settings.AgentSettings:
     """Return settings with placeholder addresses, which nothing may connect to."""
     return agent_settings.AgentSettings(
@@ -87,6 +90,8 @@
     heartbeat = upstreams.UpstreamHeartbeat(
         upstreams.Incarnation(upstream_id, started_unix_ms),
         KEYED_SERVICE,
+        ADDRESS,
+        DATA_CENTRE,
         sequence,
         18,
         False,
@@ -130,7 +135,7 @@
         read_catalog=lambda value: make_catalog(json.loads(value)),
         read_evacuated=_read_evacuated,
         read_upstream_call=_read_upstream_call,
-        read_heartbeat=lambda upstream_id, body: make_heartbeat(upstream_id),
+        read_heartbeat=_read_heartbeat,
         write_heartbeat_answer=lambda grants: b"{}",
         read_request=_read_request,
         write_request=_write_request,
@@ -142,10 +147,26 @@
     )
 
 
-def _read_upstream_call(method: str, path: str) -> dialects.DeregisterCall | None:
-    if not path.startswith(DEREGISTER_PREFIX):
-        return None
-    return dialects.DeregisterCall(path.removeprefix(DEREGISTER_PREFIX))
+def _read_upstream_call(
+    method: str, path: str
+) -> dialects.HeartbeatCall | dialects.DeregisterCall | None:
+    if path.startswith(HEARTBEAT_PREFIX):
+        return dialects.HeartbeatCall(path.removeprefix(HEARTBEAT_PREFIX))
+    if path.startswith(DEREGISTER_PREFIX):
+        return dialects.DeregisterCall(path.removeprefix(DEREGISTER_PREFIX))
+    return None
+
+
+def encode_heartbeat(**changes) -> bytes:
+    """Return the body that the dialect decodes as `make_heartbeat(id, **changes)`."""
+    return json.dumps(changes).encode()
+
+
+def _read_heartbeat(upstream_id: str, body: bytes) -> upstreams.UpstreamHeartbeat:
+    changes = json.loads(body)
+    if "address" in changes:
+        changes["address"] = Address(*changes["address"])
+    return make_heartbeat(upstream_id, **changes)
 
 
 def _read_evacuated(key: str) -> str | None:
--- a/fuchsiamoor/traffic/upstreams.py
+++ b/fuchsiamoor/traffic/upstreams.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from fuchsiamoor.core.addresses import Address
+
 
 class Incarnation(NamedTuple):
     """One start of an upstream process.
@@ -49,6 +51,9 @@
     ----------
     incarnation : Incarnation
     service : str
+    address : Address
+        Where it takes requests.
+    data_centre : str
     sequence : int
         Increases with every heartbeat of an incarnation.
     slots : int
@@ -63,6 +68,8 @@
 
     incarnation: Incarnation
     service: str
+    address: Address
+    data_centre: str
     sequence: int
     slots: int
     is_draining: bool
