Unseat an owner only by proof that it has ended, kept in one module

Cause: a new process of a daemon took any first heartbeat, also a late one of an earlier incarnation, and has_ended took any other incarnation in a registration as proof.

Ruled out: the wait for lost owners, as the keys moved within 0.8 s and not after 8.8 s.

Change: succession.py decides who follows and who has ended. A registration ends an owner by naming it or by an incarnation that started later; an owner that is registered has not ended, however long it was missed before. A daemon without an upstream compares the first heartbeat with what the listed store names for its instance.

--- a/fuchsiamoor/agent/owner_lost_test.py
+++ b/fuchsiamoor/agent/owner_lost_test.py
@@ -9,7 +9,7 @@
 
 from fuchsiamoor.agent import (
     caller_requests,
-    table_writer,
+    succession,
     target_selection,
     upstream_lifecycle,
 )
@@ -58,7 +58,7 @@
 
 
 def test_a_request_waits_if_its_key_is_about_to_get_an_owner():
-    answer, elapsed_ms = _ask(absent_for_ms=table_writer.LOST_AFTER_MS - 100)
+    answer, elapsed_ms = _ask(absent_for_ms=succession.LOST_AFTER_MS - 100)
     assert answer.status == 503
     assert elapsed_ms >= 300
 
--- a/fuchsiamoor/agent/ownership_schedules_test.py
+++ b/fuchsiamoor/agent/ownership_schedules_test.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from fuchsiamoor.agent import table_writer, upstream_lifecycle
+from fuchsiamoor.agent import succession, table_writer, upstream_lifecycle
 from fuchsiamoor.core import errors
 from fuchsiamoor.ranges import demand as demands
 from fuchsiamoor.ranges import granting
@@ -194,7 +194,7 @@
 
 
 def test_checker_catches_keys_taken_from_an_owner_before_its_holds_expire(monkeypatch):
-    monkeypatch.setattr(table_writer, "LOST_AFTER_MS", 0)
+    monkeypatch.setattr(succession, "LOST_AFTER_MS", 0)
     assert _finds_fault()
 
 
--- a/fuchsiamoor/agent/registrations.py
+++ b/fuchsiamoor/agent/registrations.py
@@ -11,7 +11,6 @@
 
 from fuchsiamoor.core import addresses, members
 from fuchsiamoor.peers import codec
-from fuchsiamoor.ranges import table as tables
 from fuchsiamoor.store import port
 
 REGISTRATION_PREFIX = "fuchsiamoor/instances/"
@@ -232,17 +231,3 @@
         slots=registration.slots,
         connections=0,
     )
-
-
-def has_ended(directory: Directory, owner: str) -> bool:
-    """Return whether an owner certainly holds no keys any more.
-
-    Its instance's registration names it as ended, or names another incarnation: only
-    one process can listen at an address, so the earlier one has ended.
-    """
-    found = directory.registered.get(tables.instance_of(owner))
-    if found is None:
-        return False
-    if found.owner == owner:
-        return False
-    return found.ended == owner or found.owner != ""
--- a/fuchsiamoor/agent/store_sync.py
+++ b/fuchsiamoor/agent/store_sync.py
@@ -4,7 +4,13 @@
 
 from loguru import logger
 
-from fuchsiamoor.agent import registrations, state, upstream_lifecycle, watch_relay
+from fuchsiamoor.agent import (
+    registrations,
+    state,
+    succession,
+    upstream_lifecycle,
+    watch_relay,
+)
 from fuchsiamoor.core import errors
 from fuchsiamoor.ranges import granting
 from fuchsiamoor.ranges import table as tables
@@ -254,6 +260,7 @@
     cache.absent_since_ms.clear()
     cache.is_loaded = True
     agent.source_heard_ms = now_ms
+    succession.forget_superseded(agent)
     _update_derived_state(agent)
     return listing.version
 
--- /dev/null
+++ b/fuchsiamoor/agent/succession_test.py
@@ -0,0 +1,113 @@
+"""Which incarnation follows an owner of keys, and what proves that one has ended."""
+
+import asyncio
+
+import pytest
+
+from fuchsiamoor.agent import registrations, succession, table_writer
+from fuchsiamoor.testing import range_simulation, registrations_data, traffic_data
+from fuchsiamoor.testing import virtual_time as virtual
+from fuchsiamoor.traffic import upstreams
+
+OWNER = "10.0.0.1/i-2@20"
+
+
+async def start_world(seed):
+    """Return a simulation whose first upstream has had an earlier incarnation.
+
+    The upstream of the second machine has started again later, so that it lacks keys.
+    """
+    world = range_simulation.make_world(seed)
+    for machine in world.machines:
+        range_simulation.start_upstream(world, machine)
+        range_simulation.start_daemon(world, machine)
+    await asyncio.sleep(5)
+    machine = world.machines[0]
+    earlier = machine.upstream.incarnation
+    for crashed in world.machines[:2]:
+        range_simulation.kill_upstream(crashed)
+        await asyncio.sleep(2)
+        range_simulation.start_upstream(world, crashed)
+        await asyncio.sleep(14)
+    assert range_simulation.holds_all_keys(world)
+    return world, machine, earlier
+
+
+def deliver_late_heartbeat(machine, incarnation):
+    """Let a heartbeat of an earlier incarnation reach the daemon now."""
+    heartbeat = traffic_data.make_heartbeat(*incarnation, sequence=9)
+    return table_writer.handle_heartbeat_and_releases(machine.agent, heartbeat)
+
+
+# The first heartbeat that a restarted daemon got was a late one of an earlier life, and
+# the live owner's keys were given to others at once.
+@pytest.mark.parametrize("delay_s", [0.0, 0.05])
+@pytest.mark.parametrize("seed", range(3))
+def test_a_late_heartbeat_after_a_restart_unseats_no_owner(seed, delay_s):
+    async def play():
+        world, machine, earlier = await start_world(seed)
+        checking = asyncio.create_task(range_simulation.check_continuously(world))
+        range_simulation.kill_daemon(machine)
+        await asyncio.sleep(0.3)
+        range_simulation.start_daemon(world, machine)
+        await asyncio.sleep(delay_s)
+        deliver_late_heartbeat(machine, earlier)
+        range_simulation.hold_heartbeats(world, machine, delay_s=2.0)
+        await asyncio.sleep(4)
+        checking.cancel()
+        owner = machine.agent.upstream.owner
+        expected = machine.upstream.incarnation
+        await range_simulation.close(world)
+        return world.violations, owner.endswith(upstreams.format_incarnation(expected))
+
+    assert virtual.run(play()) == ([], True)
+
+
+@pytest.mark.parametrize(
+    ("changes", "has_ended"),
+    [
+        ({"owner": OWNER}, False),
+        ({"owner": "10.0.0.1/i-3@21"}, True),
+        ({"owner": "10.0.0.1/i-1@19"}, False),
+        ({"owner": "10.0.0.1/i-3@20"}, False),
+        ({"owner": ""}, False),
+        ({"owner": "", "ended": OWNER}, True),
+        ({"owner": "10.0.0.1/i-1@19", "ended": OWNER}, True),
+        ({"owner": "", "ended": "10.0.0.1/i-1@19"}, False),
+    ],
+)
+def test_a_registration_ends_an_owner_by_name_or_by_a_later_incarnation(
+    changes, has_ended
+):
+    cache = registrations_data.make_cache(
+        registrations_data.make_registration(**changes)
+    )
+    assert succession.has_ended(cache, OWNER, 0) is has_ended
+
+
+def test_an_owner_without_registration_has_ended_once_its_holds_are_over():
+    cache = registrations_data.make_cache()
+    cache.absent_since_ms[OWNER] = 0
+    assert not succession.has_ended(cache, OWNER, succession.LOST_AFTER_MS)
+    assert succession.has_ended(cache, OWNER, succession.LOST_AFTER_MS + 1)
+
+
+def test_an_owner_that_is_registered_again_has_not_ended():
+    cache = registrations_data.make_cache(
+        registrations_data.make_registration(owner=OWNER)
+    )
+    cache.absent_since_ms[OWNER] = 0
+    assert not succession.has_ended(cache, OWNER, 10 * succession.LOST_AFTER_MS)
+
+
+def test_the_newest_incarnation_is_found_in_tables_and_registrations():
+    found = registrations_data.make_registration(owner="10.0.0.1/i-1@19")
+    cache = registrations_data.make_cache(found)
+    instance = found.instance
+    assert succession.find_newest(cache, instance).started_unix_ms == 19
+    cache.tables[found.service] = registrations_data.make_table(OWNER)
+    assert succession.find_newest(cache, instance).started_unix_ms == 20
+    registrations.apply_deletion(
+        cache.directory, registrations.registration_key(instance), 0
+    )
+    assert succession.find_newest(cache, "10.0.0.2") is None
--- a/fuchsiamoor/agent/table_writer.py
+++ b/fuchsiamoor/agent/table_writer.py
@@ -10,7 +10,13 @@
 
 from loguru import logger
 
-from fuchsiamoor.agent import registrations, state, store_sync, upstream_lifecycle
+from fuchsiamoor.agent import (
+    registrations,
+    state,
+    store_sync,
+    succession,
+    upstream_lifecycle,
+)
 from fuchsiamoor.core import errors
 from fuchsiamoor.ranges import granting, planning
 from fuchsiamoor.ranges import table as tables
@@ -30,9 +36,6 @@
 TURN_MS = 700
 # Pause after a write: for a moment, other daemons may see other members than this one.
 PAUSE_MS = 200
-# An owner that has had no registration for this time certainly holds no keys: its holds
-# have expired, even if clocks differ by a few percent.
-LOST_AFTER_MS = int(granting.REGISTRATION_VALID_MS * 1.03) + 60
 # Owners that one write may declare lost: each takes two of the 32 entries that a store
 # transaction may have.
 LOST_MAX = 12
@@ -134,7 +137,7 @@
     cache = agent.cache
     cold_start_ms = _find_cold_start_ms(agent)
     expiries_ms = [
-        cache.absent_since_ms[owner] + LOST_AFTER_MS + 1
+        cache.absent_since_ms[owner] + succession.LOST_AFTER_MS + 1
         for owner in tables.list_owners(table)
         if owner in cache.absent_since_ms
     ]
@@ -188,14 +191,11 @@
         for found in sorted(registered)
         if found.is_open and found.data_centre not in cache.evacuated
     )
-    ended = set()
-    for owner in tables.list_owners(table):
-        absent_since_ms = cache.absent_since_ms.get(owner)
-        is_lost = (
-            absent_since_ms is not None and now_ms - absent_since_ms > LOST_AFTER_MS
-        )
-        if is_lost or registrations.has_ended(directory, owner):
-            ended.add(owner)
+    ended = {
+        owner
+        for owner in tables.list_owners(table)
+        if succession.has_ended(cache, owner, now_ms)
+    }
     return planning.OwnerStates(
         candidates,
         frozenset(found.owner for found in registered),
--- a/fuchsiamoor/agent/target_selection.py
+++ b/fuchsiamoor/agent/target_selection.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Collection, Iterable
 
-from fuchsiamoor.agent import local_execution, registrations, state, table_writer
+from fuchsiamoor.agent import local_execution, registrations, state, succession
 from fuchsiamoor.agent.attempts import Attempts, Deadlines
 from fuchsiamoor.core import errors, messages
 from fuchsiamoor.core.carried import NO_KEY, CarriedAnswer
@@ -220,7 +220,7 @@
     absent_since_ms = agent.cache.absent_since_ms.get(tables.find_row(table, key).owner)
     if absent_since_ms is None:
         return 0
-    return max(0, absent_since_ms + table_writer.LOST_AFTER_MS - agent.now_ms())
+    return max(0, absent_since_ms + succession.LOST_AFTER_MS - agent.now_ms())
 
 
 async def wait_for_owner(
--- a/fuchsiamoor/agent/upstream_lifecycle.py
+++ b/fuchsiamoor/agent/upstream_lifecycle.py
@@ -4,7 +4,7 @@
 
 from loguru import logger
 
-from fuchsiamoor.agent import state
+from fuchsiamoor.agent import state, succession
 from fuchsiamoor.core import addresses
 from fuchsiamoor.core.verdicts import NotRun, Reason
 from fuchsiamoor.daemon import upstream_pool
@@ -41,7 +41,7 @@
     grant.
     """
     upstream = agent.upstream
-    if upstreams.is_stale(heartbeat, upstream.incarnation, upstream.sequence):
+    if succession.is_outdated(agent, heartbeat):
         agent.metrics.count("heartbeat.stale")
         return None
     now_ms = agent.now_ms()
--- a/fuchsiamoor/ranges/table.py
+++ b/fuchsiamoor/ranges/table.py
@@ -5,6 +5,7 @@
 its owner, so fences only increase.
 """
 
+import re
 from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
@@ -14,6 +15,7 @@
 
 NO_OWNER = ""
 _FORMAT_VERSION = 1
+_STARTED = re.compile(r"[0-9]{1,19}")
 
 
 class Row(NamedTuple):
@@ -80,6 +82,26 @@
     return owner.partition("/")[0]
 
 
+def incarnation_of(owner: str) -> upstreams.Incarnation:
+    """Return the incarnation in the name of an owner.
+
+    Raises
+    ------
+    ValueError
+        If `make_owner` makes no such name.
+
+    Examples
+    --------
+    >>> incarnation_of("10.0.0.1/i-1@5")
+    Incarnation(upstream_id='i-1', started_unix_ms=5)
+    """
+    instance, separator, name = owner.partition("/")
+    upstream_id, _, started = name.rpartition("@")
+    if not (instance and separator and upstream_id and _STARTED.fullmatch(started)):
+        raise ValueError(f"owner: found {owner!r:.80}, expected INSTANCE/ID@TIME")
+    return upstreams.Incarnation(upstream_id, int(started))
+
+
 def make_empty_table(service: str) -> RangeTable:
     """Return version 0, in which no key has an owner."""
     row = Row(0, catalog.KEY_COUNT - 1, NO_OWNER, 0)
--- a/fuchsiamoor/testing/range_simulation.py
+++ b/fuchsiamoor/testing/range_simulation.py
@@ -190,7 +190,18 @@
     machine.upstream = None
 
 
-async def _send_heartbeats(world: World, machine: Machine, upstream: Upstream) -> None:
+def hold_heartbeats(world: World, machine: Machine, delay_s: float) -> None:
+    """Let an upstream send its next heartbeat after a delay."""
+    machine.heartbeats.cancel()
+    machine.heartbeats = asyncio.create_task(
+        _send_heartbeats(world, machine, machine.upstream, delay_s)
+    )
+
+
+async def _send_heartbeats(
+    world: World, machine: Machine, upstream: Upstream, delay_s: float = 0.0
+) -> None:
+    await asyncio.sleep(delay_s)
     while upstream.is_up:
         must_report_again = await _send_heartbeat(world, machine, upstream)
         wait_ms = REPORT_AGAIN_MS if must_report_again else HEARTBEAT_MS
