Let other daemons keep a leave while the store is away

Cause: the acknowledgement was given after 300 ms without the record, so that the promise stood in the memory of one process.

Evidence: with the leave not entrusted, seven cases of restart_test.py fail; they pass with the change. Refusing the acknowledgement instead would end in an upstream that exits with its keys and work in place, although other daemons can be reached.

Change: after 250 ms without the store up to four other daemons are asked to keep the leave, two must have it; they write it once the store answers. Otherwise the call is answered 503. The same holds for a heartbeat that says that the upstream drains.

--- a/fuchsiamoor/agent/endpoints.py
+++ b/fuchsiamoor/agent/endpoints.py
@@ -60,8 +60,8 @@
         ).warning("heartbeat does not come from the local upstream")
         return HttpAnswer(400)
     grants = table_writer.handle_heartbeat_and_releases(agent, heartbeat)
-    if heartbeat.is_draining:
-        await _keep_leave(agent, heartbeat.incarnation)
+    if heartbeat.is_draining and not await _keep_leave(agent, heartbeat.incarnation):
+        return HttpAnswer(503)
     return HttpAnswer(200, JSON_HEADERS, agent.dialect.write_heartbeat_answer(grants))
 
 
@@ -79,14 +79,18 @@
         logger.bind(upstream=upstream_id).warning("unknown upstream deregisters")
         return HttpAnswer(404)
     upstream_lifecycle.handle_deregistration(agent, incarnation)
-    await _keep_leave(agent, incarnation)
+    if not await _keep_leave(agent, incarnation):
+        return HttpAnswer(503)
     return HttpAnswer(200, JSON_HEADERS, b"{}")
 
 
-async def _keep_leave(agent: state.Agent, incarnation: upstreams.Incarnation) -> None:
+async def _keep_leave(agent: state.Agent, incarnation: upstreams.Incarnation) -> bool:
+    """Return whether a leave outlives this daemon; otherwise it is not acknowledged."""
     owner = tables.make_owner(agent.settings.instance, incarnation)
-    if not await leaves.wait_until_kept(agent, owner):
-        logger.bind(owner=owner).warning("leave is acknowledged without its record")
+    if await leaves.wait_until_kept(agent, owner):
+        return True
+    logger.bind(owner=owner).warning("leave is not acknowledged")
+    return False
 
 
 async def handle_metrics(agent: state.Agent, request: HttpRequest) -> HttpAnswer:
--- a/fuchsiamoor/agent/leaves.py
+++ b/fuchsiamoor/agent/leaves.py
@@ -4,6 +4,9 @@
 written whether or not the registration changes, as an upstream that leaves beside a
 stopping daemon or in an evacuated data centre is closed already.
 
+While the store is away, a few other daemons keep the leave, and write it once the store
+is back. A leave that neither the store nor other daemons keep is not acknowledged.
+
 A daemon that starts lists the store before it sends its upstream anything, and sends
 nothing to one that has left.
 """
@@ -13,12 +16,17 @@
 from loguru import logger
 
 from fuchsiamoor.agent import registrations, state, succession
-from fuchsiamoor.core import errors
+from fuchsiamoor.core import errors, messages
 from fuchsiamoor.ranges import table as tables
 from fuchsiamoor.store import port
 
-# The upstream waits for its acknowledgement for a second.
-RECORD_WAIT_MS = 300
+# The upstream waits a second for its acknowledgement: for the store, then for keepers.
+RECORD_WAIT_MS = 250
+KEEPER_TIMEOUT_MS = 300
+# Daemons that are asked to keep a leave, in different data centres where there are
+# several, and how many of them must have it.
+KEEPERS_ASKED = 4
+KEEPERS_MIN = 2
 # A write that takes longer is given up and made again.
 WRITE_TIMEOUT_MS = 1_000
 RETRY_MS = 200
@@ -52,7 +60,13 @@
 async def wait_until_kept(agent: state.Agent, owner: str) -> bool:
     """Wait until a leave outlives this daemon; return False if it takes too long."""
     announce(agent, owner)
-    return await _wait_until_recorded(agent, owner)
+    if agent.leaves.kept_owner == owner:
+        return True
+    if not await _wait_until_recorded(agent, owner):
+        if not await _entrust(agent, owner):
+            return is_recorded(agent, owner)
+        agent.leaves.kept_owner = owner
+    return True
 
 
 async def _wait_until_recorded(agent: state.Agent, owner: str) -> bool:
@@ -65,6 +79,63 @@
     return True
 
 
+async def _entrust(agent: state.Agent, owner: str) -> bool:
+    """Let other daemons keep a leave; return whether enough of them do."""
+    keepers = _choose_keepers(agent)
+    answers = await asyncio.gather(
+        *(_ask_to_keep(agent, keeper, owner) for keeper in keepers)
+    )
+    kept_by = [keeper.instance for keeper, is_kept in answers if is_kept]
+    logger.bind(owner=owner, keepers=kept_by).info("leave entrusted")
+    return len(kept_by) >= min(KEEPERS_MIN, max(len(keepers), 1))
+
+
+def _choose_keepers(agent: state.Agent) -> list[registrations.Registration]:
+    """Return other daemons, of as many data centres as possible, the own one last."""
+    others = [
+        registration
+        for registration in agent.cache.directory.registered.values()
+        if registration.instance != agent.settings.instance
+    ]
+    agent.rng.shuffle(others)
+    ranks: dict[str, int] = {agent.settings.data_centre: KEEPERS_ASKED}
+    ranked = []
+    for registration in others:
+        rank = ranks.get(registration.data_centre, 0)
+        ranks[registration.data_centre] = rank + 1
+        ranked.append((rank, len(ranked), registration))
+    return [registration for _, _, registration in sorted(ranked)[:KEEPERS_ASKED]]
+
+
+async def _ask_to_keep(
+    agent: state.Agent, keeper: registrations.Registration, owner: str
+) -> tuple[registrations.Registration, bool]:
+    member = registrations.make_peer(keeper)
+    try:
+        answer = await agent.links.call(
+            member, messages.KeepLeave(owner), KEEPER_TIMEOUT_MS
+        )
+    except errors.PeerError as error:
+        logger.bind(keeper=keeper.instance, error=str(error)).debug("not entrusted")
+        return keeper, False
+    return keeper, isinstance(answer, messages.LeaveKept)
+
+
+def keep(agent: state.Agent, owner: str) -> messages.Message:
+    """Keep a leave for another daemon until the store holds it.
+
+    Raises
+    ------
+    ValueError
+        If the owner is malformed.
+    """
+    tables.incarnation_of(owner)
+    if agent.stopping_since_ms is not None:
+        return messages.Done()
+    announce(agent, owner)
+    return messages.LeaveKept()
+
+
 async def maintain_leaves(agent: state.Agent) -> None:
     """Write unrecorded leaves to the store until the stop."""
     while not agent.stopped.is_set():
--- a/fuchsiamoor/agent/lifecycle.py
+++ b/fuchsiamoor/agent/lifecycle.py
@@ -112,6 +112,8 @@
                 agent.transfers, request_id, offset_bytes, content, agent.now_ms()
             )
             return messages.TransferGranted() if is_kept else messages.Done()
+        case messages.KeepLeave(owner):
+            return leaves.keep(agent, owner)
         case messages.AskLoad():
             return messages.LoadReport(local_execution.read_load(agent))
         case messages.AskUtilization():
--- a/fuchsiamoor/agent/restart_test.py
+++ b/fuchsiamoor/agent/restart_test.py
@@ -6,6 +6,7 @@
 
 from fuchsiamoor.agent import endpoints, lifecycle, registrations, upstream_lifecycle
 from fuchsiamoor.agent.http_server import HttpRequest
+from fuchsiamoor.core import errors, messages
 from fuchsiamoor.testing import (
     range_simulation,
     traffic_data,
@@ -14,9 +15,9 @@
 )
 
 
-async def start_world():
+async def start_world(seed=5):
     """Return a simulation in which every machine is registered, and its first one."""
-    world = range_simulation.make_world(seed=5)
+    world = range_simulation.make_world(seed)
     for machine in world.machines:
         range_simulation.start_upstream(world, machine)
         range_simulation.start_daemon(world, machine)
@@ -45,6 +46,19 @@
     return (await endpoints.handle_upstream_call(machine.agent, request)).status
 
 
+async def report_leave(machine):
+    """Let one heartbeat say that the upstream leaves, and later ones not."""
+    upstream = machine.upstream
+    upstream.sequence += 1
+    started_unix_ms = upstream.incarnation.started_unix_ms
+    body = traffic_data.encode_heartbeat(
+        started_unix_ms=started_unix_ms, sequence=upstream.sequence, is_draining=True
+    )
+    target = traffic_data.HEARTBEAT_PREFIX + upstream.incarnation.upstream_id
+    request = HttpRequest("POST", target, (), body)
+    return (await endpoints.handle_upstream_call(machine.agent, request)).status
+
+
 async def observe(world, machine):
     """Return all pairs seen in 4 s: may requests be sent, is the upstream open."""
     found = set()
@@ -177,6 +191,60 @@
     assert virtual_time.run(play()) is True
 
 
+# A leave was acknowledged while the store was away, and stood in one process's memory.
+@pytest.mark.parametrize("leave", [report_leave, deregister])
+@pytest.mark.parametrize("seed", range(3))
+def test_a_leave_during_an_outage_of_the_store_outlives_its_daemon(leave, seed):
+    async def play():
+        world, machine = await start_world(seed)
+        back_ms = virtual_time.now_ms() + 4_000
+        world.store.down_until_ms = back_ms
+        await asyncio.sleep(0.5)
+        assert await leave(machine) == 200
+        await asyncio.sleep(0.3)
+        await restart_daemon(world, machine)
+        await asyncio.sleep((back_ms - virtual_time.now_ms()) / 1000 + 1.5)
+        found = await observe(world, machine)
+        await range_simulation.close(world)
+        return found
+
+    assert virtual_time.run(play()) == {(False, False)}
+
+
+class NoLinks:
+    """Links of a daemon that reaches no other."""
+
+    async def call(self, member, message, timeout_ms):
+        raise errors.PeerUnreachableError(member.member_id)
+
+
+def test_a_leave_that_nobody_else_keeps_is_not_acknowledged():
+    async def play():
+        world, machine = await start_world()
+        world.store.down_until_ms = virtual_time.now_ms() + 60_000
+        machine.agent.links = NoLinks()
+        status = await deregister(machine)
+        may_send = upstream_lifecycle.may_send(machine.agent)
+        await asyncio.sleep(3)
+        is_sent_to_later = upstream_lifecycle.may_send(machine.agent)
+        await range_simulation.close(world)
+        return status, may_send, is_sent_to_later
+
+    assert virtual_time.run(play()) == (503, True, False)
+
+
+def test_a_stopping_daemon_keeps_no_leaves():
+    async def play():
+        world, machine = await start_world()
+        lifecycle.request_stop(machine.agent)
+        message = messages.KeepLeave("10.0.0.2/i-1@1")
+        answer = await lifecycle.handle_message(machine.agent, "peer", message)
+        await range_simulation.close(world)
+        return answer
+
+    assert virtual_time.run(play()) == messages.Done()
+
+
 @pytest.mark.parametrize("is_store_down", [False, True])
 def test_a_deregistration_is_acknowledged_once_it_is_recorded(is_store_down):
     async def play():
--- a/fuchsiamoor/agent/state.py
+++ b/fuchsiamoor/agent/state.py
@@ -167,12 +167,15 @@
     Parameters
     ----------
     unrecorded : dict of str to str
-        Owner that leaves, by instance.
+        Owner that leaves, by instance; also for other daemons.
+    kept_owner : str
+        Owner at this instance whose leave other daemons keep; empty if there is none.
     write_due : asyncio.Event
         Set when there is one to write.
     """
 
     unrecorded: dict[str, str] = field(default_factory=dict)
+    kept_owner: str = ""
     write_due: asyncio.Event = field(default_factory=asyncio.Event)
 
 
--- a/fuchsiamoor/core/messages.py
+++ b/fuchsiamoor/core/messages.py
@@ -381,6 +381,24 @@
     content: bytes
 
 
+class KeepLeave(NamedTuple):
+    """Asks to keep an upstream's leave until the store holds it.
+
+    Answered with `LeaveKept`, or with `Done` if the receiver is about to exit.
+
+    Parameters
+    ----------
+    owner : str
+        Incarnation that leaves, as an owner of keys.
+    """
+
+    owner: str
+
+
+class LeaveKept(NamedTuple):
+    """The leave is kept and will be written to the store."""
+
+
 Message = (
     Forward
     | Answered
@@ -414,6 +432,8 @@
     | AskTransfer
     | TransferGranted
     | BodyPart
+    | KeepLeave
+    | LeaveKept
 )
 
 KINDS: dict[int, type] = {
@@ -449,4 +469,6 @@
     31: AskTransfer,
     32: TransferGranted,
     33: BodyPart,
+    34: KeepLeave,
+    35: LeaveKept,
 }
