Never send a request again on a connection on which it was refused

Cause: an answer was matched by the request's id only, which is that of each sending, and the pool gave the connection of the rejected sending to the next one.

Ruled out: answers of other requests, which are dropped by their id.

Change: a connection keeps the ids that were answered without success on it, and the pool passes it over for them; a full pool replaces an idle connection. A connection with 256 of them, or with a corrupt answer, is closed. Successful answers cost nothing more. The daemon of the product's own deployments uses the same pool and passes its ids, too.

--- a/fuchsiamoor/agent/local_execution.py
+++ b/fuchsiamoor/agent/local_execution.py
@@ -262,7 +262,7 @@
     upstream = agent.upstream
     pool, queue = upstream.pool, upstream.admission_queue
     ends_by_s = asyncio.get_running_loop().time() + (ends_by_ms - agent.now_ms()) / 1000
-    connection = await upstream_pool.acquire(pool, ends_by_s)
+    connection = await upstream_pool.acquire(pool, ends_by_s, request.request_id)
     if isinstance(connection, NotRun):
         return _handle_outcome(agent, queue, request, connection, 0)
     refusal = _check_still_admitted(agent, request, owner)
@@ -287,11 +287,15 @@
             remaining_ms,
             lambda headers: agent.dialect.match_answer(request.request_id, headers),
             connection,
+            request.request_id,
         )
     finally:
         nested_calls.end_run(agent.runs, request, run)
     run_ms = agent.now_ms() - began_ms
     outcome = _handle_outcome(agent, queue, request, received, run_ms)
+    if isinstance(outcome.verdict, MayHaveRun):
+        # After a corrupt answer, nothing that follows it can be trusted.
+        connection.abort()
     return outcome._replace(has_failed_call=run.has_failed_call)
 
 
--- a/fuchsiamoor/daemon/upstream_client.py
+++ b/fuchsiamoor/daemon/upstream_client.py
@@ -119,6 +119,7 @@
             request.method == "HEAD",
             remaining_ms,
             lambda headers: _match_answer(request, headers),
+            request_id=request.request_id,
         )
         match received:
             case NotRun():
--- a/fuchsiamoor/daemon/upstream_connection.py
+++ b/fuchsiamoor/daemon/upstream_connection.py
@@ -12,6 +12,8 @@
 # Largest accepted head of an answer. All bytes of an answer that are not part of its
 # body (heads, interim answers, chunk framing, trailers) may exceed the body by as much.
 MAX_HEAD_BYTES = 64 * 1024
+# Requests that may have been refused on one connection before it is closed.
+MAX_REFUSED_IDS = 256
 
 _FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
 
@@ -83,6 +85,10 @@
     ----------
     is_reusable : bool
         Whether another request may be written.
+    refused_ids : set of str
+        Ids of requests that were answered without success here. They may be sent again,
+        but not on this connection: an upstream may repeat an answer late, and it names
+        the request, not the sending.
     idle_since_s : float
         Event loop time at which the connection became idle.
     """
@@ -103,8 +109,10 @@
         "_received_bytes",
         "_accepts_close_delimited",
         "_transport",
+        "_request_id",
         "idle_since_s",
         "is_reusable",
+        "refused_ids",
     )
 
     def __init__(
@@ -121,6 +129,7 @@
         self._future: asyncio.Future[Received] | None = None
         self._is_close_delimited = False
         self.is_reusable = True
+        self.refused_ids: set[str] = set()
         self.idle_since_s = 0.0
 
     def exchange(
@@ -129,6 +138,7 @@
         is_head: bool,
         future: "asyncio.Future[Received]",
         match_answer: MatchAnswer | None = None,
+        request_id: str = "",
     ) -> None:
         """Write one request; ``future`` gets its answer or `Lost`.
 
@@ -143,8 +153,11 @@
             Returns which request an answer with these headers belongs to. An answer to
             another request is dropped, and the connection is not reused; an unclear
             one ends the exchange with `Lost`.
+        request_id : str, optional
+            Not one of ``refused_ids``.
         """
         self._future = future
+        self._request_id = request_id
         self._match_answer = match_answer
         self._is_head = is_head
         self._has_final_status = False
@@ -255,6 +268,10 @@
             self.is_reusable = False
             return
         status = self._parser.get_status_code()
+        if self._request_id and not 200 <= status < 300:
+            self.refused_ids.add(self._request_id)
+            if len(self.refused_ids) >= MAX_REFUSED_IDS:
+                self.is_reusable = False
         future.set_result(WholeAnswer(status, self._headers, b"".join(self._body)))
 
     def _is_own_answer(self) -> bool:
--- a/fuchsiamoor/daemon/upstream_pool.py
+++ b/fuchsiamoor/daemon/upstream_pool.py
@@ -47,7 +47,9 @@
     open_connections: set[UpstreamConnection] = field(default_factory=set)
 
 
-async def acquire(pool: Pool, deadline_s: float) -> UpstreamConnection | NotRun:
+async def acquire(
+    pool: Pool, deadline_s: float, request_id: str = ""
+) -> UpstreamConnection | NotRun:
     """Return an idle or new connection, waiting for one if necessary.
 
     Parameters
@@ -55,13 +57,21 @@
     pool : Pool
     deadline_s : float
         Event loop time.
+    request_id : str, optional
+        The connection is one on which this request has not been refused before.
     """
     while True:
-        connection = _take_idle(pool)
+        connection = _take_idle(pool, request_id)
         if connection is not None:
             return connection
         if pool.open_count < pool.connections:
             return await _connect(pool, deadline_s)
+        if pool.idle:
+            # The request was refused on every idle connection; one makes room.
+            replaced = pool.idle.popleft()
+            _remove(pool, replaced)
+            replaced.abort()
+            continue
         if len(pool.waiters) >= pool.connections:
             return NotRun(Reason.OVER_LIMIT, "too many requests wait for a connection")
         if not await _wait_for_connection(pool, deadline_s):
@@ -75,6 +85,7 @@
     timeout_ms: int,
     match_answer: MatchAnswer | None = None,
     connection: UpstreamConnection | None = None,
+    request_id: str = "",
 ) -> Received | NotRun:
     """Write a request once and wait for its answer or loss.
 
@@ -91,6 +102,8 @@
         Returns which request an answer with these headers belongs to.
     connection : UpstreamConnection, optional
         A connection that was acquired before; by default one from the pool.
+    request_id : str, optional
+        As in `acquire`.
     """
     loop = asyncio.get_running_loop()
     deadline_s = loop.time() + timeout_ms / 1000
@@ -99,13 +112,13 @@
             release(pool, connection)
         return NotRun(Reason.DEADLINE_PASSED, "before it was written")
     if connection is None:
-        connection = await acquire(pool, deadline_s)
+        connection = await acquire(pool, deadline_s, request_id)
     if isinstance(connection, NotRun):
         return connection
     future = loop.create_future()
     timer = loop.call_at(deadline_s, _expire, future)
     try:
-        connection.exchange(payload, is_head, future, match_answer)
+        connection.exchange(payload, is_head, future, match_answer, request_id)
         received = await future
     except BaseException:
         connection.abort()
@@ -152,14 +165,20 @@
         connection.abort()
 
 
-def _take_idle(pool: Pool) -> UpstreamConnection | None:
+def _take_idle(pool: Pool, request_id: str) -> UpstreamConnection | None:
+    """Return the idle connection used last on which the request was not refused."""
     used_since_s = asyncio.get_running_loop().time() - MAX_IDLE_S
-    while pool.idle:
+    passed_over, found = [], None
+    while pool.idle and found is None:
         connection = pool.idle.pop()
-        if connection.is_reusable and connection.idle_since_s >= used_since_s:
-            return connection
-        connection.abort()
-    return None
+        if not connection.is_reusable or connection.idle_since_s < used_since_s:
+            connection.abort()
+        elif request_id in connection.refused_ids:
+            passed_over.append(connection)
+        else:
+            found = connection
+    pool.idle.extend(reversed(passed_over))
+    return found
 
 
 async def _connect(pool: Pool, deadline_s: float) -> UpstreamConnection | NotRun:
