Keep the watch and the start of a daemon safe from odd entries in the store

What operators would have seen: one readable entry of ours with fields of other types, or nested deeply, ends the watch of every daemon each time it is read, and a daemon started beside it is never ready.

Cause: decoders checked no types, ranges or names, and only two kinds of errors were expected where entries are applied; a listing was read whole or not at all. The daemon of our own deployments had the same fault in listing, watch and registration.

Ruled out: frames between daemons, which were read by type already; the platform's catalog, whose reader kept its version but took lists for strings.

Change: decoders of tables, registrations, leaves, catalogs and members check types, ranges and what the key names; one entry that cannot be applied is logged and passed over; a daemon writes its registration again, and daemons that know the table before it write that again. A table writer that found no table no longer fails after a lost race.

--- a/fuchsiamoor/agent/leaves.py
+++ b/fuchsiamoor/agent/leaves.py
@@ -174,8 +174,17 @@
             registrations.apply_entry(directory, port.Entry(key, value, version))
             logger.bind(owner=owner, version=version).info("leave recorded")
         case port.PreconditionFailed():
-            found = await agent.store.get(key)
-            if found is None:
-                registrations.apply_deletion(directory, key, agent.now_ms())
-            else:
-                registrations.apply_entry(directory, found)
+            await _read(agent, key)
+
+
+async def _read(agent: state.Agent, key: str) -> None:
+    """Read the leave under a key; one that cannot be decoded will be overwritten."""
+    directory = agent.cache.directory
+    found = await agent.store.get(key)
+    if found is None:
+        registrations.apply_deletion(directory, key, agent.now_ms())
+        return
+    try:
+        registrations.apply_entry(directory, found)
+    except (ValueError, errors.FrameError) as error:
+        logger.bind(key=key, error=str(error)).error("store entry cannot be decoded")
--- a/fuchsiamoor/agent/registrations.py
+++ b/fuchsiamoor/agent/registrations.py
@@ -12,7 +12,9 @@
 
 from fuchsiamoor.core import addresses, members
 from fuchsiamoor.peers import codec
+from fuchsiamoor.ranges import table as tables
 from fuchsiamoor.store import port
+from fuchsiamoor.traffic import upstreams
 
 REGISTRATION_PREFIX = "fuchsiamoor/instances/"
 RUNS_PREFIX = "fuchsiamoor/runs/"
@@ -156,6 +158,8 @@
     ------
     FrameError
         If a registration or a leave is malformed.
+    ValueError
+        If its fields contradict each other or its key.
     """
     if entry.key.startswith(RUNS_PREFIX):
         instance = entry.key.removeprefix(RUNS_PREFIX)
@@ -169,7 +173,7 @@
         return False
     instance = entry.key.removeprefix(REGISTRATION_PREFIX)
     if entry.version >= directory.versions.get(instance, 0):
-        found = codec.decode_record(Registration, entry.value)
+        found = _decode_registration(instance, entry.value)
         directory.registered[instance] = found
         directory.versions[instance] = entry.version
         directory.lapsed.pop(instance, None)
@@ -183,7 +187,36 @@
         return
     directory.leave_versions[instance] = entry.version
     directory.left_owners.pop(instance, None)
-    directory.left_owners[instance] = codec.decode_record(Leave, entry.value).owner
+    owner = codec.decode_record(Leave, entry.value).owner
+    _check_owner(instance, owner)
+    directory.left_owners[instance] = owner
+
+
+def _decode_registration(instance: str, value: bytes) -> Registration:
+    found = codec.decode_record(Registration, value)
+    if found.instance != instance:
+        raise ValueError(
+            f"instance: found {found.instance!r:.40}, expected that of key"
+        )
+    if not (found.run and found.peer_host):
+        raise ValueError("run and peer_host: found none")
+    if not 0 < found.peer_port <= addresses.PORT_MAX:
+        raise ValueError(f"peer_port: found {found.peer_port}, expected a port")
+    if not 0 <= found.slots <= upstreams.SLOTS_MAX:
+        raise ValueError(
+            f"slots: found {found.slots}, expected 0 to {upstreams.SLOTS_MAX}"
+        )
+    for owner in (found.owner, found.ended):
+        if owner:
+            _check_owner(instance, owner)
+    return found
+
+
+def _check_owner(instance: str, owner: str) -> None:
+    """Raise `ValueError` unless an owner is an incarnation at an instance."""
+    tables.incarnation_of(owner)
+    if tables.instance_of(owner) != instance:
+        raise ValueError(f"owner: found {owner!r:.80}, expected one of {instance}")
 
 
 def apply_deletion(directory: Directory, key: str, now_ms: int) -> None:
--- a/fuchsiamoor/agent/state.py
+++ b/fuchsiamoor/agent/state.py
@@ -99,6 +99,9 @@
         Range table of each service.
     table_versions : dict of str to int
         Store version of each service's table.
+    unreadable_tables : set of str
+        Services whose table in the store cannot be decoded; the latest one that could
+        be is in ``tables``, and is to be written again.
     absent_since_ms : dict of str to int
         Time since which each owner that a table names has had no registration.
     first_seen_ms : dict of str to int
@@ -116,6 +119,7 @@
     directory: registrations.Directory = field(default_factory=registrations.Directory)
     tables: dict[str, range_tables.RangeTable] = field(default_factory=dict)
     table_versions: dict[str, int] = field(default_factory=dict)
+    unreadable_tables: set[str] = field(default_factory=set)
     absent_since_ms: dict[str, int] = field(default_factory=dict)
     first_seen_ms: dict[str, int] = field(default_factory=dict)
     is_loaded: bool = False
--- a/fuchsiamoor/agent/store_sync.py
+++ b/fuchsiamoor/agent/store_sync.py
@@ -239,7 +239,7 @@
     cache.is_loaded = True
     agent.source_heard_ms = now_ms
     succession.forget_superseded(agent)
-    _update_derived_state(agent)
+    update_derived_state(agent)
     return listing.version
 
 
@@ -264,7 +264,7 @@
         else:
             apply_entry(agent, change.entry)
     if changes.changes:
-        _update_derived_state(agent)
+        update_derived_state(agent)
         await asyncio.sleep(watch_relay.compute_pause_ms(agent) / 1000)
     return changes.version
 
@@ -274,7 +274,7 @@
     found = await agent.store.get(agent.dialect.catalog_key)
     if found is not None:
         apply_entry(agent, found)
-        _update_derived_state(agent)
+        update_derived_state(agent)
 
 
 def apply_entry(agent: state.Agent, entry: port.Entry) -> None:
@@ -290,11 +290,26 @@
             if centre is not None and centre not in cache.evacuated:
                 cache.evacuated.add(centre)
                 logger.bind(data_centre=centre).info("data centre out of service")
-    except (ValueError, errors.FrameError) as error:
+    except Exception as error:
+        # Whatever one entry causes, the others hold and the watch goes on.
         agent.metrics.count("store.unreadable")
-        logger.bind(key=entry.key, error=str(error)).error(
+        logger.bind(key=entry.key, error=repr(error)[:200]).error(
             "store entry cannot be decoded"
         )
+        _prepare_repair(agent, entry)
+
+
+def _prepare_repair(agent: state.Agent, entry: port.Entry) -> None:
+    """Let an entry that cannot be decoded be written again from what is known."""
+    if entry.key == registrations.registration_key(agent.settings.instance):
+        agent.registration.confirmed = None
+        agent.registration.update_due.set()
+    if not entry.key.startswith(registrations.TABLE_PREFIX):
+        return
+    service, cache = entry.key.removeprefix(registrations.TABLE_PREFIX), agent.cache
+    if entry.version > cache.table_versions.get(service, port.ABSENT):
+        cache.table_versions[service] = entry.version
+        cache.unreadable_tables.add(service)
 
 
 def _apply_catalog(agent: state.Agent, entry: port.Entry) -> None:
@@ -306,10 +321,13 @@
 
 def _apply_table(agent: state.Agent, entry: port.Entry) -> None:
     found = tables.decode_table(entry.value)
+    if registrations.table_key(found.service) != entry.key:
+        raise ValueError(f"range table: found service {found.service!r:.40}")
     cached = agent.cache.tables.get(found.service)
     if cached is None or found.version > cached.version:
         agent.cache.tables[found.service] = found
         agent.cache.table_versions[found.service] = entry.version
+        agent.cache.unreadable_tables.discard(found.service)
         logger.bind(service=found.service, version=found.version).info(
             "range table in force"
         )
@@ -323,7 +341,7 @@
         logger.bind(data_centre=centre).info("data centre back in service")
 
 
-def _update_derived_state(agent: state.Agent) -> None:
+def update_derived_state(agent: state.Agent) -> None:
     """Update the state that depends on the cache, and wake its waiters."""
     now_ms = agent.now_ms()
     upstream_lifecycle.update_cold_rate(agent)
--- a/fuchsiamoor/agent/table_writer.py
+++ b/fuchsiamoor/agent/table_writer.py
@@ -100,6 +100,8 @@
     if table.version == 0 and not _is_settled(check, owner_states, now_ms):
         return
     planned = planning.plan_next_table(table, owner_states)
+    if planned is None and service in agent.cache.unreadable_tables:
+        planned = table._replace(version=table.version + 1)
     if planned is None:
         check.due_since_ms = None
         check.again_ms = _find_next_expiry_ms(agent, table, now_ms)
@@ -120,7 +122,7 @@
 ) -> bool:
     """Return whether the first table may be written."""
     found = frozenset(candidate.owner for candidate in owner_states.candidates)
-    if found != check.candidates or not found:
+    if found != check.candidates or not found or check.due_since_ms is None:
         check.candidates, check.due_since_ms = found, now_ms
         check.settling_since_ms = check.settling_since_ms or now_ms
     settled_ms = min(
--- a/fuchsiamoor/daemon/registration.py
+++ b/fuchsiamoor/daemon/registration.py
@@ -57,8 +57,8 @@
         _mark_registered(node, current.version)
         return
     if current is not None:
-        registered = codec.decode_member(current.value)
-        if registered.member_id != member.member_id:
+        registered = state_sync.read_registration(node, current)
+        if registered is not None and registered.member_id != member.member_id:
             if member.registered_version:
                 mark_superseded(node)
                 return
--- a/fuchsiamoor/daemon/state_sync.py
+++ b/fuchsiamoor/daemon/state_sync.py
@@ -1,8 +1,11 @@
 """Keeps the cluster state current by gossip with peers and reads from the store."""
 
 import asyncio
+from collections.abc import Callable
 
-from fuchsiamoor.core import errors, messages
+from loguru import logger
+
+from fuchsiamoor.core import errors, members, messages
 from fuchsiamoor.daemon import calls
 from fuchsiamoor.daemon import cluster_state as cluster_states
 from fuchsiamoor.daemon import node as nodes
@@ -10,6 +13,7 @@
 from fuchsiamoor.membership import directory as directories
 from fuchsiamoor.membership import partners
 from fuchsiamoor.peers import codec
+from fuchsiamoor.store import port
 
 CALL_TIMEOUT_MS = 1_000
 STORE_READ_INTERVAL_MS = 300_000
@@ -94,7 +98,7 @@
     tables = await node.store.list_prefix(TABLES_PREFIX)
     for entry in tables.entries:
         if entry.key.endswith(TABLE_SUFFIX):
-            cluster_states.adopt_table(node.cluster_state, entry.value)
+            adopt_entry(node, cluster_states.adopt_table, entry)
 
 
 async def read_configuration(node: nodes.Node) -> None:
@@ -106,15 +110,45 @@
     """
     entry = await node.store.get(stored.CONFIGURATION_KEY)
     if entry is not None:
-        cluster_states.adopt_configuration(node.cluster_state, entry.value)
+        adopt_entry(node, cluster_states.adopt_configuration, entry)
+
+
+def adopt_entry(
+    node: nodes.Node,
+    adopt: Callable[[cluster_states.ClusterState, bytes], bool],
+    entry: port.Entry,
+) -> None:
+    """Adopt an entry of the store; log one that cannot be, as the others hold."""
+    try:
+        adopt(node.cluster_state, entry.value)
+    except errors.FuchsiamoorError as error:
+        _report_unreadable(node, entry, error)
+
+
+def read_registration(node: nodes.Node, entry: port.Entry) -> members.Member | None:
+    """Decode a registration; one that cannot be changes nothing of its instance."""
+    instance = entry.key.removeprefix(MEMBERS_PREFIX)
+    try:
+        member = codec.decode_member(entry.value)
+        if member.instance != instance:
+            raise errors.FrameError(f"found instance {member.instance!r:.40}")
+    except errors.FrameError as error:
+        _report_unreadable(node, entry, error)
+        return node.cluster_state.directory.by_instance.get(instance)
+    return member._replace(registered_version=entry.version)
+
+
+def _report_unreadable(node: nodes.Node, entry: port.Entry, error: Exception) -> None:
+    node.metrics.count("store.unreadable")
+    logger.bind(key=entry.key, error=str(error)[:200]).error(
+        "store entry cannot be decoded"
+    )
 
 
-def adopt_listing(node: nodes.Node, listing) -> None:
+def adopt_listing(node: nodes.Node, listing: port.Listing) -> None:
     """Update the directory from a listing of all registrations."""
-    registrations = [
-        codec.decode_member(entry.value)._replace(registered_version=entry.version)
-        for entry in listing.entries
-    ]
+    found = (read_registration(node, entry) for entry in listing.entries)
+    registrations = [member for member in found if member is not None]
     if directories.apply_listing(
         node.cluster_state.directory, listing.version, registrations
     ):
--- a/fuchsiamoor/daemon/store_watch.py
+++ b/fuchsiamoor/daemon/store_watch.py
@@ -12,7 +12,6 @@
 from fuchsiamoor.daemon import state_sync
 from fuchsiamoor.documents import stored
 from fuchsiamoor.membership import directory as directories
-from fuchsiamoor.peers import codec
 from fuchsiamoor.store import port
 
 WATCH_WAIT_MS = 10_000
@@ -62,7 +61,7 @@
 
 def _apply_configuration(node: nodes.Node, change: port.Change, version: int) -> None:
     if change.entry is not None and change.key == stored.CONFIGURATION_KEY:
-        cluster_states.adopt_configuration(node.cluster_state, change.entry.value)
+        state_sync.adopt_entry(node, cluster_states.adopt_configuration, change.entry)
 
 
 def _apply_registration(node: nodes.Node, change: port.Change, version: int) -> None:
@@ -71,7 +70,6 @@
         if directories.remove_instance(node.cluster_state.directory, instance, version):
             node.cluster_state.on_directory()
         return
-    member = codec.decode_member(change.entry.value)
-    cluster_states.adopt_members(
-        node.cluster_state, [member._replace(registered_version=change.entry.version)]
-    )
+    member = state_sync.read_registration(node, change.entry)
+    if member is not None:
+        cluster_states.adopt_members(node.cluster_state, [member])
--- a/fuchsiamoor/ownership/tables_codec.py
+++ b/fuchsiamoor/ownership/tables_codec.py
@@ -54,7 +54,14 @@
     """
     try:
         return _decode(cbor2.loads(data))
-    except (cbor2.CBORError, struct.error, ValueError, TypeError, LookupError) as error:
+    except (
+        cbor2.CBORError,
+        struct.error,
+        ValueError,
+        TypeError,
+        LookupError,
+        RecursionError,
+    ) as error:
         raise errors.FrameError(f"not a shard table: {error}") from error
 
 
@@ -63,6 +70,10 @@
         raise ValueError(f"table format {fields[0]!r}, expected {_FORMAT}")
     names = fields[5]
     base = fields[8]
+    _check_types(str, fields[1], *names)
+    _check_types(int, *fields[2:5], fields[6], base, fields[14])
+    for numbers in (*fields[10], *fields[11], *fields[12], *fields[13], *fields[15]):
+        _check_types(int, *numbers)
     return tables.ShardTable(
         domain=fields[1],
         term=fields[2],
@@ -83,6 +94,12 @@
     )
 
 
+def _check_types(expected: type, *values: object) -> None:
+    for value in values:
+        if type(value) is not expected:
+            raise TypeError(f"found {value!r:.40}, expected {expected.__name__}")
+
+
 def _decode_voters(names: list[str], pairs: list) -> tuple[tables.Voter, ...]:
     return tuple(tables.Voter(names[position], votes) for position, votes in pairs)
 
--- a/fuchsiamoor/peers/outbound.py
+++ b/fuchsiamoor/peers/outbound.py
@@ -260,7 +260,14 @@
             max_size=codec.MAX_FRAME_BYTES,
             write_limit=WRITE_LIMIT_BYTES,
         )
-    except (OSError, TimeoutError, websockets.WebSocketException) as error:
+    except (
+        OSError,
+        TimeoutError,
+        # An address that cannot be used, from a member's record.
+        ValueError,
+        OverflowError,
+        websockets.WebSocketException,
+    ) as error:
         raise PeerUnreachableError(f"{link.member.member_id}: {error!r}") from error
     try:
         proof = connection.response.headers.get(handshake.PROOF_HEADER, "")
--- a/fuchsiamoor/platform/heartbeats.py
+++ b/fuchsiamoor/platform/heartbeats.py
@@ -9,7 +9,7 @@
 from fuchsiamoor.traffic import catalog, upstreams
 
 READY_PATH = "/api/ready"
-_CALL = re.compile(r"/api/instances/([^/?]+)/(heartbeat|deregister)")
+_CALL = re.compile(r"/api/instances/([!-.0->@-~]{1,128})/(heartbeat|deregister)")
 _STATES = ("ready", "draining")
 
 
@@ -52,7 +52,10 @@
             address=scalars.read_address(document["address"]),
             data_centre=scalars.read_text(document["zone"], "zone"),
             sequence=scalars.read_int(document["sequence"], "sequence"),
-            slots=scalars.read_int(document["capacity"], "capacity"),
+            slots=min(
+                scalars.read_int(document["capacity"], "capacity"),
+                upstreams.SLOTS_MAX,
+            ),
             is_draining=document["state"] == "draining",
             cold_for_ms=scalars.read_duration_ms(document["cold_left"]),
             held=tuple(_read_held(row) for row in document.get("holds") or ()),
--- a/fuchsiamoor/platform/operator_entries.py
+++ b/fuchsiamoor/platform/operator_entries.py
@@ -75,7 +75,8 @@
         path_prefix=scalars.read_text(row["path_prefix"], "path_prefix"),
         shares=tuple(
             catalog.ServiceShare(
-                scalars.read_text(share["service"], "service"), float(share["weight"])
+                scalars.read_text(share["service"], "service"),
+                scalars.read_float(share["weight"], "weight"),
             )
             for share in shares
         ),
@@ -86,19 +87,25 @@
         target_latency_ms=target_ms,
         rank=scalars.read_int(row.get("priority", 0), "priority"),
         attempts_max=max(1, scalars.read_int(row.get("max_attempts", 1), "attempts")),
-        home_regions=frozenset(row.get("allowed_regions", ())),
+        home_regions=_read_regions(row.get("allowed_regions", [])),
     )
 
 
+def _read_regions(names: object) -> frozenset[str]:
+    if not isinstance(names, list):
+        raise ValueError(f"allowed_regions: found {names!r:.40}, expected a list")
+    return frozenset(scalars.read_text(name, "region") for name in names)
+
+
 def _read_service(row: dict) -> catalog.ServiceSettings:
     cold_start = row.get("cold_start")
     return catalog.ServiceSettings(
         name=scalars.read_text(row["name"], "service"),
-        health_path=row.get("health_path", "/health"),
+        health_path=scalars.read_text(row.get("health_path", "/health"), "health_path"),
         connections_max=scalars.read_int(
             row.get("max_connections", 64), "max_connections"
         ),
         cold_start_ms=scalars.read_duration_ms(cold_start) if cold_start else 0,
-        cold_per_s=float(row.get("cold_per_s", 0.0)),
-        is_keyed=bool(row.get("sharded", False)),
+        cold_per_s=scalars.read_float(row.get("cold_per_s", 0.0), "cold_per_s"),
+        is_keyed=scalars.read_bool(row.get("sharded", False), "sharded"),
     )
--- a/fuchsiamoor/platform/scalars.py
+++ b/fuchsiamoor/platform/scalars.py
@@ -1,5 +1,6 @@
 """Parses scalar fields of the platform's messages: durations, versions, addresses."""
 
+import math
 import re
 
 from fuchsiamoor.core import addresses
@@ -14,6 +15,9 @@
     RecursionError,
 )
 
+# Largest integer that every JSON reader keeps exactly.
+INT_MAX = 2**53 - 1
+
 _DURATION = re.compile(r"([0-9]{1,12}(?:\.[0-9]{1,12})?)(ms|s)")
 _VERSION = re.compile(r"r([0-9]{1,18})")
 
@@ -67,14 +71,28 @@
 
 
 def read_int(value: object, name: str) -> int:
-    """Return a non-negative integer; raises `ValueError` for any other value."""
-    if type(value) is not int or value < 0:
+    """Return an integer from 0 to `INT_MAX`; raises `ValueError` otherwise."""
+    if type(value) is not int or not 0 <= value <= INT_MAX:
         raise ValueError(
-            f"{name}: found {value!r:.40}, expected a non-negative integer"
+            f"{name}: found {value!r:.40}, expected an integer from 0 to {INT_MAX}"
         )
     return value
 
 
+def read_float(value: object, name: str) -> float:
+    """Return a finite number of 0 or more; raises `ValueError` otherwise."""
+    if type(value) not in (int, float) or not 0 <= value < math.inf:
+        raise ValueError(f"{name}: found {value!r:.40}, expected a number from 0")
+    return float(value)
+
+
+def read_bool(value: object, name: str) -> bool:
+    """Return a truth value; raises `ValueError` for any other value."""
+    if type(value) is not bool:
+        raise ValueError(f"{name}: found {value!r:.40}, expected true or false")
+    return value
+
+
 def read_text(value: object, name: str) -> str:
     """Return a non-empty string; raises `ValueError` for any other value."""
     if not isinstance(value, str) or not value:
--- a/fuchsiamoor/platform/store.py
+++ b/fuchsiamoor/platform/store.py
@@ -7,8 +7,11 @@
 import base64
 import json
 from dataclasses import dataclass
+from typing import NamedTuple
 from urllib.parse import urlencode
 
+from loguru import logger
+
 from fuchsiamoor.core.addresses import Address, format_address
 from fuchsiamoor.core.errors import (
     StoreHistoryLostError,
@@ -28,6 +31,24 @@
 _REFUSED_STATUSES = (429, 503)
 
 
+class _Page(NamedTuple):
+    """One page of a listing.
+
+    Parameters
+    ----------
+    entries : list of Entry
+    last_key : str
+        Key of the page's last item, readable or not.
+    has_more : bool
+    version : int
+    """
+
+    entries: list[port.Entry]
+    last_key: str
+    has_more: bool
+    version: int
+
+
 @dataclass(slots=True)
 class PlatformStore:
     """`port.TransactionalStore` over the platform's HTTP interface."""
@@ -55,12 +76,12 @@
             if after:
                 query["after"] = after
             answer = await _read(self, "/api/kv-range", query)
-            items, has_more, at = _parse_read(_read_page, answer)
-            version = at if version is None else version
-            entries += items
-            if not has_more or not items:
+            page = _parse_read(_read_page, answer)
+            version = page.version if version is None else version
+            entries += page.entries
+            if not page.has_more or not page.last_key:
                 return port.Listing(version, tuple(entries))
-            after = items[-1].key
+            after = page.last_key
         raise StoreUnavailableError(f"{prefix}: more than {MAX_PAGES} pages")
 
     async def watch(
@@ -213,16 +234,36 @@
     )
 
 
-def _read_page(document: dict) -> tuple[list[port.Entry], bool, int]:
-    items = [_read_entry(item) for item in document["items"]]
-    return items, bool(document["has_more"]), int(document["at"])
+def _read_page(document: dict) -> _Page:
+    items = document["items"]
+    entries = [entry for item in items for entry in _read_readable(item)]
+    last_key = str(items[-1]["key"]) if items else ""
+    return _Page(entries, last_key, bool(document["has_more"]), int(document["at"]))
 
 
 def _read_changes(document: dict) -> port.Changes:
-    changes = tuple(
-        port.Change(str(event["key"]), None)
-        if event.get("deleted")
-        else port.Change(str(event["key"]), _read_entry(event))
-        for event in document["events"]
-    )
-    return port.Changes(int(document["at"]), changes)
+    changes: list[port.Change] = []
+    for event in document["events"]:
+        key = str(event["key"])
+        if event.get("deleted"):
+            changes.append(port.Change(key, None))
+        else:
+            changes += (port.Change(key, entry) for entry in _read_readable(event))
+    return port.Changes(int(document["at"]), tuple(changes))
+
+
+def _read_readable(item: dict) -> list[port.Entry]:
+    """Return an item's entry, or none if its value is not in the store's encoding.
+
+    Keys and revisions are the store's own, so that a fault in them is one of the
+    answer; a value is another writer's, and must not hide the other items.
+    """
+    key, revision = str(item["key"]), int(item["revision"])
+    try:
+        value = base64.b64decode(item["value"], validate=True)
+    except (ValueError, *scalars.MALFORMED) as error:
+        logger.bind(key=key, error=repr(error)[:200]).error(
+            "store entry cannot be decoded"
+        )
+        return []
+    return [port.Entry(key, value, revision)]
--- a/fuchsiamoor/platform/wire_test.py
+++ b/fuchsiamoor/platform/wire_test.py
@@ -1,3 +1,5 @@
+import json
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -221,6 +223,49 @@
     assert found.limits.idle_timeout_ms == 15_000
 
 
+@pytest.mark.parametrize(
+    ("table", "column", "value"),
+    [
+        ("routes", "allowed_regions", "almaty"),
+        ("routes", "allowed_regions", [1]),
+        ("routes", "weighted_services", {"service": "plain"}),
+        ("routes", "weighted_services", [{"service": "plain", "weight": float("nan")}]),
+        ("routes", "weighted_services", [{"service": "plain", "weight": -1}]),
+        ("routes", "weighted_services", [{"service": "plain", "weight": "90"}]),
+        ("routes", "priority", 2**60),
+        ("services", "health_path", 5),
+        ("services", "sharded", "yes"),
+        ("services", "cold_per_s", float("inf")),
+        ("services", "cold_per_s", "16"),
+    ],
+)
+def test_configuration_with_a_field_of_another_type_is_refused(table, column, value):
+    document = json.loads(wire_data.encode_configuration())
+    index = document[table]["columns"].index(column)
+    document[table]["rows"][0][index] = value
+    with pytest.raises(ValueError, match=r"\w"):
+        operator_entries.read_catalog(json.dumps(document).encode())
+
+
+@pytest.mark.parametrize("upstream_id", ["", "a b", "a?b", "i" * 129, "é"])
+def test_a_call_with_an_odd_upstream_id_is_none(upstream_id):
+    path = f"/api/instances/{upstream_id}/heartbeat"
+    assert heartbeats.read_call("POST", path) is None
+
+
+@pytest.mark.parametrize(
+    ("body", "started_unix_ms"), [(b"", None), (b"{}", None), (b'{"born": 5}', 5)]
+)
+def test_deregistration_names_the_start_or_nothing(body, started_unix_ms):
+    assert heartbeats.read_deregistration(body) == started_unix_ms
+
+
+@pytest.mark.parametrize("body", [b"[]", b"{", b'{"born": "5"}', b"[" * 100_000])
+def test_malformed_deregistration_is_refused(body):
+    with pytest.raises(ValueError, match=r"\w"):
+        heartbeats.read_deregistration(body)
+
+
 def test_settings_are_decoded():
     found = settings.read_settings(wire_data.encode_settings())
     assert found.instance == "10.1.0.38"
--- a/fuchsiamoor/ranges/table.py
+++ b/fuchsiamoor/ranges/table.py
@@ -9,12 +9,14 @@
 from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
-import cbor2
-
+from fuchsiamoor.core import errors
+from fuchsiamoor.peers import codec
 from fuchsiamoor.traffic import catalog, upstreams
 
 NO_OWNER = ""
 _FORMAT_VERSION = 1
+# Versions are fences, which upstreams read as JSON numbers.
+_VERSION_MAX = 2**53 - 1
 _STARTED = re.compile(r"[0-9]{1,19}")
 
 
@@ -60,6 +62,26 @@
     rows: tuple[Row, ...]
 
 
+class _StoredRow(NamedTuple):
+    """A row as it is stored, with numbers in place of owners."""
+
+    last: int
+    owner: int
+    fence: int
+    handover: str
+    moving_to: int
+
+
+class _StoredTable(NamedTuple):
+    """A table as it is stored."""
+
+    format_version: int
+    service: str
+    version: int
+    owners: tuple[str, ...]
+    rows: tuple[_StoredRow, ...]
+
+
 def make_owner(instance: str, incarnation: upstreams.Incarnation) -> str:
     """Return the owner name of an upstream incarnation at an instance.
 
@@ -166,17 +188,19 @@
     """Return a table in CBOR; owners are numbered and each is named once."""
     owners = sorted({name for row in table.rows for name in (row.owner, row.moving_to)})
     numbers = {owner: number for number, owner in enumerate(owners)}
-    rows = [
-        [
+    rows = tuple(
+        _StoredRow(
             row.last,
             numbers[row.owner],
             row.fence,
             row.handover,
             numbers[row.moving_to],
-        ]
+        )
         for row in table.rows
-    ]
-    return cbor2.dumps([_FORMAT_VERSION, table.service, table.version, owners, rows])
+    )
+    return codec.encode_record(
+        _StoredTable(_FORMAT_VERSION, table.service, table.version, tuple(owners), rows)
+    )
 
 
 def decode_table(encoded: bytes) -> RangeTable:
@@ -188,21 +212,40 @@
         If it is malformed or its rows do not cover all keys in order.
     """
     try:
-        format_version, service, version, owners, rows = cbor2.loads(encoded)
-        if format_version != _FORMAT_VERSION:
-            raise ValueError(
-                f"range table: found format {format_version!r:.20}, expected 1"
-            )
-        found, first = [], 0
-        for last, owner, fence, handover, moving_to in rows:
-            found.append(
-                Row(first, last, owners[owner], fence, handover, owners[moving_to])
-            )
-            if last < first:
-                raise ValueError(f"range table: row ends at {last}, begins at {first}")
-            first = last + 1
-    except (TypeError, LookupError, cbor2.CBORDecodeError) as error:
-        raise ValueError(f"range table: malformed: {error!r}") from error
+        stored = codec.decode_record(_StoredTable, encoded)
+    except errors.FrameError as error:
+        raise ValueError(f"range table: malformed: {error}") from error
+    if stored.format_version != _FORMAT_VERSION:
+        raise ValueError(
+            f"range table: found format {stored.format_version}, expected 1"
+        )
+    if not stored.service or not 0 < stored.version <= _VERSION_MAX:
+        raise ValueError(
+            f"range table: found version {stored.version} of {stored.service!r:.40}"
+        )
+    for owner in stored.owners:
+        if owner != NO_OWNER:
+            incarnation_of(owner)
+    rows, first = [], 0
+    for row in stored.rows:
+        rows.append(_decode_row(stored, row, first))
+        first = row.last + 1
     if first != catalog.KEY_COUNT:
         raise ValueError(f"range table: covers {first} keys, expected all")
-    return RangeTable(service, version, tuple(found))
+    return RangeTable(stored.service, stored.version, tuple(rows))
+
+
+def _decode_row(stored: _StoredTable, row: _StoredRow, first: int) -> Row:
+    if row.last < first:
+        raise ValueError(f"range table: row ends at {row.last}, begins at {first}")
+    if not 0 <= row.fence <= stored.version:
+        raise ValueError(
+            f"range table: found fence {row.fence}, expected up to version"
+        )
+    if min(row.owner, row.moving_to) < 0:
+        raise ValueError("range table: found a negative number of an owner")
+    try:
+        owner, moving_to = stored.owners[row.owner], stored.owners[row.moving_to]
+    except IndexError as error:
+        raise ValueError("range table: found the number of no owner") from error
+    return Row(first, row.last, owner, row.fence, row.handover, moving_to)
--- a/fuchsiamoor/store/relayed.py
+++ b/fuchsiamoor/store/relayed.py
@@ -206,6 +206,7 @@
         raise errors.StoreOutcomeUnknownError(
             f"malformed answer of a peer: {error!r:.200}"
         ) from error
+    content = str(content)
     match answer.outcome:
         case "forgotten":
             raise errors.StoreHistoryLostError(content)
@@ -215,21 +216,39 @@
             raise errors.StoreOutcomeUnknownError(content)
 
 
+def _read_plain(value: object, expected: type) -> object:
+    if type(value) is not expected:
+        raise TypeError(f"found {type(value).__name__}, expected {expected.__name__}")
+    return value
+
+
 def _read_entry(row: list | None) -> port.Entry | None:
-    return None if row is None else port.Entry(*row)
+    if row is None:
+        return None
+    key, value, version = row
+    return port.Entry(
+        _read_plain(key, str), _read_plain(value, bytes), _read_plain(version, int)
+    )
 
 
 def _read_listing(row: list) -> port.Listing:
-    return port.Listing(row[0], tuple(port.Entry(*entry) for entry in row[1]))
+    version, entries = row
+    found = tuple(_read_entry(_read_plain(entry, list)) for entry in entries)
+    return port.Listing(_read_plain(version, int), found)
 
 
 def _read_changes(row: list) -> port.Changes:
-    changes = tuple(port.Change(key, _read_entry(entry)) for key, entry in row[1])
-    return port.Changes(row[0], changes)
+    version, changes = row
+    found = tuple(
+        port.Change(_read_plain(key, str), _read_entry(entry)) for key, entry in changes
+    )
+    return port.Changes(_read_plain(version, int), found)
 
 
 def _read_transact(row: list) -> port.TransactResult:
-    return port.Committed(row[0]) if row else port.PreconditionFailed()
+    if not row:
+        return port.PreconditionFailed()
+    return port.Committed(_read_plain(row[0], int))
 
 
 _RESULT_READERS = {
@@ -237,7 +256,7 @@
     "list_prefix": _read_listing,
     "watch": _read_changes,
     "transact": _read_transact,
-    "grant_lease": str,
-    "renew_lease": bool,
+    "grant_lease": lambda content: _read_plain(content, str),
+    "renew_lease": lambda content: _read_plain(content, bool),
     "revoke_lease": lambda content: None,
 }
--- a/fuchsiamoor/traffic/upstreams.py
+++ b/fuchsiamoor/traffic/upstreams.py
@@ -4,6 +4,9 @@
 
 from fuchsiamoor.core.addresses import Address
 
+# Far more than an upstream runs at a time; a sum of them fits any integer field.
+SLOTS_MAX = 1_000_000
+
 
 class Incarnation(NamedTuple):
     """One start of an upstream process.
