Begin nothing on a stopping daemon that cannot end before its stop

What callers would have seen (reported by other operators): in a planned stop, requests that come late in the grace are taken and passed on, and cut off at its end, among them some that may not be repeated. Here they got a 504, or a 502 where another daemon had passed them on, for work that may have been done.

Cause: admission knew the caller's deadline only, not the time at which the daemon ends what runs (5/6 of the grace), neither as entry daemon nor beside the upstream.

Evidence: three cases fail on the code before (a run of 4 s is passed on with 3 s left, and started beside the upstream; the time handed on is 9 s with 3 s left) and pass with the change.

Change: a stopping daemon hands on no more time than it has, and refuses at once what usually takes longer, with a short Retry-After, as other daemons can run it.

--- a/fuchsiamoor/agent/caller_requests.py
+++ b/fuchsiamoor/agent/caller_requests.py
@@ -102,13 +102,13 @@
     else:
         retrying.credit_budget(agent, service)
     while True:
-        remaining_ms = deadlines.answer_by_ms - agent.now_ms()
-        if remaining_ms < target_selection.REMAINING_MIN_MS:
+        if not target_selection.can_end_in_time(agent, route, deadlines):
             break
         target = await target_selection.find_target(
             agent, request, route, service, attempts, deadlines
         )
         if target is None:
+            remaining_ms = deadlines.answer_by_ms - agent.now_ms()
             if await target_selection.wait_for_owner(
                 agent, request, service, attempts, remaining_ms
             ):
@@ -213,6 +213,11 @@
     verdict = NotRun(Reason.NO_OWNER, "nobody takes it at present")
     if last is not None and isinstance(last.verdict, NotRun):
         verdict = last.verdict
+    if last is None and agent.stopping_since_ms is not None:
+        verdict = NotRun(Reason.SHUTTING_DOWN, "the daemon stops")
+        return _make_refusal(
+            agent, request, verdict, RETRY_AFTER_MIN_MS, deadlines.arrived_ms
+        )
     ownerless_ms = target_selection.compute_ownerless_ms(agent, service, request.key)
     retry_after_ms = attempts.retry_after_ms or max(OWNERLESS_RETRY_MS, ownerless_ms)
     return _make_refusal(agent, request, verdict, retry_after_ms, deadlines.arrived_ms)
--- a/fuchsiamoor/agent/caller_requests_test.py
+++ b/fuchsiamoor/agent/caller_requests_test.py
@@ -4,6 +4,7 @@
     caller_requests,
     lifecycle,
     retrying,
+    state,
     target_selection,
 )
 from fuchsiamoor.core import errors, messages
@@ -229,3 +230,45 @@
     first, late = virtual_time.run(play())
     assert (first.status, late.status) == (200, 503)
     assert dict(late.headers)[b"Retry-After"]
+
+
+def _ask_while_stopping(stopping_for_ms, run_ms, wait_ms):
+    """Send a request to a daemon that stops; return its answer and what was sent."""
+
+    async def play():
+        agent = make_agent(always(RAN), "10.0.0.2")
+        agent.selection_stats.run_ms["read"] = run_ms
+        lifecycle.request_stop(agent)
+        agent.stopping_since_ms -= stopping_for_ms
+        answer = await caller_requests.handle(agent, make_request(wait_ms=wait_ms))
+        sent_ms = [message.remaining_ms for _, message in agent.links.calls]
+        return answer.status, sent_ms
+
+    return virtual_time.run(play())
+
+
+# Requests that came late in the grace were passed on and cut off at its end, among them
+# some that may not be repeated.
+def test_a_stopping_daemon_refuses_what_cannot_end_before_its_stop():
+    assert _ask_while_stopping(2_000, run_ms=4_000, wait_ms=9_000) == (503, [])
+
+
+def test_a_stopping_daemon_passes_on_what_ends_before_its_stop():
+    status, sent_ms = _ask_while_stopping(2_000, run_ms=400, wait_ms=1_800)
+    assert status == 200
+    assert len(sent_ms) == 1
+
+
+def test_a_stopping_daemon_hands_on_no_more_time_than_it_has():
+    catalog = traffic_data.make_catalog(1, traffic_data.make_route(timeout_ms=9_000))
+
+    async def play():
+        agent = make_agent(always(RAN), "10.0.0.2", catalog=catalog)
+        lifecycle.request_stop(agent)
+        agent.stopping_since_ms -= 2_000
+        await caller_requests.handle(agent, make_request(wait_ms=9_000))
+        ((_, message),) = agent.links.calls
+        return message.remaining_ms
+
+    end_ms = 6_000 * state.STOP_DEADLINE_SHARE
+    assert 2_800 < virtual_time.run(play()) <= end_ms - 2_000
--- a/fuchsiamoor/agent/lifecycle.py
+++ b/fuchsiamoor/agent/lifecycle.py
@@ -46,8 +46,6 @@
 # The network is private to the deployment, so this key is not secret: it only rejects
 # connections from other programs.
 PEER_KEYS = ("fuchsiamoor",)
-# Share of the grace period after which requests that still run are cancelled.
-STOP_DEADLINE_SHARE = 5 / 6
 # Time for the last answers to reach their callers.
 FLUSH_MS = 100
 CLOSE_GRACE_MS = 200
@@ -296,10 +294,7 @@
     """
     await agent.stop_requested.wait()
     caller_server.announce_close()
-    last_ms = agent.stopping_since_ms + int(
-        agent.settings.bounds.grace_ms * STOP_DEADLINE_SHARE
-    )
-    while agent.now_ms() < last_ms:
+    while agent.now_ms() < state.find_end_ms(agent):
         if state.has_been_stopping_for(agent, state.STOP_NOTICE_MS):
             caller_server.close()
             if (
--- a/fuchsiamoor/agent/local_execution.py
+++ b/fuchsiamoor/agent/local_execution.py
@@ -50,8 +50,8 @@
         If the request is cancelled; its run is aborted.
     """
     now_ms = agent.now_ms()
-    ends_by_ms = now_ms + request.remaining_ms
-    if request.remaining_ms <= RETURN_MARGIN_MS:
+    ends_by_ms = min(now_ms + request.remaining_ms, state.find_end_ms(agent))
+    if ends_by_ms <= now_ms + RETURN_MARGIN_MS:
         refusal = NotRun(Reason.DEADLINE_PASSED, "on its way here")
         return refuse(agent, request, refusal)
     refusal = _check_admission(agent, request)
@@ -160,6 +160,10 @@
         agent, state.STOP_SENDING_MS
     ):
         return NotRun(Reason.SHUTTING_DOWN, "the upstream takes nothing more")
+    if agent.stopping_since_ms is not None:
+        run_ms = admission.estimate_run_ms(upstream.admission_queue, request.route)
+        if agent.now_ms() + run_ms > state.find_end_ms(agent):
+            return NotRun(Reason.SHUTTING_DOWN, "it would not end before the stop")
     if request.service != upstream.service:
         return NotRun(Reason.NO_UPSTREAM, "another service's upstream")
     homes = frozenset(request.home_regions)
--- a/fuchsiamoor/agent/local_execution_test.py
+++ b/fuchsiamoor/agent/local_execution_test.py
@@ -202,3 +202,18 @@
     verdict, samples = _play(scenario)
     assert isinstance(verdict, Ran)
     assert samples == []
+
+
+# As for a stopping entry daemon: the upstream was given work that was cut off.
+@pytest.mark.parametrize(("run_ms", "sent"), [(4_000, 0), (400, 1)])
+def test_a_stopping_daemon_starts_only_what_ends_before_its_stop(run_ms, sent):
+    async def scenario(upstream, agent):
+        agent.upstream.admission_queue.run_ms["read"] = run_ms
+        lifecycle.request_stop(agent)
+        agent.stopping_since_ms -= 2_000
+        outcome = await _execute(agent, remaining_ms=9_000)
+        return outcome.verdict, len(upstream.received)
+
+    verdict, received = _play(scenario)
+    assert received == sent
+    assert isinstance(verdict, Ran if sent else NotRun)
--- a/fuchsiamoor/agent/state.py
+++ b/fuchsiamoor/agent/state.py
@@ -1,6 +1,7 @@
 """State of one daemon that routes requests; the other modules are functions over it."""
 
 import asyncio
+import math
 import random
 import secrets
 from collections.abc import Callable
@@ -363,6 +364,8 @@
 # A stopping daemon sends its upstream no more requests after this time, so that those
 # already sent end before the process exits.
 STOP_SENDING_MS = 2_900
+# Share of the grace period after which requests that still run are cancelled.
+STOP_DEADLINE_SHARE = 5 / 6
 
 
 def has_been_stopping_for(agent: Agent, time_ms: int) -> bool:
@@ -373,6 +376,14 @@
     )
 
 
+def find_end_ms(agent: Agent) -> float:
+    """Return when a stopping daemon ends all requests; infinity if none is stopping."""
+    if agent.stopping_since_ms is None:
+        return math.inf
+    grace_ms = agent.settings.bounds.grace_ms
+    return agent.stopping_since_ms + int(grace_ms * STOP_DEADLINE_SHARE)
+
+
 def is_open(agent: Agent) -> bool:
     """Return whether the local upstream accepts new requests."""
     upstream = agent.upstream
--- a/fuchsiamoor/daemon/upstream_connection_test.py
+++ b/fuchsiamoor/daemon/upstream_connection_test.py
@@ -177,3 +177,67 @@
     assert later.body == b"ok" and open_count == 0
     # Sockets buffer some megabytes of what is never read.
     assert sent["bytes"] < 8 * 16 * 1024 * 1024
+
+
+OWN = b"HTTP/1.1 200 OK\r\nx-id: 1\r\n"
+OTHER = b"HTTP/1.1 200 OK\r\nx-id: 2\r\n"
+# Answers before the own one, and the own one without its first lines.
+BEFORE = {
+    "nothing": b"",
+    "interim": b"HTTP/1.1 103 Early Hints\r\nlink: a\r\n\r\n",
+    "other answer": OTHER + b"content-length: 3\r\n\r\nabc",
+    "other chunked answer": OTHER
+    + b"transfer-encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n",
+}
+FRAMINGS = {
+    "length": b"content-length: 5\r\n\r\nhello",
+    "late length": b"a: b\r\nc: d\r\ncontent-length: 5\r\n\r\nhello",
+    "empty": b"content-length: 0\r\n\r\n",
+    "chunked": b"transfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+    "chunked with trailer": b"transfer-encoding: chunked\r\n\r\n"
+    b"5\r\nhello\r\n0\r\nx: y\r\n\r\n",
+    "other coding": b"transfer-encoding: gzip\r\n\r\nhello",
+    "none": b"\r\nhello",
+}
+
+
+def receive_cut(answer, cut, accepts_close_delimited, is_reset):
+    """Return what a request gets if an answer ends after ``cut`` bytes."""
+
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        connection = upstream_connection.UpstreamConnection(
+            BODY_LIMIT_BYTES, lambda lost: None, accepts_close_delimited
+        )
+        connection.connection_made(FakeTransport())
+        future = loop.create_future()
+        connection.exchange(b"request", False, future, match_by_id)
+        connection.data_received(answer[:cut])
+        if not is_reset:
+            connection.eof_received()
+        connection.connection_lost(ConnectionResetError() if is_reset else None)
+        return future.result()
+
+    return asyncio.run(scenario())
+
+
+# Other operators' clients got a 200 with an empty or short body, framed as whole, where
+# an upstream stopped in the middle of its answer's head and closed.
+@pytest.mark.parametrize("is_reset", [False, True])
+@pytest.mark.parametrize("accepts_close_delimited", [False, True])
+@pytest.mark.parametrize("framing", FRAMINGS)
+@pytest.mark.parametrize("before", BEFORE)
+def test_an_answer_that_stops_early_is_never_whole(
+    before, framing, accepts_close_delimited, is_reset
+):
+    answer = BEFORE[before] + OWN + FRAMINGS[framing]
+    whole_from = len(answer)
+    if framing == "none" and accepts_close_delimited and not is_reset:
+        whole_from = len(BEFORE[before] + OWN) + 2
+    can_be_whole = framing not in ("none", "other coding") or whole_from < len(answer)
+    for cut in range(len(answer) + 1):
+        received = receive_cut(answer, cut, accepts_close_delimited, is_reset)
+        is_whole = isinstance(received, WholeAnswer)
+        assert is_whole == (can_be_whole and cut >= whole_from), cut
+        if is_whole and framing != "none":
+            assert received.body in (b"hello", b"")
--- a/fuchsiamoor/testing/caller_requests_data.py
+++ b/fuchsiamoor/testing/caller_requests_data.py
@@ -6,7 +6,7 @@
 from fuchsiamoor.agent.http_server import HttpRequest
 from fuchsiamoor.core import carried, errors, messages
 from fuchsiamoor.core.verdicts import MayHaveRun, NotRun, Ran, Reason
-from fuchsiamoor.testing import traffic_data, virtual_time
+from fuchsiamoor.testing import registrations_data, traffic_data, virtual_time
 
 OPEN = carried.Load(0, 0, 18, 100, 0, True)
 
@@ -76,19 +76,8 @@
 
 def make_registration(instance, service) -> registrations.Registration:
     """Return the registration of a warm upstream."""
-    return registrations.Registration(
-        instance=instance,
-        run="r",
-        peer_host=instance,
-        peer_port=1,
-        region="north",
-        data_centre="north-1",
-        service=service,
-        owner=f"{instance}/i@1",
-        ended="",
-        slots=18,
-        is_open=True,
-        lease_id="",
+    return registrations_data.make_registration(
+        instance, peer_host=instance, service=service, owner=f"{instance}/i@1"
     )
 
 
