Count no absence of an owner from before it was replaced

Cause, as far as shown: the time of an absence stayed in the cache after the owner was replaced. If it came back and got keys by a table that this daemon wrote, it counted as lost as soon as it was missed again, without the wait of 8.8 s.

Evidence: the new case of succession_test.py is that order of events; the entry is left in place by the code before, which cleared entries of owners in a table only.

Change: note_absences makes the times anew for the owners that a table names, after each change of the cache and each own write of a table.

--- a/fuchsiamoor/agent/store_sync.py
+++ b/fuchsiamoor/agent/store_sync.py
@@ -348,13 +348,7 @@
     upstream_lifecycle.resume_drain(agent)
     cache = agent.cache
     registrations.drop_lapsed(cache.directory, KEEP_LAPSED_MS, now_ms)
-    registered = {found.owner for found in cache.directory.registered.values()}
-    for table in cache.tables.values():
-        for owner in tables.list_owners(table):
-            if owner in registered:
-                cache.absent_since_ms.pop(owner, None)
-            else:
-                cache.absent_since_ms.setdefault(owner, now_ms)
+    succession.note_absences(cache, now_ms)
     confirmed = agent.registration.confirmed
     if confirmed is not None and confirmed != make_registration(agent):
         agent.registration.update_due.set()
--- a/fuchsiamoor/agent/succession.py
+++ b/fuchsiamoor/agent/succession.py
@@ -47,6 +47,20 @@
     return absent_since_ms is not None and now_ms - absent_since_ms > LOST_AFTER_MS
 
 
+def note_absences(cache: state.StoreCache, now_ms: int) -> None:
+    """Note which owners that a table names have no registration, and since when.
+
+    An owner that no table names any more is forgotten: if it comes back and gets keys,
+    its earlier absence does not count.
+    """
+    registered = {found.owner for found in cache.directory.registered.values()}
+    named = set().union(*map(tables.list_owners, cache.tables.values()))
+    known_ms = cache.absent_since_ms
+    cache.absent_since_ms = {
+        owner: known_ms.get(owner, now_ms) for owner in named - registered
+    }
+
+
 def find_newest(cache: state.StoreCache, instance: str) -> upstreams.Incarnation | None:
     """Return the latest incarnation that the store names at an instance."""
     owners = {
--- a/fuchsiamoor/agent/succession_test.py
+++ b/fuchsiamoor/agent/succession_test.py
@@ -100,6 +100,23 @@
     assert not succession.has_ended(cache, OWNER, 10 * succession.LOST_AFTER_MS)
 
 
+# The absence of an owner that was replaced, came back and got keys counted from before
+# it was replaced, so that its keys were given on at once when it was missed again.
+def test_an_earlier_absence_of_a_replaced_owner_does_not_count():
+    other = "10.0.0.2/i-1@1"
+    cache = registrations_data.make_cache()
+    service = traffic_data.KEYED_SERVICE
+    cache.tables[service] = registrations_data.make_table(OWNER)
+    succession.note_absences(cache, 0)
+    replaced_ms = succession.LOST_AFTER_MS + 1
+    assert succession.has_ended(cache, OWNER, replaced_ms)
+    cache.tables[service] = registrations_data.make_table(other)
+    succession.note_absences(cache, replaced_ms)
+    cache.tables[service] = registrations_data.make_table(OWNER)
+    succession.note_absences(cache, 2 * replaced_ms)
+    assert not succession.has_ended(cache, OWNER, 2 * replaced_ms + 1)
+
+
 def test_the_newest_incarnation_is_found_in_tables_and_registrations():
     found = registrations_data.make_registration(owner="10.0.0.1/i-1@19")
     cache = registrations_data.make_cache(found)
--- a/fuchsiamoor/agent/table_writer.py
+++ b/fuchsiamoor/agent/table_writer.py
@@ -286,6 +286,7 @@
         case port.Committed(version):
             agent.metrics.count("ranges.written")
             store_sync.apply_entry(agent, port.Entry(key, value, version))
+            succession.note_absences(agent.cache, agent.now_ms())
             state.notify_change(agent)
             return True
         case port.PreconditionFailed():
