Keep the latest leave where an earlier one, an odd entry or a new start comes between

While the store was away, a late leave of an earlier incarnation replaced the one that was waiting to be written; an entry that cannot be read, put in place of a leave, made it unknown to the next run; and an upstream that started while its daemon was down and left before its first heartbeat was not acknowledged, where the store named its predecessor.

A pool of an upstream that is forgotten for a later incarnation is closed, too.

--- a/fuchsiamoor/agent/leaves.py
+++ b/fuchsiamoor/agent/leaves.py
@@ -34,9 +34,11 @@
 
 def announce(agent: state.Agent, owner: str) -> None:
     """Let a leave be written to the store, unless it holds it already."""
-    if is_recorded(agent, owner):
+    instance = tables.instance_of(owner)
+    pending = agent.leaves.unrecorded.get(instance, owner)
+    if is_recorded(agent, owner) or succession.is_later(pending, owner):
         return
-    agent.leaves.unrecorded[tables.instance_of(owner)] = owner
+    agent.leaves.unrecorded[instance] = owner
     agent.leaves.write_due.set()
 
 
--- a/fuchsiamoor/agent/registrations.py
+++ b/fuchsiamoor/agent/registrations.py
@@ -186,6 +186,7 @@
     if entry.version < directory.leave_versions.get(instance, 0):
         return
     directory.leave_versions[instance] = entry.version
+    # What an odd entry replaces counts as not recorded, so that it is written again.
     directory.left_owners.pop(instance, None)
     owner = codec.decode_record(Leave, entry.value).owner
     _check_owner(instance, owner)
--- a/fuchsiamoor/agent/restart_test.py
+++ b/fuchsiamoor/agent/restart_test.py
@@ -4,9 +4,16 @@
 
 import pytest
 
-from fuchsiamoor.agent import endpoints, lifecycle, registrations, upstream_lifecycle
+from fuchsiamoor.agent import (
+    endpoints,
+    leaves,
+    lifecycle,
+    registrations,
+    upstream_lifecycle,
+)
 from fuchsiamoor.agent.http_server import HttpRequest
 from fuchsiamoor.core import errors, messages
+from fuchsiamoor.ranges import table as tables
 from fuchsiamoor.testing import (
     range_simulation,
     traffic_data,
@@ -159,6 +166,58 @@
     assert virtual_time.run(play()) == (200, True)
 
 
+def test_a_late_leave_of_an_earlier_incarnation_does_not_replace_a_later_one():
+    async def play():
+        world, machine = await start_world()
+        world.store.down_until_ms = virtual_time.now_ms() + 3_000
+        incarnation = machine.upstream.incarnation
+        earlier = tables.make_owner(
+            machine.instance,
+            incarnation._replace(started_unix_ms=incarnation.started_unix_ms - 1),
+        )
+        await deregister(machine)
+        leaves.announce(machine.agent, earlier)
+        await asyncio.sleep(5)
+        left_owner = machine.agent.cache.directory.left_owners[machine.instance]
+        await range_simulation.close(world)
+        return left_owner == tables.make_owner(machine.instance, incarnation)
+
+    assert virtual_time.run(play())
+
+
+def test_an_odd_entry_in_place_of_a_leave_is_replaced():
+    async def play():
+        world, machine = await start_world()
+        await deregister(machine)
+        key = registrations.leave_key(machine.instance)
+        transactional_store.put_now(world.store, key, b"?")
+        await asyncio.sleep(2)
+        await restart_daemon(world, machine)
+        found = await observe(world, machine)
+        await range_simulation.close(world)
+        return found
+
+    assert virtual_time.run(play()) == {(False, False)}
+
+
+# The store may name an earlier incarnation than the one that leaves.
+def test_an_upstream_that_started_while_its_daemon_was_down_may_leave():
+    async def play():
+        world, machine = await start_world()
+        range_simulation.kill_daemon(machine)
+        range_simulation.kill_upstream(machine)
+        range_simulation.start_upstream(world, machine)
+        range_simulation.hold_heartbeats(world, machine, delay_s=0.8)
+        range_simulation.start_daemon(world, machine)
+        await asyncio.sleep(0.2)
+        status = await deregister(machine)
+        may_send = {found for found, _ in await observe(world, machine)}
+        await range_simulation.close(world)
+        return status, may_send
+
+    assert virtual_time.run(play()) == (200, {False})
+
+
 @pytest.mark.parametrize("started_unix_ms", [1_000, None])
 def test_a_deregistration_of_an_unknown_upstream_is_not_acknowledged(started_unix_ms):
     async def play():
--- a/fuchsiamoor/agent/store_sync.py
+++ b/fuchsiamoor/agent/store_sync.py
@@ -5,6 +5,7 @@
 from loguru import logger
 
 from fuchsiamoor.agent import (
+    leaves,
     registrations,
     state,
     succession,
@@ -301,9 +302,13 @@
 
 def _prepare_repair(agent: state.Agent, entry: port.Entry) -> None:
     """Let an entry that cannot be decoded be written again from what is known."""
-    if entry.key == registrations.registration_key(agent.settings.instance):
+    instance, upstream = agent.settings.instance, agent.upstream
+    if entry.key == registrations.registration_key(instance):
         agent.registration.confirmed = None
         agent.registration.update_due.set()
+    is_leaving = upstream.draining_since_ms is not None
+    if entry.key == registrations.leave_key(instance) and is_leaving:
+        leaves.announce(agent, upstream.owner)
     if not entry.key.startswith(registrations.TABLE_PREFIX):
         return
     service, cache = entry.key.removeprefix(registrations.TABLE_PREFIX), agent.cache
--- a/fuchsiamoor/agent/succession.py
+++ b/fuchsiamoor/agent/succession.py
@@ -12,6 +12,7 @@
 """
 
 from fuchsiamoor.agent import state
+from fuchsiamoor.daemon import upstream_pool
 from fuchsiamoor.ranges import granting
 from fuchsiamoor.ranges import table as tables
 from fuchsiamoor.traffic import upstreams
@@ -97,6 +98,7 @@
         return
     if _started_before(upstream.incarnation, newest):
         agent.metrics.count("heartbeat.stale")
+        upstream_pool.close(upstream.pool)
         agent.upstream = state.UpstreamState()
 
 
--- a/fuchsiamoor/agent/upstream_lifecycle.py
+++ b/fuchsiamoor/agent/upstream_lifecycle.py
@@ -226,13 +226,14 @@
     started_unix_ms : int or None
         Its start, None if the call does not name it.
     """
-    known = agent.upstream.incarnation or succession.find_newest(
-        agent.cache, agent.settings.instance
-    )
+    known = agent.upstream.incarnation
     if started_unix_ms is not None:
         found = upstreams.Incarnation(upstream_id, started_unix_ms)
-        is_unheard_of = known is not None and started_unix_ms > known.started_unix_ms
-        return None if is_unheard_of else found
+        is_running = known is not None and not agent.upstream.is_down
+        if is_running and started_unix_ms > known.started_unix_ms:
+            return None
+        return found
+    known = known or succession.find_newest(agent.cache, agent.settings.instance)
     if known is None or known.upstream_id != upstream_id:
         return None
     return known
