--- a/fuchsiamoor/agent/restart_test.py
+++ b/fuchsiamoor/agent/restart_test.py
@@ -175,6 +175,7 @@
             machine.instance,
             incarnation._replace(started_unix_ms=incarnation.started_unix_ms - 1),
         )
+        machine.agent.links = NoLinks()
         await deregister(machine)
         leaves.announce(machine.agent, earlier)
         await asyncio.sleep(5)
