Write no table again that no daemon has read

Found by reading the change: where the table in the store could not be decoded and no daemon knew the version before, each daemon tried to write an empty table several times a second. The new case of store_entries_test.py counts the calls and fails on the code before. Only a table that is known is written again now.

--- a/fuchsiamoor/agent/store_entries_test.py
+++ b/fuchsiamoor/agent/store_entries_test.py
@@ -135,6 +135,24 @@
     assert virtual_time.run(play()) == (True, True, [])
 
 
+def test_a_table_that_no_daemon_has_read_is_not_written_again_and_again():
+    async def play():
+        world = range_simulation.make_world(seed=4, count=2)
+        key = registrations.table_key(SERVICE)
+        transactional_store.put_now(world.store, key, NESTED)
+        for machine in world.machines:
+            range_simulation.start_daemon(world, machine)
+        await asyncio.sleep(5)
+        calls = world.store.calls
+        await asyncio.sleep(5)
+        calls = world.store.calls - calls
+        await range_simulation.close(world)
+        return calls
+
+    # Two daemons renew their leases and watch, each a few times a second at most.
+    assert virtual_time.run(play()) < 40
+
+
 plain_values = st.recursive(
     st.none()
     | st.booleans()
--- a/fuchsiamoor/agent/table_writer.py
+++ b/fuchsiamoor/agent/table_writer.py
@@ -100,7 +100,8 @@
     if table.version == 0 and not _is_settled(check, owner_states, now_ms):
         return
     planned = planning.plan_next_table(table, owner_states)
-    if planned is None and service in agent.cache.unreadable_tables:
+    is_unreadable = service in agent.cache.unreadable_tables
+    if planned is None and is_unreadable and table.version > 0:
         planned = table._replace(version=table.version + 1)
     if planned is None:
         check.due_since_ms = None
