--- a/fuchsiamoor/agent/local_execution.py
+++ b/fuchsiamoor/agent/local_execution.py
@@ -50,8 +50,8 @@
         If the request is cancelled; its run is aborted.
     """
     now_ms = agent.now_ms()
-    ends_by_ms = min(now_ms + request.remaining_ms, state.find_end_ms(agent))
-    if ends_by_ms <= now_ms + RETURN_MARGIN_MS:
+    ends_by_ms = now_ms + request.remaining_ms
+    if request.remaining_ms <= RETURN_MARGIN_MS:
         refusal = NotRun(Reason.DEADLINE_PASSED, "on its way here")
         return refuse(agent, request, refusal)
     refusal = _check_admission(agent, request)
--- a/fuchsiamoor/agent/target_selection.py
+++ b/fuchsiamoor/agent/target_selection.py
@@ -43,8 +43,6 @@
     fail otherwise.
     """
     answer_by_ms = arrived_ms + min(request.wait_ms, route.timeout_ms)
-    # What a stopping daemon would have to cut off is better not begun.
-    answer_by_ms = min(answer_by_ms, state.find_end_ms(agent))
     if request.is_nested:
         in_time_by_ms = answer_by_ms
     else:
@@ -62,13 +60,17 @@
 def can_end_in_time(
     agent: state.Agent, route: catalog.Route, deadlines: Deadlines
 ) -> bool:
-    """Return whether there is time left to begin an attempt."""
-    remaining_ms = deadlines.answer_by_ms - agent.now_ms()
-    if agent.stopping_since_ms is None:
-        return remaining_ms >= REMAINING_MIN_MS
-    # A stopping daemon cuts off what has not ended by then.
-    run_ms = agent.selection_stats.run_ms.get(route.name, 0)
-    return remaining_ms >= REMAINING_MIN_MS + run_ms
+    """Return whether there is time left to begin an attempt.
+
+    A stopping daemon cuts off what has not ended by its end. An attempt that was begun
+    keeps its whole deadline, as it may still end before.
+    """
+    now_ms = agent.now_ms()
+    if agent.stopping_since_ms is not None:
+        run_ms = agent.selection_stats.run_ms.get(route.name, 0)
+        if now_ms + run_ms > state.find_end_ms(agent):
+            return False
+    return deadlines.answer_by_ms - now_ms >= REMAINING_MIN_MS
 
 
 async def find_target(
