Call what the project has instead of a copy beside it

Found by reading the whole change again; behaviour is the same.

- state_sync.adopt_entry repeated cluster_state's adopt-or-report; it calls that now.
- A stored item was decoded in two places of the platform's store client; now in one.
- The refusal of a stopping daemon stood three times in caller_requests; now once.
- Leaves and relayed store calls each listed the other daemons; registrations.list_others.
- The order of two incarnations was compared twice in succession; now once.
- wait_until_kept has guard clauses instead of nested conditions, and an asked keeper returns only whether it keeps the leave.
- is_stale no longer handles an unknown incarnation, which its one caller rules out.

--- a/fuchsiamoor/agent/caller_requests.py
+++ b/fuchsiamoor/agent/caller_requests.py
@@ -35,8 +35,7 @@
         return HttpAnswer(400)
     route_name = ""
     if state.has_been_stopping_for(agent, state.STOP_NOTICE_MS):
-        verdict = NotRun(Reason.SHUTTING_DOWN, "the daemon stops")
-        answer = _make_refusal(agent, request, verdict, RETRY_AFTER_MIN_MS, arrived_ms)
+        answer = _make_stop_refusal(agent, request, arrived_ms)
     elif agent.cache.catalog.version == 0:
         answer = _make_refusal(agent, request, NotRun(Reason.STARTING), 500, arrived_ms)
     else:
@@ -76,8 +75,7 @@
         agent.caller_tasks.discard(task)
     if attempts.is_in_flight or attempts.may_have_run is not None:
         return HttpAnswer(504, (agent.dialect.write_request_id(request.request_id),))
-    verdict = NotRun(Reason.SHUTTING_DOWN, "the daemon stops")
-    return _make_refusal(agent, request, verdict, RETRY_AFTER_MIN_MS, arrived_ms)
+    return _make_stop_refusal(agent, request, arrived_ms)
 
 
 def cancel_all(agent: state.Agent) -> None:
@@ -214,15 +212,20 @@
     if last is not None and isinstance(last.verdict, NotRun):
         verdict = last.verdict
     if last is None and agent.stopping_since_ms is not None:
-        verdict = NotRun(Reason.SHUTTING_DOWN, "the daemon stops")
-        return _make_refusal(
-            agent, request, verdict, RETRY_AFTER_MIN_MS, deadlines.arrived_ms
-        )
+        return _make_stop_refusal(agent, request, deadlines.arrived_ms)
     ownerless_ms = target_selection.compute_ownerless_ms(agent, service, request.key)
     retry_after_ms = attempts.retry_after_ms or max(OWNERLESS_RETRY_MS, ownerless_ms)
     return _make_refusal(agent, request, verdict, retry_after_ms, deadlines.arrived_ms)
 
 
+def _make_stop_refusal(
+    agent: state.Agent, request: requests.CallerRequest, arrived_ms: int
+) -> HttpAnswer:
+    """Refuse a request because this daemon stops; another one may serve it at once."""
+    verdict = NotRun(Reason.SHUTTING_DOWN, "the daemon stops")
+    return _make_refusal(agent, request, verdict, RETRY_AFTER_MIN_MS, arrived_ms)
+
+
 def _make_refusal(
     agent: state.Agent,
     request: requests.CallerRequest,
--- a/fuchsiamoor/agent/leaves.py
+++ b/fuchsiamoor/agent/leaves.py
@@ -62,13 +62,12 @@
 async def wait_until_kept(agent: state.Agent, owner: str) -> bool:
     """Wait until a leave outlives this daemon; return False if it takes too long."""
     announce(agent, owner)
-    if agent.leaves.kept_owner == owner:
+    if agent.leaves.kept_owner == owner or await _wait_until_recorded(agent, owner):
         return True
-    if not await _wait_until_recorded(agent, owner):
-        if not await _entrust(agent, owner):
-            return is_recorded(agent, owner)
+    if await _entrust(agent, owner):
         agent.leaves.kept_owner = owner
-    return True
+        return True
+    return is_recorded(agent, owner)
 
 
 async def _wait_until_recorded(agent: state.Agent, owner: str) -> bool:
@@ -87,18 +86,18 @@
     answers = await asyncio.gather(
         *(_ask_to_keep(agent, keeper, owner) for keeper in keepers)
     )
-    kept_by = [keeper.instance for keeper, is_kept in answers if is_kept]
+    kept_by = [
+        keeper.instance
+        for keeper, is_kept in zip(keepers, answers, strict=True)
+        if is_kept
+    ]
     logger.bind(owner=owner, keepers=kept_by).info("leave entrusted")
     return len(kept_by) >= min(KEEPERS_MIN, max(len(keepers), 1))
 
 
 def _choose_keepers(agent: state.Agent) -> list[registrations.Registration]:
     """Return other daemons, of as many data centres as possible, the own one last."""
-    others = [
-        registration
-        for registration in agent.cache.directory.registered.values()
-        if registration.instance != agent.settings.instance
-    ]
+    others = registrations.list_others(agent.cache.directory, agent.settings.instance)
     agent.rng.shuffle(others)
     ranks: dict[str, int] = {agent.settings.data_centre: KEEPERS_ASKED}
     ranked = []
@@ -111,7 +110,7 @@
 
 async def _ask_to_keep(
     agent: state.Agent, keeper: registrations.Registration, owner: str
-) -> tuple[registrations.Registration, bool]:
+) -> bool:
     member = registrations.make_peer(keeper)
     try:
         answer = await agent.links.call(
@@ -119,8 +118,8 @@
         )
     except errors.PeerError as error:
         logger.bind(keeper=keeper.instance, error=str(error)).debug("not entrusted")
-        return keeper, False
-    return keeper, isinstance(answer, messages.LeaveKept)
+        return False
+    return isinstance(answer, messages.LeaveKept)
 
 
 def keep(agent: state.Agent, owner: str) -> messages.Message:
--- a/fuchsiamoor/agent/lifecycle.py
+++ b/fuchsiamoor/agent/lifecycle.py
@@ -135,11 +135,7 @@
         If no peer could be reached, or the link to one was lost during the call.
     """
     own = agent.settings
-    found = [
-        registration
-        for registration in agent.cache.directory.registered.values()
-        if registration.instance != own.instance
-    ]
+    found = registrations.list_others(agent.cache.directory, own.instance)
     agent.rng.shuffle(found)
     found.sort(key=lambda registration: registration.region != own.region)
     unreachable = errors.PeerUnreachableError("no other daemon is registered")
--- a/fuchsiamoor/agent/registrations.py
+++ b/fuchsiamoor/agent/registrations.py
@@ -269,6 +269,13 @@
     return lapsed[0] if lapsed else None
 
 
+def list_others(directory: Directory, instance: str) -> list[Registration]:
+    """Return the registrations of all other instances, without lapsed ones."""
+    return [
+        found for found in directory.registered.values() if found.instance != instance
+    ]
+
+
 def list_service(directory: Directory, service: str) -> list[Registration]:
     """Return the registrations of a service, lapsed ones included."""
     lapsed = [found for found, _ in directory.lapsed.values()]
--- a/fuchsiamoor/agent/succession.py
+++ b/fuchsiamoor/agent/succession.py
@@ -30,8 +30,7 @@
     >>> is_later("10.0.0.1/i-2@7", "10.0.0.1/i-1@5")
     True
     """
-    started_unix_ms = tables.incarnation_of(owner).started_unix_ms
-    return started_unix_ms > tables.incarnation_of(other).started_unix_ms
+    return _started_before(tables.incarnation_of(other), tables.incarnation_of(owner))
 
 
 def has_ended(cache: state.StoreCache, owner: str, now_ms: int) -> bool:
--- a/fuchsiamoor/daemon/cluster_state.py
+++ b/fuchsiamoor/daemon/cluster_state.py
@@ -164,11 +164,11 @@
     """
     problems = []
     if state.configuration:
-        problems += _adopt_or_report(
+        problems += adopt_or_report(
             adopt_configuration, cluster_state, state.configuration
         )
     for value in state.tables.values():
-        problems += _adopt_or_report(adopt_table, cluster_state, value)
+        problems += adopt_or_report(adopt_table, cluster_state, value)
     registrations = []
     for value in state.members:
         try:
@@ -179,7 +179,12 @@
     return problems
 
 
-def _adopt_or_report(adopt, cluster_state: ClusterState, value: bytes) -> list[str]:
+def adopt_or_report(
+    adopt: Callable[[ClusterState, bytes], bool],
+    cluster_state: ClusterState,
+    value: bytes,
+) -> list[str]:
+    """Adopt a stored value; return the error if it cannot be, as others may hold."""
     try:
         adopt(cluster_state, value)
     except errors.FuchsiamoorError as error:
--- a/fuchsiamoor/daemon/state_sync.py
+++ b/fuchsiamoor/daemon/state_sync.py
@@ -119,10 +119,10 @@
     entry: port.Entry,
 ) -> None:
     """Adopt an entry of the store; log one that cannot be, as the others hold."""
-    try:
-        adopt(node.cluster_state, entry.value)
-    except errors.FuchsiamoorError as error:
-        _report_unreadable(node, entry, error)
+    for problem in cluster_states.adopt_or_report(
+        adopt, node.cluster_state, entry.value
+    ):
+        _report_unreadable(node, entry, problem)
 
 
 def read_registration(node: nodes.Node, entry: port.Entry) -> members.Member | None:
@@ -133,14 +133,14 @@
         if member.instance != instance:
             raise errors.FrameError(f"found instance {member.instance!r:.40}")
     except errors.FrameError as error:
-        _report_unreadable(node, entry, error)
+        _report_unreadable(node, entry, str(error))
         return node.cluster_state.directory.by_instance.get(instance)
     return member._replace(registered_version=entry.version)
 
 
-def _report_unreadable(node: nodes.Node, entry: port.Entry, error: Exception) -> None:
+def _report_unreadable(node: nodes.Node, entry: port.Entry, problem: str) -> None:
     node.metrics.count("store.unreadable")
-    logger.bind(key=entry.key, error=str(error)[:200]).error(
+    logger.bind(key=entry.key, error=problem[:200]).error(
         "store entry cannot be decoded"
     )
 
--- a/fuchsiamoor/platform/store.py
+++ b/fuchsiamoor/platform/store.py
@@ -258,12 +258,11 @@
     Keys and revisions are the store's own, so that a fault in them is one of the
     answer; a value is another writer's, and must not hide the other items.
     """
-    key, revision = str(item["key"]), int(item["revision"])
+    key, _ = str(item["key"]), int(item["revision"])
     try:
-        value = base64.b64decode(item["value"], validate=True)
+        return [_read_entry(item)]
     except (ValueError, *scalars.MALFORMED) as error:
         logger.bind(key=key, error=repr(error)[:200]).error(
             "store entry cannot be decoded"
         )
         return []
-    return [port.Entry(key, value, revision)]
--- a/fuchsiamoor/traffic/upstreams.py
+++ b/fuchsiamoor/traffic/upstreams.py
@@ -108,21 +108,17 @@
     return f"{incarnation.upstream_id}@{incarnation.started_unix_ms}"
 
 
-def is_stale(
-    heartbeat: UpstreamHeartbeat, known: Incarnation | None, sequence: int
-) -> bool:
+def is_stale(heartbeat: UpstreamHeartbeat, known: Incarnation, sequence: int) -> bool:
     """Return whether a heartbeat is older than the latest one received.
 
     Parameters
     ----------
     heartbeat : UpstreamHeartbeat
-    known : Incarnation or None
+    known : Incarnation
         Latest incarnation that reported from the same address.
     sequence : int
         Highest sequence number received from ``known``.
     """
-    if known is None:
-        return False
     reported = heartbeat.incarnation
     if reported == known:
         return heartbeat.sequence <= sequence
