Log how a stop ends and which runs it cuts

What operators saw: `stopping` and `stopped` only.

Change: `stop ends` gives the reason, the time since the request to stop, and what is left; `run cut` names each request of another daemon that ends without an answer. No logic is changed.

--- a/fuchsiamoor/agent/event_log.py
+++ b/fuchsiamoor/agent/event_log.py
@@ -86,6 +86,13 @@
         + ("cold_for_ms", "retry_after_ms", "evidence_ms", "table_version"),
         "The daemon beside the upstream refused the request before it ran.",
     ),
+    Kind(
+        "run cut",
+        "warning",
+        100,
+        ("request", "stopping_for_ms"),
+        "A stopping daemon ended while another one waited for this request's answer.",
+    ),
     Kind(
         "answer lost",
         "warning",
--- a/fuchsiamoor/agent/lifecycle.py
+++ b/fuchsiamoor/agent/lifecycle.py
@@ -234,6 +234,7 @@
     tree.cancel()
     for server, _ in other_servers:
         server.close()
+    _log_cut_runs(agent)
     agent.links.abort()
     await agent.links.close(CLOSE_GRACE_MS)
     logger.bind(run=agent.run).info("stopped")
@@ -290,6 +291,7 @@
     """
     await agent.stop_requested.wait()
     caller_server.announce_close()
+    is_idle = False
     while agent.now_ms() < state.find_end_ms(agent):
         if state.has_been_stopping_for(agent, state.STOP_NOTICE_MS):
             caller_server.close()
@@ -298,8 +300,16 @@
                 and not agent.carried_tasks
                 and not _may_hold_keys(agent)
             ):
+                is_idle = True
                 break
         await asyncio.sleep(0.02)
+    logger.bind(
+        is_idle=is_idle,
+        stopping_for_ms=agent.now_ms() - agent.stopping_since_ms,
+        requests=len(agent.caller_tasks),
+        runs=len(agent.carried_tasks),
+        holds_keys=_may_hold_keys(agent),
+    ).info("stop ends")
     caller_requests.cancel_all(agent)
     await asyncio.sleep(FLUSH_MS / 1000)
     caller_server.close()
@@ -309,6 +319,16 @@
         await _revoke_lease(agent, lease_id)
 
 
+def _log_cut_runs(agent: state.Agent) -> None:
+    """Log the requests of other daemons that end without an answer."""
+    for request_id in agent.carried_tasks:
+        agent.events.emit(
+            "run cut",
+            request=request_id,
+            stopping_for_ms=agent.now_ms() - agent.stopping_since_ms,
+        )
+
+
 def _may_hold_keys(agent: state.Agent) -> bool:
     """Return whether the local upstream may still hold keys."""
     table = agent.cache.tables.get(agent.settings.service)
