Reproduce the incident: runs cut as a stopping daemon ends

A daemon and a peer on loopback, the upstream's runs as in the incident: a peer sends requests at regular times while the daemon stops.

--- /dev/null
+++ b/fuchsiamoor/agent/stop_test.py
@@ -0,0 +1,31 @@
+"""What other daemons and callers see of a daemon that stops."""
+
+import asyncio
+
+import pytest
+
+from fuchsiamoor.agent import lifecycle
+from fuchsiamoor.core import errors
+from fuchsiamoor.core.verdicts import NotRun, Ran
+from fuchsiamoor.testing import stopping_daemon
+
+
+async def _stop_under_load(run_ms, every_ms):
+    """Return what a peer got for each request that it sent during a stop."""
+    async with stopping_daemon.start() as daemon:
+        lifecycle.request_stop(daemon.agent)
+        found = await stopping_daemon.forward_until_stopped(daemon, run_ms, every_ms)
+        return daemon.upstream, found
+
+
+# The stop ended at the first idle moment, and cut runs that began in its last 100 ms.
+@pytest.mark.parametrize("run_ms, every_ms", [(60, 90), (40, 70), (80, 110)])
+def test_a_daemon_that_stops_cuts_no_run_that_it_has_begun(run_ms, every_ms):
+    upstream, found = asyncio.run(_stop_under_load(run_ms, every_ms))
+    assert len(upstream.begun) > 5
+    assert upstream.begun == upstream.ended
+    for target, verdict in found.items():
+        if target in upstream.begun:
+            assert isinstance(verdict, Ran), (target, verdict)
+        else:
+            assert isinstance(verdict, NotRun | errors.PeerUnreachableError), target
