End the admission of a stopping daemon in the step that finds it idle

Cause: a stop ended at the first idle moment after 2.1 s. The daemon then waited 100 ms for last answers and aborted its links, but went on to admit carried requests (until 2.9 s after SIGTERM) from daemons that did not know, or found no better instance. The check that nothing runs and the decision that nothing may begin were two things.

Ruled out: a timeout cut short (the runs had 0.1 s behind them), work begun late (2.6 s were left).

Change: in the step that finds the daemon idle, or at its deadline, admission ends: carried requests are refused as not run, those that wait for a slot too (they got a lost link before; a test shows it), and all linked daemons are told of the leave, so that they close their links after their last answer and send elsewhere at once. Links are aborted after that.

--- a/fuchsiamoor/agent/lifecycle.py
+++ b/fuchsiamoor/agent/lifecycle.py
@@ -46,9 +46,10 @@
 # The network is private to the deployment, so this key is not secret: it only rejects
 # connections from other programs.
 PEER_KEYS = ("fuchsiamoor",)
-# Time for the last answers to reach their callers.
-FLUSH_MS = 100
+# Time for other daemons to close their links: a few round trips between regions.
 CLOSE_GRACE_MS = 200
+# Interval at which a stopping daemon checks whether it may end.
+STOP_CHECK_MS = 20
 # Peers tried for one call of the store.
 RELAY_ATTEMPTS = 3
 
@@ -291,27 +292,17 @@
     """
     await agent.stop_requested.wait()
     caller_server.announce_close()
-    is_idle = False
     while agent.now_ms() < state.find_end_ms(agent):
         if state.has_been_stopping_for(agent, state.STOP_NOTICE_MS):
             caller_server.close()
-            if (
-                caller_server.is_idle()
-                and not agent.carried_tasks
-                and not _may_hold_keys(agent)
-            ):
-                is_idle = True
+            if _is_idle(agent, caller_server):
                 break
-        await asyncio.sleep(0.02)
-    logger.bind(
-        is_idle=is_idle,
-        stopping_for_ms=agent.now_ms() - agent.stopping_since_ms,
-        requests=len(agent.caller_tasks),
-        runs=len(agent.carried_tasks),
-        holds_keys=_may_hold_keys(agent),
-    ).info("stop ends")
+        await asyncio.sleep(STOP_CHECK_MS / 1000)
+    _end_admission(agent, caller_server)
+    # Requests that waited for a slot are refused before the others are cancelled.
+    await asyncio.sleep(0)
     caller_requests.cancel_all(agent)
-    await asyncio.sleep(FLUSH_MS / 1000)
+    await _deliver_answers(agent, caller_server)
     caller_server.close()
     agent.stopped.set()
     lease_id = agent.registration.lease_id
@@ -319,6 +310,50 @@
         await _revoke_lease(agent, lease_id)
 
 
+def _is_idle(agent: state.Agent, caller_server: http_server.HttpServer) -> bool:
+    """Return whether nothing runs here and no keys are held."""
+    return (
+        caller_server.is_idle()
+        and not agent.carried_tasks
+        and not _may_hold_keys(agent)
+    )
+
+
+def _end_admission(agent: state.Agent, caller_server: http_server.HttpServer) -> None:
+    """Begin no more runs, and let other daemons send requests elsewhere.
+
+    Other daemons may not know yet that this one stops. This happens in the same event
+    loop step as the check that nothing runs, so that no run begins in between.
+    """
+    logger.bind(
+        is_idle=_is_idle(agent, caller_server),
+        stopping_for_ms=agent.now_ms() - agent.stopping_since_ms,
+        requests=len(agent.caller_tasks),
+        runs=len(agent.carried_tasks),
+        holds_keys=_may_hold_keys(agent),
+    ).info("stop ends")
+    agent.has_ended_admission = True
+    if agent.upstream.admission_queue is not None:
+        refusal = NotRun(Reason.SHUTTING_DOWN, "the daemon ends")
+        upstream_lifecycle.refuse_waiting(agent, refusal)
+    agent.links.announce_leave()
+
+
+async def _deliver_answers(
+    agent: state.Agent, caller_server: http_server.HttpServer
+) -> None:
+    """Wait until callers and other daemons have been sent all answers.
+
+    Daemons that were told of the leave then close their links, so that none of their
+    messages is lost on its way here.
+    """
+    closes_by_ms = agent.now_ms() + CLOSE_GRACE_MS
+    while agent.now_ms() < closes_by_ms:
+        if agent.links.is_left() and caller_server.is_idle():
+            return
+        await asyncio.sleep(STOP_CHECK_MS / 1000)
+
+
 def _log_cut_runs(agent: state.Agent) -> None:
     """Log the requests of other daemons that end without an answer."""
     for request_id in agent.carried_tasks:
--- a/fuchsiamoor/agent/local_execution.py
+++ b/fuchsiamoor/agent/local_execution.py
@@ -156,8 +156,10 @@
 def _check_admission(agent: state.Agent, request: CarriedRequest) -> NotRun | None:
     """Return why a request may not be sent to the upstream now, None if it may."""
     upstream, settings = agent.upstream, agent.settings
-    if not upstream_lifecycle.may_send(agent) or state.has_been_stopping_for(
-        agent, state.STOP_SENDING_MS
+    if (
+        agent.has_ended_admission
+        or not upstream_lifecycle.may_send(agent)
+        or state.has_been_stopping_for(agent, state.STOP_SENDING_MS)
     ):
         return NotRun(Reason.SHUTTING_DOWN, "the upstream takes nothing more")
     if agent.stopping_since_ms is not None:
--- a/fuchsiamoor/agent/state.py
+++ b/fuchsiamoor/agent/state.py
@@ -227,6 +227,8 @@
         Time at which a stop was requested.
     stop_requested : asyncio.Event
         Set with it.
+    has_ended_admission : bool
+        Whether no more requests are sent to the upstream because the daemon ends.
     caller_tasks : set of Task
         Requests of callers being served.
     is_aborting : bool
@@ -289,6 +291,7 @@
     )
     stopping_since_ms: int | None = None
     stop_requested: asyncio.Event = field(default_factory=asyncio.Event)
+    has_ended_admission: bool = False
     caller_tasks: set[asyncio.Task] = field(default_factory=set)
     is_aborting: bool = False
     feed: feeds.Feed = field(default_factory=feeds.Feed)
--- a/fuchsiamoor/agent/stop_test.py
+++ b/fuchsiamoor/agent/stop_test.py
@@ -29,3 +29,23 @@
             assert isinstance(verdict, Ran), (target, verdict)
         else:
             assert isinstance(verdict, NotRun | errors.PeerUnreachableError), target
+
+
+# A request that waited for a slot as the daemon ended got no refusal but a lost link.
+def test_a_request_that_waits_as_the_daemon_ends_is_refused_as_not_run():
+    async def play():
+        async with stopping_daemon.start(grace_ms=3_000) as daemon:
+            daemon.agent.upstream.admission_queue.slots = 1
+            sent = [
+                asyncio.create_task(stopping_daemon.forward(daemon, f"r{n}", 2_900))
+                for n in range(2)
+            ]
+            await asyncio.sleep(0.1)
+            lifecycle.request_stop(daemon.agent)
+            found = await asyncio.gather(*sent, return_exceptions=True)
+            return daemon.upstream.begun, found
+
+    begun, (running, waiting) = asyncio.run(play())
+    assert len(begun) == 1
+    assert isinstance(running, errors.PeerLinkLostError)
+    assert isinstance(waiting, NotRun)
--- a/fuchsiamoor/peers/inbound.py
+++ b/fuchsiamoor/peers/inbound.py
@@ -82,6 +82,15 @@
     return addresses.Address(host, port)
 
 
+def announce_leave(acceptor: Acceptor) -> None:
+    """Refuse new calls, and let each peer close its link after its last answer."""
+    if acceptor.is_draining:
+        return
+    acceptor.is_draining = True
+    for link in acceptor.open_links.values():
+        _queue_envelope(link, Envelope(0, Role.LEAVING, None))
+
+
 async def drain(acceptor: Acceptor, grace_ms: int) -> None:
     """Refuse new calls, finish running calls, and close all links.
 
@@ -91,9 +100,7 @@
     grace_ms : int
         Longest time to wait for calls to end and for peers to close their links.
     """
-    acceptor.is_draining = True
-    for link in acceptor.open_links.values():
-        _queue_envelope(link, Envelope(0, Role.LEAVING, None))
+    announce_leave(acceptor)
     if acceptor.server is None:
         return
     deadline_s = time.monotonic() + grace_ms / 1000
--- a/fuchsiamoor/peers/links.py
+++ b/fuchsiamoor/peers/links.py
@@ -57,6 +57,14 @@
         """Send a one-way message without delivery guarantee."""
         outbound.tell(self.dialler, member, message)
 
+    def announce_leave(self) -> None:
+        """Refuse new calls, and let peers close their links after their last answer."""
+        inbound.announce_leave(self.acceptor)
+
+    def is_left(self) -> bool:
+        """Return whether all peers have closed their links to this member."""
+        return not self.acceptor.open_links
+
     async def close(self, grace_ms: int = CLOSE_GRACE_MS) -> None:
         """Refuse new calls, finish calls in flight both ways, and close all links.
 
--- a/fuchsiamoor/testing/stopping_daemon.py
+++ b/fuchsiamoor/testing/stopping_daemon.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 
 from fuchsiamoor.agent import lifecycle, state, upstream_lifecycle
-from fuchsiamoor.core import addresses, errors, members
+from fuchsiamoor.core import addresses, agent_settings, errors, members
 from fuchsiamoor.core.verdicts import Verdict
 from fuchsiamoor.peers import links as peer_links
 from fuchsiamoor.testing import messages_data, traffic_data, transactional_store
@@ -74,7 +74,7 @@
 
 @contextlib.asynccontextmanager
 async def start(
-    instance: str = "10.0.0.1", body: bytes = b"ok"
+    instance: str = "10.0.0.1", body: bytes = b"ok", grace_ms: int = 6_000
 ) -> AsyncIterator[StoppingDaemon]:
     """Run a daemon until the block ends; its upstream may be sent requests."""
     store = transactional_store.make_store_state(random.Random(1))
@@ -85,10 +85,11 @@
     server = await asyncio.start_server(upstream.serve, *ANY_PORT)
     settings = traffic_data.make_settings(instance, service=SERVICE)._replace(
         upstream_address=addresses.Address(*server.sockets[0].getsockname()[:2]),
-        caller_address=ANY_PORT,
+        caller_address=_find_free_address(),
         control_address=ANY_PORT,
         ready_address=ANY_PORT,
-        peer_address=addresses.Address(ANY_PORT.host, _find_free_port()),
+        peer_address=_find_free_address(),
+        bounds=agent_settings.Bounds(grace_ms=grace_ms),
     )
     agent = lifecycle.make_agent(
         settings, traffic_data.make_dialect(), transactional_store.StoreClient(store)
@@ -98,7 +99,9 @@
     )
     run = asyncio.create_task(lifecycle.run(agent))
     heartbeat = traffic_data.make_heartbeat(service=SERVICE)
-    while not upstream_lifecycle.may_send(agent):
+    while (
+        agent.registration.confirmed is None or not agent.registration.confirmed.owner
+    ):
         await asyncio.sleep(0.02)
         if agent.cache.is_loaded:
             upstream_lifecycle.handle_heartbeat(agent, heartbeat)
@@ -112,10 +115,10 @@
         server.close()
 
 
-def _find_free_port() -> int:
+def _find_free_address() -> addresses.Address:
     with socket.socket() as found:
         found.bind(ANY_PORT)
-        return found.getsockname()[1]
+        return addresses.Address(*found.getsockname())
 
 
 async def _handle_nothing(sender, message):
