Wait at a stop until ready answers have been read

What callers would see: an answer that was ready, cut off as the daemon that stops exits, when they read it slowly; other daemons likewise, behind a full link.

Cause: a connection counted as idle once its answer was handed to the transport, and the process ended 0.1 s after the last of them was; links were aborted with what they had queued.

Change: bytes that wait for a reader keep the daemon, until its deadline.

--- a/fuchsiamoor/agent/http_server.py
+++ b/fuchsiamoor/agent/http_server.py
@@ -112,8 +112,11 @@
             connection.close_if_idle()
 
     def is_idle(self) -> bool:
-        """Return whether no connection has a request in progress."""
-        return not any(connection.is_busy for connection in self.connections)
+        """Return whether no connection has a request in progress or unsent bytes."""
+        return not any(
+            connection.is_busy or connection.has_unsent
+            for connection in self.connections
+        )
 
 
 class HttpConnection(asyncio.Protocol):
@@ -142,6 +145,11 @@
         """Whether a request is being read or handled."""
         return bool(self._pending) or self._is_reading_request
 
+    @property
+    def has_unsent(self) -> bool:
+        """Whether a part of an answer waits for the client to read."""
+        return self._transport.get_write_buffer_size() > 0
+
     def _reset_request(self) -> None:
         self._target = b""
         self._headers: list[tuple[bytes, bytes]] = []
--- a/fuchsiamoor/agent/lifecycle.py
+++ b/fuchsiamoor/agent/lifecycle.py
@@ -348,8 +348,11 @@
     messages is lost on its way here.
     """
     closes_by_ms = agent.now_ms() + CLOSE_GRACE_MS
-    while agent.now_ms() < closes_by_ms:
-        if agent.links.is_left() and caller_server.is_idle():
+    ends_by_ms = max(closes_by_ms, state.find_end_ms(agent))
+    while agent.now_ms() < ends_by_ms:
+        has_unsent = agent.links.has_unsent_answers() or not caller_server.is_idle()
+        may_close = agent.now_ms() >= closes_by_ms or agent.links.is_left()
+        if may_close and not has_unsent:
             return
         await asyncio.sleep(STOP_CHECK_MS / 1000)
 
--- a/fuchsiamoor/agent/stop_test.py
+++ b/fuchsiamoor/agent/stop_test.py
@@ -49,3 +49,25 @@
     assert len(begun) == 1
     assert isinstance(running, errors.PeerLinkLostError)
     assert isinstance(waiting, NotRun)
+
+
+# The rest of an answer that a caller had not read yet was dropped with the process.
+def test_a_daemon_that_stops_waits_for_a_caller_that_reads_slowly():
+    async def play():
+        body = b"x" * (12 * 1024 * 1024)
+        async with stopping_daemon.start(body=body) as daemon:
+            address = daemon.agent.settings.caller_address
+            reader, writer = await asyncio.open_connection(*address, limit=64 * 1024)
+            writer.write(
+                b"GET /read/a?run_ms=10 HTTP/1.1\r\nHost: shop.example\r\n"
+                b"X-Request: a\r\nX-Wait: 2000\r\n\r\n"
+            )
+            await asyncio.sleep(0.3)
+            lifecycle.request_stop(daemon.agent)
+            await asyncio.sleep(2.6)
+            is_running = not daemon.run.done()
+            received = await reader.read(-1)
+            await asyncio.wait_for(daemon.run, 1)
+            return is_running, received.endswith(body)
+
+    assert asyncio.run(play()) == (True, True)
--- a/fuchsiamoor/peers/inbound.py
+++ b/fuchsiamoor/peers/inbound.py
@@ -91,6 +91,14 @@
         _queue_envelope(link, Envelope(0, Role.LEAVING, None))
 
 
+def has_unsent_answers(acceptor: Acceptor) -> bool:
+    """Return whether an answer waits for its peer to read."""
+    return any(
+        link.answers.envelopes or link.connection.transport.get_write_buffer_size()
+        for link in acceptor.open_links.values()
+    )
+
+
 async def drain(acceptor: Acceptor, grace_ms: int) -> None:
     """Refuse new calls, finish running calls, and close all links.
 
--- a/fuchsiamoor/peers/links.py
+++ b/fuchsiamoor/peers/links.py
@@ -61,6 +61,10 @@
         """Refuse new calls, and let peers close their links after their last answer."""
         inbound.announce_leave(self.acceptor)
 
+    def has_unsent_answers(self) -> bool:
+        """Return whether an answer to a peer has not been written yet."""
+        return inbound.has_unsent_answers(self.acceptor)
+
     def is_left(self) -> bool:
         """Return whether all peers have closed their links to this member."""
         return not self.acceptor.open_links
