Serve the calls of runs that a stopping daemon lets finish

What callers saw: a request that an upstream had begun beside a stopping daemon failed, as a call that its run made from 2.1 s after SIGTERM on found no listener, or was refused.

Cause: the refusal that is meant for callers, who know of the stop by then, met the upstream's own calls as well; the listener was closed at the same time.

Evidence: a run of 0.9 s begun 1.9 s after SIGTERM, and its call 0.4 s later: connection refused before (test), served now.

Change: a call of a run in progress here is served until the end of admission; the listener stays open until then, so that others get a refusal in place of a connection that fails.

--- a/fuchsiamoor/agent/caller_requests.py
+++ b/fuchsiamoor/agent/caller_requests.py
@@ -34,7 +34,7 @@
         logger.bind(error=str(error)).debug("malformed request")
         return HttpAnswer(400)
     route_name = ""
-    if state.has_been_stopping_for(agent, state.STOP_NOTICE_MS):
+    if _is_closed_to(agent, request):
         answer = _make_stop_refusal(agent, request, arrived_ms)
     elif agent.cache.catalog.version == 0:
         answer = _make_refusal(agent, request, NotRun(Reason.STARTING), 500, arrived_ms)
@@ -53,6 +53,18 @@
     return answer
 
 
+def _is_closed_to(agent: state.Agent, request: requests.CallerRequest) -> bool:
+    """Return whether a stopping daemon refuses a request.
+
+    Callers have noticed the stop. A run that the daemon lets finish needs its calls.
+    """
+    if agent.has_ended_admission:
+        return True
+    if not state.has_been_stopping_for(agent, state.STOP_NOTICE_MS):
+        return False
+    return request.parent_id not in agent.runs
+
+
 async def _serve_until_stop(
     agent: state.Agent,
     request: requests.CallerRequest,
--- a/fuchsiamoor/agent/http_server.py
+++ b/fuchsiamoor/agent/http_server.py
@@ -108,6 +108,10 @@
         if self._server is not None:
             self._server.close()
             self._server = None
+        self.close_idle()
+
+    def close_idle(self) -> None:
+        """Close the connections that have no request in progress."""
         for connection in tuple(self.connections):
             connection.close_if_idle()
 
--- a/fuchsiamoor/agent/lifecycle.py
+++ b/fuchsiamoor/agent/lifecycle.py
@@ -292,11 +292,11 @@
     """
     await agent.stop_requested.wait()
     caller_server.announce_close()
-    while agent.now_ms() < state.find_end_ms(agent):
-        if state.has_been_stopping_for(agent, state.STOP_NOTICE_MS):
-            caller_server.close()
-            if _is_idle(agent, caller_server):
-                break
+    ends_by_ms = state.find_end_ms(agent)
+    notice_ms = min(state.STOP_NOTICE_MS, ends_by_ms - agent.stopping_since_ms)
+    await asyncio.sleep(notice_ms / 1000)
+    caller_server.close_idle()
+    while agent.now_ms() < ends_by_ms and not _is_idle(agent, caller_server):
         await asyncio.sleep(STOP_CHECK_MS / 1000)
     _end_admission(agent, caller_server)
     # Requests that waited for a slot are refused before the others are cancelled.
--- a/fuchsiamoor/agent/stop_test.py
+++ b/fuchsiamoor/agent/stop_test.py
@@ -71,3 +71,22 @@
             return is_running, received.endswith(body)
 
     assert asyncio.run(play()) == (True, True)
+
+
+# A stopping daemon let runs go on, and turned their calls away: the runs failed.
+def test_runs_that_a_stopping_daemon_lets_finish_may_still_call():
+    async def play():
+        async with stopping_daemon.start() as daemon:
+            lifecycle.request_stop(daemon.agent)
+            await asyncio.sleep(1.9)
+            run = asyncio.create_task(stopping_daemon.forward(daemon, "parent", 900))
+            await asyncio.sleep(0.4)
+            statuses = [
+                await stopping_daemon.ask(daemon, request_id, parent_id)
+                for request_id, parent_id in (("call", "parent"), ("other", ""))
+            ]
+            return statuses, await run
+
+    statuses, verdict = asyncio.run(play())
+    assert statuses == [200, 503]
+    assert isinstance(verdict, Ran)
--- a/fuchsiamoor/testing/stopping_daemon.py
+++ b/fuchsiamoor/testing/stopping_daemon.py
@@ -145,6 +145,28 @@
     return answer.verdict
 
 
+async def ask(daemon: StoppingDaemon, request_id: str, parent_id: str = "") -> int:
+    """Send a caller's request on a new connection and return the status.
+
+    With ``parent_id``, it is a call by a run of the upstream.
+
+    Raises
+    ------
+    OSError
+        If the daemon takes no connection.
+    """
+    address = daemon.agent.settings.caller_address
+    reader, writer = await asyncio.open_connection(*address)
+    head = (
+        f"GET /read/{request_id} HTTP/1.1\r\nHost: shop.example\r\n"
+        f"X-Request: {request_id}\r\nX-Parent: {parent_id}\r\n\r\n"
+    )
+    writer.write(head.encode())
+    status = (await reader.readline()).split()[1]
+    writer.close()
+    return int(status)
+
+
 async def forward_until_stopped(
     daemon: StoppingDaemon, run_ms: int, every_ms: int
 ) -> dict[str, Verdict | errors.PeerError]:
