Play stops that overlap under load, and compare what callers were told

Each answer is compared with what the upstreams began: nothing that ran is refused or cut, nothing is run twice.

The builder of these daemons is shared with the tests of a single stop.

--- /dev/null
+++ b/fuchsiamoor/agent/rolling_stops_test.py
@@ -0,0 +1,20 @@
+"""Stops that overlap, under load: what callers were told is what upstreams did."""
+
+import asyncio
+import os
+
+import pytest
+
+from fuchsiamoor.testing import rolling_stops
+
+# More seeds are played by hand: ROLLING_STOPS_SEEDS=50 pytest -k rolling_stops
+SEEDS = range(int(os.environ.get("ROLLING_STOPS_SEEDS", "0"))) or (0, 5)
+
+
+# Runs were cut, and answered with 502, where the stops of two daemons overlapped.
+@pytest.mark.parametrize("seed", SEEDS)
+def test_stops_that_overlap_cut_no_run_and_refuse_only_what_has_not_run(seed):
+    record, machines = asyncio.run(rolling_stops.play(seed))
+    statuses = list(record.statuses.values())
+    assert statuses.count(200) > 50
+    assert rolling_stops.find_violations(record, machines) == []
--- a/fuchsiamoor/testing/stopping_daemon.py
+++ b/fuchsiamoor/testing/loopback_daemons.py
@@ -1,9 +1,10 @@
-"""A daemon that listens on loopback beside an upstream, and a peer that sends to it."""
+"""Daemons that listen on loopback beside an upstream, and a peer that sends to one."""
 
 import asyncio
 import contextlib
 import random
 import socket
+from collections import Counter
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 
@@ -12,6 +13,7 @@
 from fuchsiamoor.core.verdicts import Verdict
 from fuchsiamoor.peers import links as peer_links
 from fuchsiamoor.testing import messages_data, traffic_data, transactional_store
+from fuchsiamoor.traffic import catalog
 
 ANY_PORT = addresses.Address("127.0.0.1", 0)
 SERVICE = traffic_data.PLAIN_SERVICE
@@ -26,13 +28,12 @@
     ----------
     body : bytes
         Body of each answer.
-    begun, ended : set of str
-        Targets whose runs began, and those whose answers were written whole.
+    begun : Counter
+        Runs that began, by target.
     """
 
     body: bytes = b"ok"
-    begun: set[str] = field(default_factory=set)
-    ended: set[str] = field(default_factory=set)
+    begun: Counter[str] = field(default_factory=Counter)
 
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -44,9 +45,8 @@
                 target = head.split()[1].decode()
                 _, _, run_ms = target.partition("?run_ms=")
                 if run_ms:
-                    self.begun.add(target)
+                    self.begun[target] += 1
                     await asyncio.sleep(int(run_ms) / 1000)
-                    self.ended.add(target)
                 length = b"Content-Length: %d\r\n\r\n" % len(self.body)
                 writer.write(b"HTTP/1.1 200 OK\r\n" + length + self.body)
                 await writer.drain()
@@ -54,7 +54,7 @@
 
 
 @dataclass(slots=True)
-class StoppingDaemon:
+class LoopbackDaemon:
     """A running daemon, its upstream, and a peer with a link to it.
 
     Parameters
@@ -72,31 +72,60 @@
     peer: peer_links.Links
 
 
-@contextlib.asynccontextmanager
-async def start(
-    instance: str = "10.0.0.1", body: bytes = b"ok", grace_ms: int = 6_000
-) -> AsyncIterator[StoppingDaemon]:
-    """Run a daemon until the block ends; its upstream may be sent requests."""
+def make_store() -> transactional_store.StoreState:
+    """Return a store with a catalog."""
     store = transactional_store.make_store_state(random.Random(1))
     transactional_store.put_now(
         store, traffic_data.CATALOG_KEY, traffic_data.encode_version(1)
     )
-    upstream = TimedUpstream(body)
+    return store
+
+
+def _read_catalog(value: bytes) -> catalog.Catalog:
+    """Return a catalog in which no request may run twice."""
+    route = traffic_data.make_route(is_idempotent=False)
+    return traffic_data.make_catalog(int(value), route)
+
+
+@contextlib.asynccontextmanager
+async def serve_upstream(
+    upstream: TimedUpstream,
+) -> AsyncIterator[addresses.Address]:
+    """Serve an upstream until the block ends."""
     server = await asyncio.start_server(upstream.serve, *ANY_PORT)
-    settings = traffic_data.make_settings(instance, service=SERVICE)._replace(
-        upstream_address=addresses.Address(*server.sockets[0].getsockname()[:2]),
+    try:
+        yield addresses.Address(*server.sockets[0].getsockname()[:2])
+    finally:
+        server.close()
+
+
+def make_settings(
+    instance: str, upstream_address: addresses.Address, grace_ms: int = 6_000
+) -> agent_settings.AgentSettings:
+    """Return the settings of a daemon, with free ports of its own."""
+    return traffic_data.make_settings(instance, service=SERVICE)._replace(
+        upstream_address=upstream_address,
         caller_address=_find_free_address(),
         control_address=ANY_PORT,
         ready_address=ANY_PORT,
         peer_address=_find_free_address(),
         bounds=agent_settings.Bounds(grace_ms=grace_ms),
     )
-    agent = lifecycle.make_agent(
-        settings, traffic_data.make_dialect(), transactional_store.StoreClient(store)
-    )
-    peer = peer_links.make_links(
-        "peer#1", lifecycle.PEER_KEYS, _handle_nothing, messages_data.CountingMetrics()
-    )
+
+
+async def start_daemon(
+    settings: agent_settings.AgentSettings, store: transactional_store.StoreState
+) -> tuple[state.Agent, asyncio.Task]:
+    """Start a daemon and wait until its upstream is registered.
+
+    Returns
+    -------
+    Agent, Task
+        The task ends when the daemon has stopped.
+    """
+    dialect = traffic_data.make_dialect()._replace(read_catalog=_read_catalog)
+    client = transactional_store.StoreClient(store)
+    agent = lifecycle.make_agent(settings, dialect, client)
     run = asyncio.create_task(lifecycle.run(agent))
     heartbeat = traffic_data.make_heartbeat(service=SERVICE)
     while (
@@ -105,14 +134,38 @@
         await asyncio.sleep(0.02)
         if agent.cache.is_loaded:
             upstream_lifecycle.handle_heartbeat(agent, heartbeat)
-    member = messages_data.make_member(f"{instance}#{agent.run}", settings.peer_address)
-    try:
-        yield StoppingDaemon(agent, upstream, run, member, peer)
-    finally:
-        await peer.close(0)
-        run.cancel()
-        await asyncio.gather(run, return_exceptions=True)
-        server.close()
+    return agent, run
+
+
+async def end_daemon(run: asyncio.Task) -> None:
+    """End a daemon that may be running, without a stop."""
+    run.cancel()
+    await asyncio.gather(run, return_exceptions=True)
+
+
+@contextlib.asynccontextmanager
+async def start(
+    body: bytes = b"ok", grace_ms: int = 6_000
+) -> AsyncIterator[LoopbackDaemon]:
+    """Run a daemon until the block ends; its upstream may be sent requests."""
+    upstream = TimedUpstream(body)
+    async with serve_upstream(upstream) as upstream_address:
+        settings = make_settings("10.0.0.1", upstream_address, grace_ms)
+        agent, run = await start_daemon(settings, make_store())
+        peer = peer_links.make_links(
+            "peer#1",
+            lifecycle.PEER_KEYS,
+            _handle_nothing,
+            messages_data.CountingMetrics(),
+        )
+        member = messages_data.make_member(
+            f"{settings.instance}#{agent.run}", settings.peer_address
+        )
+        try:
+            yield LoopbackDaemon(agent, upstream, run, member, peer)
+        finally:
+            await peer.close(0)
+            await end_daemon(run)
 
 
 def _find_free_address() -> addresses.Address:
@@ -125,7 +178,7 @@
     raise ValueError(f"{type(message).__name__}: not expected here")
 
 
-async def forward(daemon: StoppingDaemon, request_id: str, run_ms: int) -> Verdict:
+async def forward(daemon: LoopbackDaemon, request_id: str, run_ms: int) -> Verdict:
     """Forward a request from the peer and return its verdict.
 
     Raises
@@ -145,7 +198,7 @@
     return answer.verdict
 
 
-async def ask(daemon: StoppingDaemon, request_id: str, parent_id: str = "") -> int:
+async def ask(daemon: LoopbackDaemon, request_id: str, parent_id: str = "") -> int:
     """Send a caller's request on a new connection and return the status.
 
     With ``parent_id``, it is a call by a run of the upstream.
@@ -168,7 +221,7 @@
 
 
 async def forward_until_stopped(
-    daemon: StoppingDaemon, run_ms: int, every_ms: int
+    daemon: LoopbackDaemon, run_ms: int, every_ms: int
 ) -> dict[str, Verdict | errors.PeerError]:
     """Forward requests at regular times until the daemon has stopped.
 
