Begin no run at an upstream once its drain has begun

What callers would see: 502 (may have run) through another daemon for runs cut at a planned stop of the owner's daemon or of its upstream.

Cause: `serving.drain` ended at the first moment at which the upstream ran nothing, and nothing was refused from then on. Two cases: - A request in the queue for a slot began one event loop step after the drain had ended, as the drain is woken with the end of the run that frees the slot. `/v1/leave` had then told the upstream that it may stop. - The only owner of its keys (no successor, or a hand-over that timed out) went on to serve them for peers until the links closed, which waits for 2 s only.

Ruled out: requests of the daemon's own callers, which the HTTP servers wait for, and moves of shards, as ownership is checked again after the queue.

Change: a drain refuses all new runs as not run in the step in which it begins, and ends after every accepted request. A new incarnation accepts again, and the drain of an earlier one does not close it.

Runs that take longer than the 15 s of the drain are still cut.

--- a/fuchsiamoor/daemon/run_completion.py
+++ b/fuchsiamoor/daemon/run_completion.py
@@ -80,7 +80,7 @@
             serving.pending_cancellations.add(cancel_task)
             cancel_task.add_done_callback(serving.pending_cancellations.discard)
     if is_last:
-        _wake_drains(serving)
+        wake_drains(serving)
 
 
 def _restart_ramp(serving: Serving, run: SentRun) -> None:
@@ -103,7 +103,8 @@
     release_slot(serving, run.upstream_capacity)
 
 
-def _wake_drains(serving: Serving) -> None:
+def wake_drains(serving: Serving) -> None:
+    """Let drains check again what they wait for."""
     waiters, serving.drain_waiters = serving.drain_waiters, []
     for waiter in waiters:
         if not waiter.done():
--- a/fuchsiamoor/daemon/serving.py
+++ b/fuchsiamoor/daemon/serving.py
@@ -33,6 +33,7 @@
 from fuchsiamoor.routing.in_flight_runs import RunKey
 
 HOPS_MAX = 8
+_DRAINED = NotRun(Reason.SHUTTING_DOWN, "the upstream takes no more requests")
 
 
 def make_serving(
@@ -91,7 +92,7 @@
     """Handle an announcement; True if the upstream is a new incarnation.
 
     A new incarnation starts its ramp, and accepts requests even if the previous one
-    was leaving.
+    was leaving or drained.
     """
     if serving.capacity is not None and incarnation == serving.incarnation:
         return False
@@ -103,6 +104,7 @@
     serving.capacity = capacity.make_capacity(started_ramp, connections)
     serving.incarnation = incarnation
     serving.leaving = False
+    serving.closed = False
     serving.metrics.count("serving.ramp_started")
     return True
 
@@ -155,6 +157,8 @@
         serving.metrics.count("serving.repeated")
         return cached
     run = serving_runs.find_run(serving, request, idempotency_id)
+    if run is None and serving.closed:
+        return serving_runs.refuse_and_cache(serving, forward, _DRAINED)
     if run is None and idempotency_id is None:
         return await serving_runs.run_in_caller_task(serving, request, forward.attempt)
     if run is None:
@@ -192,18 +196,22 @@
 
 
 async def drain(serving: Serving) -> None:
-    """Wait until the upstream runs no request, with or without a key."""
-    while serving.runs.counts or serving.runs.uncertain_until_ms:
-        for run_key in [*serving.runs.counts, *serving.runs.uncertain_until_ms]:
+    """Refuse all new requests, and wait until those accepted before have ended.
+
+    Requests that wait for a slot or for a lease were accepted too.
+    """
+    serving.closed = True
+    while serving.running:
+        await _wait_for_ended_run(serving)
+    while serving.runs.uncertain_until_ms:
+        for run_key in list(serving.runs.uncertain_until_ms):
             await _drain_key(serving, run_key)
 
 
 async def _drain_key(serving: Serving, run_key: RunKey) -> None:
     while True:
         if run_key in serving.runs.counts:
-            waiter = asyncio.get_running_loop().create_future()
-            serving.drain_waiters.append(waiter)
-            await waiter
+            await _wait_for_ended_run(serving)
             continue
         wait_ms = in_flight_runs.compute_wait_ms(
             serving.runs, run_key, serving.now_ms()
@@ -213,6 +221,12 @@
         await asyncio.sleep(wait_ms / 1000)
 
 
+async def _wait_for_ended_run(serving: Serving) -> None:
+    waiter = asyncio.get_running_loop().create_future()
+    serving.drain_waiters.append(waiter)
+    await waiter
+
+
 def compute_load(serving: Serving, domain: str, leaving: bool) -> MemberLoad:
     """Return the load that this member reports to the coordinator of a domain."""
     now_ms = serving.now_ms()
--- a/fuchsiamoor/daemon/serving_runs.py
+++ b/fuchsiamoor/daemon/serving_runs.py
@@ -14,7 +14,7 @@
 from fuchsiamoor.core.messages import Answered, Forward
 from fuchsiamoor.core.requests import Request
 from fuchsiamoor.core.verdicts import MayHaveRun, NotRun, Ran, Reason
-from fuchsiamoor.daemon import local_execution
+from fuchsiamoor.daemon import local_execution, run_completion
 from fuchsiamoor.daemon.serving_state import IdempotencyId, Run, Serving
 from fuchsiamoor.routing import answer_cache, error_answers, routes
 
@@ -139,7 +139,7 @@
 def _end_run(
     serving: Serving, run: Run, idempotency_id: IdempotencyId | None, answered: Answered
 ) -> None:
-    del serving.running[run.request.request_id]
+    _remove_running(serving, run.request.request_id)
     if idempotency_id is not None:
         del serving.running_by_key[idempotency_id]
     _cache_answer(serving, run, idempotency_id, answered)
@@ -149,6 +149,12 @@
             waiter.set_result(answered._replace(answer=answer))
 
 
+def _remove_running(serving: Serving, request_id: str) -> None:
+    serving.running.pop(request_id, None)
+    if not serving.running:
+        run_completion.wake_drains(serving)
+
+
 def _get_task_result(run: Run, task: Task[Answered]) -> Answered:
     if task.cancelled() or task.exception() is not None:
         return refuse_cancelled(run, run.request.request_id)
@@ -191,7 +197,7 @@
     """Remove a waiter from a run, and cancel the run if it was the last one."""
     request_id = run.waiters.pop(waiter)
     if request_id != run.request.request_id and request_id not in run.waiters.values():
-        serving.running.pop(request_id, None)
+        _remove_running(serving, request_id)
     if not run.in_caller_task and not run.waiters and not run.task.done():
         run.task.cancel()
 
--- a/fuchsiamoor/daemon/serving_state.py
+++ b/fuchsiamoor/daemon/serving_state.py
@@ -116,6 +116,8 @@
         Incarnation of the upstream.
     leaving : bool
         Whether new requests without a key are refused.
+    closed : bool
+        Whether no new run may begin at this upstream.
     running : dict of str to Run
         By the ids of all requests that run or wait for a run.
     running_by_key : dict of IdempotencyId to Run
@@ -130,7 +132,8 @@
     pending_cancellations : set of Task
         Cancellations in progress at the upstream.
     drain_waiters : list of Future
-        Futures that are set when the last run of any key has ended.
+        Futures that are set when the last run of any key or the last accepted request
+        has ended.
     """
 
     get_configuration: Callable[[], Configuration]
@@ -145,6 +148,7 @@
     capacity: Capacity | None = None
     incarnation: str = ""
     leaving: bool = False
+    closed: bool = False
     running: dict[str, Run] = field(default_factory=dict)
     running_by_key: dict[IdempotencyId, Run] = field(default_factory=dict)
     answers: AnswerCache = field(
--- a/fuchsiamoor/daemon/serving_test.py
+++ b/fuchsiamoor/daemon/serving_test.py
@@ -329,6 +329,69 @@
     virtual_time.run(main())
 
 
+# A run that began after the drain had ended was cut when its upstream stopped.
+def test_drain_waits_for_requests_that_wait_for_a_slot():
+    async def main():
+        fixture = ServingFixture(member=requests_data.make_member(slots=1))
+        fixture.upstream.run_ms = 100
+        tasks = [fixture.start("r1", key=""), fixture.start("r2", key="")]
+        await advance_ms(1)
+        serving.mark_leaving(fixture.serving)
+        await serving.drain(fixture.serving)
+        assert fixture.upstream.started == ["r1", "r2"]
+        assert not fixture.upstream.running
+        await asyncio.wait(tasks)
+        assert [verdict_of(task) for task in tasks] == [Ran(), Ran()]
+
+    virtual_time.run(main())
+
+
+# Keys without a successor were served at an upstream that had been told it may stop.
+def test_no_run_begins_once_a_drain_has_begun():
+    async def main():
+        fixture = ServingFixture()
+        running = fixture.start("r1")
+        await advance_ms(1)
+        draining = asyncio.ensure_future(serving.drain(fixture.serving))
+        await advance_ms(1)
+        during = await fixture.start("r2")
+        await draining
+        after = await fixture.start("r3")
+        assert during.answer.verdict.reason is Reason.SHUTTING_DOWN
+        assert after.answer.verdict.reason is Reason.SHUTTING_DOWN
+        assert fixture.upstream.started == ["r1"]
+        assert verdict_of(running) == Ran()
+
+    virtual_time.run(main())
+
+
+# A duplicate must not be told that its request has not run while it does.
+def test_duplicate_of_a_run_gets_its_answer_during_a_drain():
+    async def main():
+        fixture = ServingFixture()
+        first = fixture.start("r1")
+        await advance_ms(1)
+        draining = asyncio.ensure_future(serving.drain(fixture.serving))
+        await advance_ms(1)
+        duplicate = fixture.start("r1")
+        await draining
+        assert await duplicate == await first
+        assert fixture.upstream.started == ["r1"]
+
+    virtual_time.run(main())
+
+
+# An upstream that replaces a drained one must get requests again.
+def test_new_incarnation_ends_a_drain_of_the_earlier_one():
+    async def main():
+        fixture = ServingFixture()
+        await serving.drain(fixture.serving)
+        fixture.announce("second")
+        assert (await fixture.start("r1")).answer.verdict == Ran()
+
+    virtual_time.run(main())
+
+
 @given(
     st.lists(
         st.one_of(
--- a/fuchsiamoor/daemon/upstream_lifecycle.py
+++ b/fuchsiamoor/daemon/upstream_lifecycle.py
@@ -94,7 +94,10 @@
 
 
 async def drain_upstream(node: nodes.Node, incarnation: str) -> None:
-    """Hand over the upstream's shards and wait until it runs no request."""
+    """Hand over the upstream's shards and wait until it runs no request.
+
+    A later incarnation is not drained in its place.
+    """
     if incarnation != node.upstream.incarnation:
         return
     node.upstream.leaving = True
@@ -102,7 +105,8 @@
     node.renew_now.set()
     while has_shards_to_hand_over(node):
         await asyncio.sleep(DRAIN_POLL_MS / 1000)
-    await servings.drain(node.serving)
+    if incarnation == node.upstream.incarnation:
+        await servings.drain(node.serving)
 
 
 def has_shards_to_hand_over(node: nodes.Node) -> bool:
--- a/fuchsiamoor/daemon/upstream_lifecycle_test.py
+++ b/fuchsiamoor/daemon/upstream_lifecycle_test.py
@@ -1,8 +1,17 @@
+import asyncio
+
 from fuchsiamoor.daemon import cluster_state as cluster_states
 from fuchsiamoor.daemon import upstream_lifecycle
 from fuchsiamoor.ownership import lease_holder as holders
 from fuchsiamoor.ownership import tables_codec
-from fuchsiamoor.testing import fake_store, members_data, node_data, ownership_data
+from fuchsiamoor.testing import (
+    fake_store,
+    members_data,
+    node_data,
+    ownership_data,
+    virtual_time,
+)
+from fuchsiamoor.testing.scripted_upstream import ScriptedUpstream
 
 DOMAIN = "stock@a"
 
@@ -35,3 +44,25 @@
     node = make_owner()
     cluster_states.adopt_members(node.cluster_state, [members_data.make_member("a-2")])
     assert upstream_lifecycle.has_shards_to_hand_over(node)
+
+
+# The drain of an upstream that has been replaced must not close its successor.
+def test_drain_of_an_upstream_that_was_replaced_leaves_its_successor_open():
+    async def main():
+        node = make_owner()
+        node.now_ms = virtual_time.now_ms
+        node_data.connect_serving(node, ScriptedUpstream())
+        cluster_states.adopt_members(
+            node.cluster_state, [members_data.make_member("a-2")]
+        )
+        node.upstream.incarnation = "first"
+        draining = asyncio.ensure_future(
+            upstream_lifecycle.drain_upstream(node, "first")
+        )
+        await asyncio.sleep(1)
+        node.upstream.incarnation = "second"
+        node.holders.clear()
+        await draining
+        assert not node.serving.closed
+
+    virtual_time.run(main())
