Report messages that a closed connection kept unsent as not handled

What callers would see: 502 (may have run) for requests that were never written to the peer, so that they were not sent to another member although that was allowed.

Cause: the writer of an outbound link took messages out of the queue of unsent ones before it learned that the connection no longer accepts any. The connection leaves the open state with the peer's close frame or end of stream, and the link is reset only once TCP has closed, up to a round trip later; calls made in between counted as perhaps handled.

The answer that arrives together with the close is not lost by the earlier end of the writer: the reader is woken before it.

Ruled out: at a planned stop of a peer, calls after its leave arrived are refused by the link itself, so that this concerns links that end without a leave: a lost process, an aborted connection, a close after an invalid frame.

Change: the writer checks the state in the event loop step in which it takes and writes.

--- a/fuchsiamoor/peers/links_test.py
+++ b/fuchsiamoor/peers/links_test.py
@@ -369,6 +369,46 @@
     run_pair(scenario, slowly)
 
 
+# A call that could not be sent any more was reported as perhaps handled.
+@pytest.mark.parametrize("is_aborted", [False, True])
+def test_call_on_a_connection_that_closes_is_unreachable_not_lost(is_aborted):
+    async def scenario(a, b):
+        await a.call(b.member, DONE)
+        connection = a.links.dialler.links["b#1"].connection
+        (link,) = b.links.acceptor.open_links.values()
+        closing = asyncio.create_task(link.connection.close())
+        if is_aborted:
+            link.connection.transport.abort()
+        while connection.state is websockets.State.OPEN:
+            await asyncio.sleep(0)
+        with pytest.raises(PeerUnreachableError):
+            await a.call(b.member, messages.FetchTable("late"))
+        assert b.received == [("a#1", DONE)]
+        await closing
+
+    run_pair(scenario)
+
+
+# Guards against the loss of an answer that arrives with the close of its connection.
+def test_answer_that_arrives_with_a_close_is_not_lost():
+    async def scenario(a, b):
+        call = asyncio.create_task(a.call(b.member, messages.FetchTable("slow")))
+        while not b.received:
+            await asyncio.sleep(0)
+        connection = a.links.dialler.links["b#1"].connection
+        (link,) = b.links.acceptor.open_links.values()
+        await link.connection.send(frame_of(Envelope(1, Role.ANSWER, DONE)))
+        closing = asyncio.create_task(link.connection.close())
+        while connection.state is websockets.State.OPEN:
+            await asyncio.sleep(0)
+        with pytest.raises(PeerUnreachableError):
+            await a.call(b.member, messages.FetchTable("late"))
+        assert await call == DONE
+        await closing
+
+    run_pair(scenario)
+
+
 def test_silent_connection_is_aborted_after_a_timeout(monkeypatch):
     monkeypatch.setattr(outbound, "PING_TIMEOUT_S", 0.02)
 
--- a/fuchsiamoor/peers/outbound.py
+++ b/fuchsiamoor/peers/outbound.py
@@ -314,11 +314,14 @@
     connection: websockets_client.ClientConnection,
     metrics: object,
 ) -> None:
+    """Write messages until the connection closes; what was not written stays unsent."""
     try:
         while True:
             await link.has_unsent.wait()
             link.has_unsent.clear()
             while link.unsent.envelopes:
+                if connection.state is not websockets.State.OPEN:
+                    return
                 frame = outbox.take_frame(link.unsent)
                 metrics.count("peers.sent_bytes", len(frame))
                 await connection.send(frame)
