Test calls and answers that meet the drain of a peer's links

They cover calls made at any step around a drain, a call sent before the leave arrived, a dial during a drain, ready answers that a slow reader has not taken, and two members that close at nearly the same time.

--- a/fuchsiamoor/peers/links_test.py
+++ b/fuchsiamoor/peers/links_test.py
@@ -20,6 +20,8 @@
 ANY_PORT = Address("127.0.0.1", 0)
 KEYS = ("key-1",)
 DONE = messages.Done()
+# Four of these are more than the buffers of a loopback connection hold.
+LARGE_BODY_BYTES = 4 * 1024 * 1024
 
 
 async def echo(_sender, message):
@@ -369,6 +371,128 @@
     run_pair(scenario, slowly)
 
 
+# Guards against a call that meets its peer's stop and is lost instead of refused.
+@pytest.mark.parametrize("is_open", [False, True])
+@pytest.mark.parametrize("turns", range(0, 40, 3))
+def test_call_that_meets_a_drain_is_answered_or_unreachable(is_open, turns):
+    async def scenario(a, b):
+        if is_open:
+            await a.call(b.member, DONE)
+        call = asyncio.create_task(a.call(b.member, messages.FetchTable("x")))
+        for _ in range(turns):
+            await asyncio.sleep(0)
+        await asyncio.wait_for(b.links.close(5000), 2)
+        await asyncio.wait([call])
+        was_handled = ("a#1", messages.FetchTable("x")) in b.received
+        if was_handled:
+            assert call.result() == messages.FetchTable("x")
+        else:
+            assert isinstance(call.exception(), PeerUnreachableError)
+
+    run_pair(scenario)
+
+
+# Guards against the loss of a call that was sent before its peer's leave arrived.
+def test_call_sent_before_the_leave_arrived_is_refused():
+    async def scenario(_a, b):
+        connection = await dial_raw(b)
+        while not b.links.acceptor.open_links:
+            await asyncio.sleep(0.001)
+        closing = asyncio.create_task(b.links.close(5000))
+        (leaving,) = codec.decode_frame(await connection.recv())
+        assert leaving.role is Role.LEAVING
+        await connection.send(frame_of(Envelope(1, Role.CALL, DONE)))
+        (refused,) = codec.decode_frame(await connection.recv())
+        assert refused == Envelope(1, Role.REFUSED, None)
+        assert b.received == []
+        await connection.close()
+        await closing
+
+    run_pair(scenario)
+
+
+# Guards against links that open after a stop was announced, as they never hear of it.
+def test_link_dialled_during_a_drain_is_refused():
+    async def slowly(_sender, message):
+        await asyncio.sleep(0.1)
+        return message
+
+    async def scenario(a, b):
+        call = asyncio.create_task(a.call(b.member, messages.FetchTable("x")))
+        while not b.received:
+            await asyncio.sleep(0)
+        closing = asyncio.create_task(b.links.close(5000))
+        await asyncio.sleep(0)
+        c = Peer("c#1")
+        with pytest.raises(PeerUnreachableError):
+            await c.call(b.member, DONE)
+        assert b.metrics.counts["peers.links_refused"] == 1
+        assert await call == messages.FetchTable("x")
+        await closing
+        await c.links.close(0)
+
+    run_pair(scenario, slowly)
+
+
+# Guards against the loss of ready answers that are not written when a stop begins.
+def test_close_waits_for_a_slow_reader_of_large_answers():
+    forward = messages_data.make_forward()
+    large = forward._replace(
+        request=forward.request._replace(body=bytes(LARGE_BODY_BYTES))
+    )
+
+    async def answer_large(_sender, message):
+        return message if message == DONE else large
+
+    async def scenario(a, b):
+        await a.call(b.member, DONE)
+        transport = a.links.dialler.links["b#1"].connection.transport
+        calls = [
+            asyncio.create_task(a.call(b.member, messages.FetchTable(str(index))))
+            for index in range(4)
+        ]
+        while len(b.received) < 5:
+            await asyncio.sleep(0)
+        transport.pause_reading()
+        closing = asyncio.create_task(b.links.close(5000))
+        await asyncio.sleep(0.2)
+        assert not any(call.done() for call in calls)
+        transport.resume_reading()
+        assert await asyncio.gather(*calls) == [large] * 4
+        await closing
+
+    run_pair(scenario, answer_large)
+
+
+# Guards against calls cut between two members that stop at nearly the same time.
+@pytest.mark.parametrize("caller_ms, runner_ms", [(0, 80), (80, 0), (0, 0)])
+def test_overlapping_closes_finish_the_calls_between_them(caller_ms, runner_ms):
+    async def slowly(_sender, message):
+        await asyncio.sleep(0.2)
+        return message
+
+    async def close_later(peer, delay_ms):
+        await asyncio.sleep(delay_ms / 1000)
+        await peer.links.close(5000)
+
+    async def scenario(a, b):
+        await a.listen()
+        calls = [
+            asyncio.create_task(sender.call(receiver.member, messages.FetchTable("x")))
+            for sender, receiver in ((a, b), (b, a))
+        ]
+        while len(a.received) + len(b.received) < 2:
+            await asyncio.sleep(0.001)
+        closing = [
+            asyncio.create_task(close_later(a, caller_ms)),
+            asyncio.create_task(close_later(b, runner_ms)),
+        ]
+        assert await asyncio.gather(*calls) == [messages.FetchTable("x")] * 2
+        await asyncio.gather(*closing)
+
+    run_pair(scenario, slowly)
+
+
 # A call that could not be sent any more was reported as perhaps handled.
 @pytest.mark.parametrize("is_aborted", [False, True])
 def test_call_on_a_connection_that_closes_is_unreachable_not_lost(is_aborted):
