Answer requests whose head has begun when a daemon's servers stop

What callers would see: a connection closed without an answer for a request of which the daemon had read the first part of the head, so that they could not know whether it ran.

Ruled out: bodies that arrive slowly and answers that are read slowly, which the server waits for. An idle connection is still closed at once; a request that crosses that close on its way is outside what the daemon can see.

Change: such a connection stays open until its request is answered.

--- a/fuchsiamoor/daemon/http_limits.py
+++ b/fuchsiamoor/daemon/http_limits.py
@@ -66,17 +66,26 @@
         super().on_message_complete()
 
     def shutdown(self) -> None:
-        """Close the connection; one without a request yet gets a grace period."""
-        if self.cycle is not None:
-            super().shutdown()
-            return
+        """Close the connection; one without a request yet gets a grace period.
+
+        A request whose head has begun is answered, unless its head is too slow.
+        """
         self._is_stopping = True
-        self.loop.call_later(FIRST_REQUEST_GRACE_S, self._close_unused)
+        has_answered_all = self.cycle is None or self.cycle.response_complete
+        if has_answered_all and self._has_partial_head():
+            return
+        if self.cycle is None:
+            self.loop.call_later(FIRST_REQUEST_GRACE_S, self._close_unused)
+            return
+        super().shutdown()
 
     def _close_unused(self) -> None:
-        if self.cycle is None:
+        if self.cycle is None and not self._has_partial_head():
             self.transport.close()
 
+    def _has_partial_head(self) -> bool:
+        return self._is_in_head and self._head_bytes > 0
+
     def _set_on_disconnect(self, on_disconnect: Callable[[], object] | None) -> None:
         """Set the callback for a disconnected caller; None removes it."""
         self._on_disconnect = on_disconnect
--- a/fuchsiamoor/daemon/http_servers_test.py
+++ b/fuchsiamoor/daemon/http_servers_test.py
@@ -3,6 +3,8 @@
 import asyncio
 import socket
 
+import pytest
+
 from fuchsiamoor.core.addresses import Address
 from fuchsiamoor.daemon import http_limits, http_servers
 
@@ -60,6 +62,28 @@
     assert b"connection: close" in answer.lower()
 
 
+# A request whose head had been read in part got no answer at a stop.
+@pytest.mark.parametrize("requests_before", [0, 1])
+def test_request_whose_head_has_begun_is_answered_after_a_shutdown(requests_before):
+    async def scenario(address, stop):
+        reader, writer = await asyncio.open_connection(*address)
+        for _ in range(requests_before):
+            writer.write(REQUEST)
+            await reader.readuntil(b"ok")
+        writer.write(REQUEST[:9])
+        await asyncio.sleep(0.05)
+        await stop_and_wait(stop)
+        await asyncio.sleep(2 * http_limits.FIRST_REQUEST_GRACE_S)
+        writer.write(REQUEST[9:])
+        answer = await reader.read()
+        writer.close()
+        return answer
+
+    answer = run_with_server(scenario)
+    assert answer.startswith(b"HTTP/1.1 200")
+    assert b"connection: close" in answer.lower()
+
+
 def test_connection_without_a_request_does_not_delay_a_shutdown():
     async def scenario(address, stop):
         reader, writer = await asyncio.open_connection(*address)
