Test that a drain ends once joined retries are answered or cancelled

A drain waits for accepted requests since runs no longer begin after it; an id that stayed listed would hold it up. No fault was found: each way out of a joined run removes its id.

--- a/fuchsiamoor/daemon/serving_test.py
+++ b/fuchsiamoor/daemon/serving_test.py
@@ -381,6 +381,24 @@
     virtual_time.run(main())
 
 
+# Guards against a drain that waits for a request which has long been answered.
+def test_drain_ends_after_a_run_that_retries_have_joined():
+    async def main():
+        fixture = ServingFixture()
+        first = fixture.start("r1", idempotency_key="k")
+        joined = [fixture.start(name, idempotency_key="k") for name in ("r2", "r3")]
+        await advance_ms(1)
+        joined[0].cancel()
+        serving.cancel(fixture.serving, "r3")
+        await serving.drain(fixture.serving)
+        assert virtual_time.now_ms() == fixture.upstream.run_ms
+        await asyncio.wait((first, *joined))
+        assert verdict_of(first) == Ran()
+        assert not fixture.serving.running
+
+    virtual_time.run(main())
+
+
 # An upstream that replaces a drained one must get requests again.
 def test_new_incarnation_ends_a_drain_of_the_earlier_one():
     async def main():
