Let runs end whose upstream counts as down

What callers would see: 502 or 504 at their deadline for a request that its upstream ran and answered in time.

Cause: an upstream without a heartbeat, an answer or a health check for 2 s counts as down. Heartbeats may come late, and an upstream that is full resets new connections, so that health checks fail as well. All its connections were then closed, also those of runs. The requests were not even told: they waited for their deadline, and were not sent again.

Evidence: a run of 2.7 s without heartbeats, with health checks that are reset, ended as may-have-run, deadline-passed (test; fails on the commit before, passes with the change).

Ruled out: that runs of a process that is gone wait longer. The loss of the connection ends them, and before, those of a silent machine waited for their deadline as well.

Change: as an incarnation ends, idle connections are closed at once and others after their answer. Requests that wait are refused and no more are sent, as before.

--- a/fuchsiamoor/agent/upstream_lifecycle.py
+++ b/fuchsiamoor/agent/upstream_lifecycle.py
@@ -161,7 +161,10 @@
 
 
 def end_incarnation(agent: state.Agent, cause: str) -> None:
-    """Mark an incarnation as ended: refuse its queued requests and drop its grants."""
+    """Mark an incarnation as ended: refuse its queued requests and drop its grants.
+
+    Requests that it runs keep their connections until they have ended.
+    """
     upstream = agent.upstream
     if upstream.incarnation is None or upstream.ended_owner == upstream.owner:
         return
@@ -172,7 +175,8 @@
         upstream.granting.current_grants = ()
         upstream.granting.current_until_ms = 0
     if upstream.pool is not None:
-        upstream_pool.close(upstream.pool)
+        # What has been sent may still be answered; a process that ends resets it.
+        upstream_pool.close_after_answers(upstream.pool)
     logger.bind(owner=upstream.owner, cause=cause).warning("upstream ended")
     agent.metrics.count("upstream.ended")
 
--- a/fuchsiamoor/daemon/upstream_pool.py
+++ b/fuchsiamoor/daemon/upstream_pool.py
@@ -165,6 +165,15 @@
         connection.abort()
 
 
+def close_after_answers(pool: Pool) -> None:
+    """Close idle connections now, and each other one after its request has ended."""
+    for connection in tuple(pool.open_connections):
+        if connection in pool.idle:
+            connection.abort()
+        else:
+            connection.is_reusable = False
+
+
 def _take_idle(pool: Pool, request_id: str) -> UpstreamConnection | None:
     """Return the idle connection used last on which the request was not refused."""
     used_since_s = asyncio.get_running_loop().time() - MAX_IDLE_S
