Keep a link that brings answers although a pong is late

What callers would see: 502 for requests in progress at a sound instance, all those of one link at once.

Cause: after each call that is not answered in time, as questions for the load of 40 ms often are, the link is pinged and aborted if no pong arrives within 1 s. A pong waits behind the answers that the peer has queued, up to 32 MiB of them.

Evidence: with a pong that never arrives, a call in flight was lost although another answer came meanwhile (test; fails on the commit before, passes with the change).

Change: the connection is aborted only if nothing has arrived on it since the ping.

--- a/fuchsiamoor/peers/links_test.py
+++ b/fuchsiamoor/peers/links_test.py
@@ -549,6 +549,32 @@
     run_pair(scenario)
 
 
+# Calls in flight were lost with the link when a pong came late, behind many answers.
+def test_connection_that_brings_answers_is_kept_although_a_pong_is_late(monkeypatch):
+    monkeypatch.setattr(outbound, "PING_TIMEOUT_S", 0.1)
+
+    async def slowly(_sender, message):
+        await asyncio.sleep(int(message.domain) / 1000)
+        return message
+
+    async def never_ping(*_):
+        return asyncio.get_running_loop().create_future()
+
+    async def scenario(a, b):
+        def ask(run_ms, timeout_ms=5000):
+            return a.call(b.member, messages.FetchTable(str(run_ms)), timeout_ms)
+
+        await ask(0)
+        a.links.dialler.links[b.name].connection.ping = never_ping
+        running = asyncio.create_task(ask(300))
+        with pytest.raises(PeerTimeoutError):
+            await ask(200, timeout_ms=10)
+        await ask(20)
+        assert await running == messages.FetchTable("300")
+
+    run_pair(scenario, slowly)
+
+
 def test_idle_link_is_closed_and_dialled_again_when_needed(monkeypatch):
     monkeypatch.setattr(outbound, "IDLE_TIMEOUT_S", 0.01)
 
--- a/fuchsiamoor/peers/outbound.py
+++ b/fuchsiamoor/peers/outbound.py
@@ -205,12 +205,17 @@
 async def _check_connection(
     link: OutboundLink, connection: websockets_client.ClientConnection
 ) -> None:
-    """Ping the peer; abort the connection if no pong arrives in time."""
+    """Ping the peer; abort the connection if nothing arrives from it in time.
+
+    A pong waits behind the answers that the peer has queued.
+    """
+    pinged_s = asyncio.get_running_loop().time()
     try:
         pong = await connection.ping()
         await asyncio.wait_for(pong, PING_TIMEOUT_S)
     except TimeoutError:
-        connection.transport.abort()
+        if link.last_received_s < pinged_s:
+            connection.transport.abort()
     except websockets.ConnectionClosed:
         pass
     finally:
