Compare the stops under load with the callers' deadlines

The check of overlapping stops took each 504 for a cut. A request that has reached its deadline may be ended, so the check now asks whether it had: a 504 before its deadline, and any 502 or closed connection of a request that ran, break it as before.

--- a/fuchsiamoor/testing/rolling_stops.py
+++ b/fuchsiamoor/testing/rolling_stops.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 
 from fuchsiamoor.agent import lifecycle, state
-from fuchsiamoor.core import addresses, agent_settings
+from fuchsiamoor.core import addresses, agent_settings, clock
 from fuchsiamoor.testing import loopback_daemons, transactional_store
 
 DAEMONS = 3
@@ -21,6 +21,9 @@
 STOP_GAP_S = (0.2, 1.0)
 RESTART_S = (0.0, 0.3)
 CALLER_PAUSE_S = (0.0, 0.08)
+# Time before its deadline from which a request may be ended: the margins that daemons
+# keep for the ways back.
+DEADLINE_MARGIN_MS = 100
 # Statuses that say that the request has not run and never will.
 NOT_RUN_STATUSES = (429, 503)
 
@@ -43,11 +46,14 @@
     ----------
     statuses : dict of str to int
         Status of each request by its target; 0 if its connection ended before.
+    expired : set of str
+        Requests that were answered at their deadline, or later.
     is_over : bool
         Whether callers send nothing more.
     """
 
     statuses: dict[str, int] = field(default_factory=dict)
+    expired: set[str] = field(default_factory=set)
     is_over: bool = False
 
 
@@ -124,9 +130,12 @@
             run_ms = rng.randint(*RUN_MS)
             target = f"/read/{name}-{count}?run_ms={run_ms}"
             record.statuses[target] = 0
+            expires_ms = clock.read_clock_ms() + WAIT_MS - DEADLINE_MARGIN_MS
             with contextlib.suppress(ConnectionError):
                 status, is_open = await _ask(reader, writer, target)
                 record.statuses[target] = status
+            if clock.read_clock_ms() >= expires_ms:
+                record.expired.add(target)
             if not record.statuses[target]:
                 break
             await asyncio.sleep(rng.uniform(*CALLER_PAUSE_S))
@@ -161,6 +170,8 @@
     for target, status in record.statuses.items():
         if target not in begun or status == 200:
             continue
+        if status == 504 and target in record.expired:
+            continue
         kind = "refused" if status in NOT_RUN_STATUSES else "cut"
         found.append(f"{target}: {kind} with {status}, and ran")
     found += [
