Test what the record of a run says of the upstream, also an odd or earlier one

They hold that a record without the name, of an earlier version, or with another instance's, still counts as a run.

--- a/fuchsiamoor/agent/succession_test.py
+++ b/fuchsiamoor/agent/succession_test.py
@@ -2,9 +2,11 @@
 
 import asyncio
 
+import cbor2
 import pytest
 
 from fuchsiamoor.agent import registrations, succession, table_writer
+from fuchsiamoor.store import port
 from fuchsiamoor.testing import range_simulation, registrations_data, traffic_data
 from fuchsiamoor.testing import virtual_time as virtual
 from fuchsiamoor.traffic import upstreams
@@ -128,3 +130,31 @@
         cache.directory, registrations.registration_key(instance), 0
     )
     assert succession.find_newest(cache, "10.0.0.2") is None
+
+
+def apply_run_record(cache, instance, value, version):
+    key = registrations.runs_key(instance)
+    registrations.apply_entry(cache.directory, port.Entry(key, value, version))
+
+
+def test_the_last_known_incarnation_is_found_in_the_record_of_a_run_too():
+    cache, instance = registrations_data.make_cache(), "10.0.0.1"
+    record = registrations.RunRecord("r1", "10.0.0.1/i-1@19")
+    apply_run_record(cache, instance, registrations.encode_run_record(record), 2)
+    assert succession.find_last_known(cache, instance).started_unix_ms == 19
+    assert succession.find_newest(cache, instance) is None
+    cache.tables[traffic_data.KEYED_SERVICE] = registrations_data.make_table(OWNER)
+    assert succession.find_last_known(cache, instance).started_unix_ms == 20
+
+
+# A record of an earlier version names no upstream, and an odd one no upstream of ours.
+@pytest.mark.parametrize(
+    "fields", [["r1"], ["r1", "10.0.0.2/i-1@1"], ["r1", "x"], ["r1", 5], "r1", []]
+)
+def test_a_record_that_names_no_upstream_here_still_counts_as_a_run(fields):
+    cache, instance = registrations_data.make_cache(), "10.0.0.1"
+    record = registrations.RunRecord("r1", "10.0.0.1/i-1@19")
+    apply_run_record(cache, instance, registrations.encode_run_record(record), 2)
+    apply_run_record(cache, instance, cbor2.dumps(fields), 3)
+    assert cache.directory.run_versions[instance] == 3
+    assert succession.find_last_known(cache, instance) is None
