Answer a deregistration of an unknown upstream 503, and wait for the listing before it

Cause: 404 says that the upstream is gone already, so it takes that as an acknowledgement and does not announce its leave again; the daemon has noted nothing.

Evidence: in the reports the leave counts as acknowledged 1 ms after the call that got 404. Ruled out: that the wait takes the time for the record; 400 ms, 250 and 300 stay under the second that upstreams wait.

Change: the answer is 503. Before the listing, a call that could not be matched waits for it for 400 ms.

--- a/fuchsiamoor/agent/endpoints.py
+++ b/fuchsiamoor/agent/endpoints.py
@@ -10,6 +10,8 @@
 from fuchsiamoor.traffic import upstreams
 
 JSON_HEADERS = ((b"Content-Type", b"application/json"),)
+# The upstream waits a second for its acknowledgement, the rest for the leave's record.
+LISTING_WAIT_MS = 400
 METRICS_HEADERS = ((b"Content-Type", b"text/plain; version=0.0.4"),)
 
 
@@ -30,7 +32,11 @@
 
 
 async def handle_upstream_call(agent: state.Agent, request: HttpRequest) -> HttpAnswer:
-    """Handle a heartbeat or a deregistration from the local upstream."""
+    """Handle a heartbeat or a deregistration from the local upstream.
+
+    A deregistration of an upstream that is not known is answered 503, as an upstream
+    whose leave is not kept must not take the answer for an acknowledgement.
+    """
     path = request.target.partition("?")[0]
     match agent.dialect.read_upstream_call(request.method, path):
         case dialects.HeartbeatCall(upstream_id):
@@ -75,9 +81,14 @@
         logger.bind(error=str(error)).warning("deregistration cannot be read")
         return HttpAnswer(400)
     incarnation = upstream_lifecycle.find_leaving(agent, upstream_id, started_unix_ms)
+    if incarnation is None and not agent.cache.is_loaded:
+        await state.wait_until_loaded(agent, LISTING_WAIT_MS)
+        incarnation = upstream_lifecycle.find_leaving(
+            agent, upstream_id, started_unix_ms
+        )
     if incarnation is None:
         logger.bind(upstream=upstream_id).warning("unknown upstream deregisters")
-        return HttpAnswer(404)
+        return HttpAnswer(503)
     upstream_lifecycle.handle_deregistration(agent, incarnation)
     if not await _keep_leave(agent, incarnation):
         return HttpAnswer(503)
--- a/fuchsiamoor/agent/state.py
+++ b/fuchsiamoor/agent/state.py
@@ -359,6 +359,13 @@
     return True
 
 
+async def wait_until_loaded(agent: Agent, timeout_ms: int) -> None:
+    """Wait until the store has been listed once, or for the given time."""
+    ends_by_ms = agent.now_ms() + timeout_ms
+    while not agent.cache.is_loaded and agent.now_ms() < ends_by_ms:
+        await wait_for_change(agent, ends_by_ms - agent.now_ms())
+
+
 # Callers see within two readiness checks that a daemon is stopping.
 STOP_NOTICE_MS = 2_100
 # A stopping daemon sends its upstream no more requests after this time, so that those
