Bound the unfinished answers of all connections of a daemon together

What callers would see: one upstream that sends bytes without end takes the memory of the daemon beside it, and the requests of all other callers of that daemon end with it. Reported by operators: 63 to 122 such answers in 15 s took a daemon to 377 MB of the 300 MB that it is allowed.

Cause: each connection was bounded (16 MB of body, 64 KB besides), but not the connections of a daemon together. A body in chunks of few bytes was kept as one object for each chunk, which took several times its size.

Ruled out: a smaller bound for each connection, which would have to be the share of one among 126 and would refuse sound answers; refusing the one that asks for room, which would be a sound answer as often as not.

Change: the budget of request bodies becomes the account of all received bytes, with a part for each source, so that an upstream takes no room of the store's. Unfinished answers of the upstream (health checks too) and of the store are counted with what the parser keeps and what their headers take. If a part is full, the connection that holds the most is aborted and its request ends as with any broken answer. This is counted (bytes.cut.*) and logged (`bytes cut`). Bodies are collected in one buffer.

--- a/bench/agent_path.py
+++ b/bench/agent_path.py
@@ -28,10 +28,10 @@
     state,
     upstream_lifecycle,
 )
+from fuchsiamoor.core import byte_account
 from fuchsiamoor.core.addresses import Address
 from fuchsiamoor.peers import links as peer_links
 from fuchsiamoor.testing import caller_requests_data, traffic_data
-from fuchsiamoor.traffic import body_budget
 
 HOST = "127.0.0.1"
 LOOPBACK = Address(HOST, 0)
@@ -53,8 +53,8 @@
     def get_limits():
         return traffic_data.make_catalog().limits
 
-    budget = body_budget.make_body_budget(MEMORY_BYTES)
-    upstream = http_server.HttpServer(_serve_upstream, get_limits, budget)
+    accounts = byte_account.make_accounts(MEMORY_BYTES)
+    upstream = http_server.HttpServer(_serve_upstream, get_limits, accounts)
     settings = traffic_data.make_settings(
         f"10.0.0.{number + 1}", service=traffic_data.PLAIN_SERVICE
     )._replace(upstream_address=await upstream.listen(LOOPBACK))
@@ -65,7 +65,7 @@
     )
     upstream_lifecycle.handle_heartbeat(agent, heartbeat)
     callers = http_server.HttpServer(
-        lambda request: caller_requests.handle(agent, request), get_limits, budget
+        lambda request: caller_requests.handle(agent, request), get_limits, accounts
     )
     return agent, await callers.listen(LOOPBACK)
 
--- a/fuchsiamoor/agent/event_log.py
+++ b/fuchsiamoor/agent/event_log.py
@@ -93,6 +93,14 @@
         ("request", "route", "reason", "detail", "run_ms"),
         "The upstream had the request and no whole answer came.",
     ),
+    Kind(
+        "bytes cut",
+        "warning",
+        10,
+        ("part", "size_bytes"),
+        "Too many received bytes were held, and the connection with the most of them "
+        "was cut; part is what they belong to.",
+    ),
 )
 _BY_NAME = {kind.name: kind for kind in KINDS}
 WINDOW_MS = 1_000
--- a/fuchsiamoor/agent/http_server.py
+++ b/fuchsiamoor/agent/http_server.py
@@ -14,9 +14,9 @@
 import httptools
 from loguru import logger
 
+from fuchsiamoor.core import byte_account
 from fuchsiamoor.core.addresses import Address
 from fuchsiamoor.core.requests import Headers
-from fuchsiamoor.traffic import body_budget
 from fuchsiamoor.traffic.catalog import CallerLimits
 
 # Requests of one connection that run concurrently; at this number the server stops
@@ -72,7 +72,7 @@
         ``async handler(request)``; raises nothing but `asyncio.CancelledError`.
     get_limits : callable
         Returns the limits in force, read once for each connection.
-    budget : BodyBudget
+    accounts : Accounts
         Bodies are held until their request is answered; one for which there is no room
         is refused, before it is read if its length is known.
     """
@@ -81,11 +81,11 @@
         self,
         handler: Handler,
         get_limits: Callable[[], CallerLimits],
-        budget: body_budget.BodyBudget,
+        accounts: byte_account.Accounts,
     ):
         self.handler = handler
         self.get_limits = get_limits
-        self.budget = budget
+        self.accounts = accounts
         self.is_closing = False
         self.connections: set[HttpConnection] = set()
         self._server: asyncio.Server | None = None
@@ -234,7 +234,7 @@
         if length_bytes > self._limits.body_bytes:
             self._refuse(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
             return
-        if not body_budget.has_room(self._http_server.budget, length_bytes):
+        if not byte_account.has_room(self._http_server.accounts.bodies, length_bytes):
             self._refuse(HTTPStatus.SERVICE_UNAVAILABLE, (RETRY_AFTER,))
             return
         if any(n == b"expect" for n, _ in self._headers) and not self._pending:
@@ -247,14 +247,14 @@
             return
         if self._body_bytes > self._limits.body_bytes:
             self._refuse(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
-        elif not body_budget.hold(self._http_server.budget, len(data)):
+        elif not byte_account.hold(self._http_server.accounts.bodies, len(data)):
             self._refuse(HTTPStatus.SERVICE_UNAVAILABLE, (RETRY_AFTER,))
         else:
             self._held_bytes += len(data)
             self._body.append(data)
 
     def _release(self, size_bytes: int) -> None:
-        body_budget.release(self._http_server.budget, size_bytes)
+        byte_account.release(self._http_server.accounts.bodies, size_bytes)
         self._held_bytes -= size_bytes
 
     def on_message_complete(self) -> None:
--- a/fuchsiamoor/agent/http_server_test.py
+++ b/fuchsiamoor/agent/http_server_test.py
@@ -3,11 +3,12 @@
 import pytest
 
 from fuchsiamoor.agent import http_server
+from fuchsiamoor.core import byte_account
 from fuchsiamoor.core.addresses import Address
-from fuchsiamoor.traffic import body_budget
 from fuchsiamoor.traffic.catalog import CallerLimits
 
 BUDGET_BYTES = 100
+MEMORY_BYTES = 1_000_000
 LIMITS = CallerLimits(
     header_bytes=500, body_bytes=64, header_timeout_ms=200, idle_timeout_ms=400
 )
@@ -32,9 +33,10 @@
 
 
 async def _connect(handler):
-    server = http_server.HttpServer(
-        handler, lambda: LIMITS, body_budget.BodyBudget(BUDGET_BYTES)
+    accounts = byte_account.make_accounts(MEMORY_BYTES)._replace(
+        bodies=byte_account.ByteAccount("bodies", BUDGET_BYTES)
     )
+    server = http_server.HttpServer(handler, lambda: LIMITS, accounts)
     address = await server.listen(Address("127.0.0.1", 0))
     reader, writer = await asyncio.open_connection(*address)
     return server, reader, writer
@@ -226,7 +228,7 @@
 
     answers = await asyncio.gather(*(send() for _ in range(count)))
     server.close()
-    return answers, server.budget
+    return answers, server.accounts.bodies
 
 
 @pytest.mark.parametrize("is_chunked", [False, True])
@@ -244,10 +246,10 @@
         server, reader, writer = await _connect(DelayHandler())
         writer.write(_post("/100", b"z" * 40)[:-10])
         await asyncio.sleep(0.05)
-        held = server.budget.held_bytes
+        held = server.accounts.bodies.held_bytes
         writer.transport.abort()
         await asyncio.sleep(0.05)
         server.close()
-        return held, server.budget.held_bytes
+        return held, server.accounts.bodies.held_bytes
 
     assert asyncio.run(play()) == (30, 0)
--- a/fuchsiamoor/agent/lifecycle.py
+++ b/fuchsiamoor/agent/lifecycle.py
@@ -33,14 +33,13 @@
     upstream_lifecycle,
     watch_relay,
 )
-from fuchsiamoor.core import agent_settings, errors, messages
+from fuchsiamoor.core import agent_settings, byte_account, errors, messages
 from fuchsiamoor.core.carried import CarriedRequest
 from fuchsiamoor.core.verdicts import NotRun, Reason
 from fuchsiamoor.daemon import supervisor
 from fuchsiamoor.peers import links as peer_links
 from fuchsiamoor.ranges import table as tables
 from fuchsiamoor.store import port, relayed
-from fuchsiamoor.traffic import body_budget
 from fuchsiamoor.traffic.catalog import CallerLimits
 
 # The network is private to the deployment, so this key is not secret: it only rejects
@@ -57,10 +56,20 @@
     settings: agent_settings.AgentSettings,
     deployment_dialect: dialect.Dialect,
     store: port.TransactionalStore,
+    accounts: byte_account.Accounts | None = None,
 ) -> state.Agent:
-    """Return a daemon that does not listen yet."""
+    """Return a daemon that does not listen yet.
+
+    Parameters
+    ----------
+    settings : AgentSettings
+    deployment_dialect : Dialect
+    store : TransactionalStore
+    accounts : Accounts, optional
+        Of which the store's part is in use by the store already.
+    """
     agent = state.Agent(settings, deployment_dialect, store, metrics.Metrics())
-    agent.body_budget = body_budget.make_body_budget(settings.memory_bytes)
+    agent.accounts = accounts or byte_account.make_accounts(settings.memory_bytes)
     agent.store = relayed.RelayedStore(
         store,
         lambda call, timeout_ms: call_any_peer(agent, call, timeout_ms),
@@ -69,6 +78,8 @@
     )
     agent.events = event_log.EventLog(lambda: agent.now_ms())
     agent.ask_health = upstream_lifecycle.ask_health
+    for account in agent.accounts:
+        account.on_cut = functools.partial(_record_cut, agent)
 
     async def handle(sender_id: str, message: messages.Message) -> messages.Message:
         return await handle_message(agent, sender_id, message)
@@ -84,6 +95,11 @@
     return agent
 
 
+def _record_cut(agent: state.Agent, name: str, size_bytes: int) -> None:
+    agent.metrics.count(f"bytes.cut.{name}")
+    agent.events.emit("bytes cut", part=name, size_bytes=size_bytes)
+
+
 async def handle_message(
     agent: state.Agent, sender_id: str, message: messages.Message
 ) -> messages.Message:
@@ -158,7 +174,7 @@
     if refused is not None:
         return refused
     held_bytes = transfers.count_held_bytes(agent.transfers)
-    if not body_budget.has_room(agent.body_budget, held_bytes + asked.body_bytes):
+    if not byte_account.has_room(agent.accounts.bodies, held_bytes + asked.body_bytes):
         refusal = NotRun(Reason.OVER_LIMIT, "too many bodies are held")
         return local_execution.refuse(agent, request, refusal, expected_ms)
     is_granted = await transfers.wait_for_grant(
@@ -192,7 +208,7 @@
             return local_execution.refuse(agent, request, refusal)
         request = request._replace(body=body)
     size_bytes = len(request.body)
-    if not body_budget.hold(agent.body_budget, size_bytes):
+    if not byte_account.hold(agent.accounts.bodies, size_bytes):
         return local_execution.refuse(
             agent, request, NotRun(Reason.OVER_LIMIT, "too many bodies are held")
         )
@@ -206,7 +222,7 @@
             raise
         return messages.Done()
     finally:
-        body_budget.release(agent.body_budget, size_bytes)
+        byte_account.release(agent.accounts.bodies, size_bytes)
         if agent.carried_tasks.get(request.request_id) is task:
             del agent.carried_tasks[request.request_id]
 
@@ -244,7 +260,7 @@
         return agent.cache.catalog.limits
 
     return http_server.HttpServer(
-        functools.partial(handle, agent), get_limits, agent.body_budget
+        functools.partial(handle, agent), get_limits, agent.accounts
     )
 
 
--- a/fuchsiamoor/agent/state.py
+++ b/fuchsiamoor/agent/state.py
@@ -11,7 +11,7 @@
 from fuchsiamoor.agent import dialect as dialects
 from fuchsiamoor.agent import event_log, nested_calls, registrations
 from fuchsiamoor.agent import transfers as body_transfers
-from fuchsiamoor.core import agent_settings, clock
+from fuchsiamoor.core import agent_settings, byte_account, clock
 from fuchsiamoor.daemon import upstream_pool
 from fuchsiamoor.ranges import demand as demands
 from fuchsiamoor.ranges import granting as grantings
@@ -20,7 +20,6 @@
 from fuchsiamoor.store import feed as feeds
 from fuchsiamoor.store import port
 from fuchsiamoor.traffic import admission, instance_selection, one_way_delay, upstreams
-from fuchsiamoor.traffic import body_budget as body_budgets
 from fuchsiamoor.traffic import catalog as catalogs
 
 
@@ -221,8 +220,8 @@
         Runs of the local upstream, by request id.
     transfers : Transfers
         Large bodies that other daemons are sending to this one.
-    body_budget : BodyBudget
-        Bodies of requests, of callers and of other daemons, that are held now.
+    accounts : Accounts
+        Received bytes that are held now.
     stopping_since_ms : int or None
         Time at which a stop was requested.
     stop_requested : asyncio.Event
@@ -284,8 +283,8 @@
     transfers: body_transfers.Transfers = field(
         default_factory=body_transfers.Transfers
     )
-    body_budget: body_budgets.BodyBudget = field(
-        default_factory=lambda: body_budgets.make_body_budget(0)
+    accounts: byte_account.Accounts = field(
+        default_factory=lambda: byte_account.make_accounts(0)
     )
     stopping_since_ms: int | None = None
     stop_requested: asyncio.Event = field(default_factory=asyncio.Event)
--- a/fuchsiamoor/agent/transfers_test.py
+++ b/fuchsiamoor/agent/transfers_test.py
@@ -243,7 +243,7 @@
 
 def test_a_body_is_refused_where_too_many_bodies_are_held():
     agent = make_receiver(slots=1)
-    agent.body_budget.held_bytes = agent.body_budget.limit_bytes
+    agent.accounts.bodies.held_bytes = agent.accounts.bodies.limit_bytes
     refused = ask_receiver(agent)
     assert refused.verdict == NotRun(Reason.OVER_LIMIT, "too many bodies are held")
 
@@ -295,7 +295,7 @@
     agent = make_receiver(slots=1)
     receive(agent, (2, b"cd"), (0, b"ab"), (4, b"e"), body_ahead_bytes=5)
     assert bodies == [b"abcde"]
-    assert agent.body_budget.held_bytes == 0
+    assert agent.accounts.bodies.held_bytes == 0
 
 
 def test_parts_without_a_grant_are_not_kept():
--- a/fuchsiamoor/agent/upstream_lifecycle.py
+++ b/fuchsiamoor/agent/upstream_lifecycle.py
@@ -131,8 +131,9 @@
     upstream.pool = upstream_pool.Pool(
         settings.upstream_address,
         max(1, connections - RESERVED_CONNECTIONS),
-        MAX_ANSWER_BYTES,
+        min(MAX_ANSWER_BYTES, agent.accounts.answers.limit_bytes),
         accepts_close_delimited=True,
+        account=agent.accounts.answers,
     )
     upstream.admission_queue = admission.make_admission_queue(
         upstream.slots, compute_cold_rate(agent), 0
--- a/fuchsiamoor/daemon/upstream_connection.py
+++ b/fuchsiamoor/daemon/upstream_connection.py
@@ -7,6 +7,7 @@
 
 import httptools
 
+from fuchsiamoor.core import byte_account
 from fuchsiamoor.core.verdicts import Reason
 
 # Largest accepted head of an answer. All bytes of an answer that are not part of its
@@ -80,6 +81,8 @@
     accepts_close_delimited : bool
         Whether an answer without a length is complete once the upstream has closed
         the connection cleanly.
+    account : ByteAccount, optional
+        Counts the bytes of unfinished answers.
 
     Attributes
     ----------
@@ -94,6 +97,7 @@
     """
 
     __slots__ = (
+        "_account",
         "_answer_limit_bytes",
         "_body",
         "_body_bytes",
@@ -101,6 +105,7 @@
         "_future",
         "_has_final_status",
         "_head_bytes",
+        "_header_count",
         "_headers",
         "_is_head",
         "_match_answer",
@@ -120,13 +125,17 @@
         answer_limit_bytes: int,
         on_lost: Callable[["UpstreamConnection"], None],
         accepts_close_delimited: bool = False,
+        account: byte_account.ByteAccount | None = None,
     ):
+        self._account = account or byte_account.make_unlimited()
         self._answer_limit_bytes = answer_limit_bytes
         self._on_lost = on_lost
         self._accepts_close_delimited = accepts_close_delimited
         self._parser = httptools.HttpResponseParser(self)
         self._transport: asyncio.Transport | None = None
         self._future: asyncio.Future[Received] | None = None
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._body = bytearray()
         self._is_close_delimited = False
         self.is_reusable = True
         self.refused_ids: set[str] = set()
@@ -162,6 +171,7 @@
         self._is_head = is_head
         self._has_final_status = False
         self._head_bytes = 0
+        self._header_count = 0
         self._received_bytes = 0
         self._body_bytes = 0
         self._transport.write(payload)
@@ -170,9 +180,21 @@
         """Close immediately and drop the answer that is still arriving."""
         self.is_reusable = False
         self._future = None
+        self._drop_received()
         if self._transport is not None:
             self._transport.abort()
 
+    def cut(self, detail: str) -> None:
+        """Complete the request with `Lost`, as too many bytes are held."""
+        if self._future is not None:
+            self._set_lost(detail)
+        self.abort()
+
+    def _drop_received(self) -> None:
+        byte_account.release_all(self._account, self)
+        self._headers = []
+        self._body = bytearray()
+
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Store the transport."""
         self._transport = transport
@@ -182,6 +204,7 @@
         self.is_reusable = False
         if self._future is not None:
             self._set_lost(f"connection closed: {error!r}")
+        self._drop_received()
         self._parser = None
         self._on_lost(self)
 
@@ -211,20 +234,24 @@
         if overhead_bytes > self._body_bytes + MAX_HEAD_BYTES:
             self._set_lost(f"{overhead_bytes} bytes besides the answer's body")
             self.abort()
+            return
+        headers_bytes = self._header_count * byte_account.HEADER_BYTES
+        byte_account.set_held(self._account, self, self._received_bytes + headers_bytes)
 
     def on_message_begin(self) -> None:
         """Start an answer; a second one to a request ends the connection's reuse."""
         if self._future is None:
             self.is_reusable = False
         self._is_close_delimited = False
-        self._headers: list[tuple[bytes, bytes]] = []
-        self._body: list[bytes] = []
+        self._headers = []
+        self._body = bytearray()
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store one header, within the size limit."""
         self._head_bytes += len(name) + len(value)
         if self._head_bytes > MAX_HEAD_BYTES:
             raise ValueError(f"expected at most {MAX_HEAD_BYTES} bytes of headers")
+        self._header_count += 1
         self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
@@ -246,7 +273,7 @@
         self._body_bytes += len(data)
         if self._body_bytes > self._answer_limit_bytes:
             raise ValueError(f"expected at most {self._answer_limit_bytes} bytes")
-        self._body.append(data)
+        self._body += data
 
     def on_message_complete(self) -> None:
         """Complete the answer unless it is an interim (1xx) one."""
@@ -272,7 +299,9 @@
             self.refused_ids.add(self._request_id)
             if len(self.refused_ids) >= MAX_REFUSED_IDS:
                 self.is_reusable = False
-        future.set_result(WholeAnswer(status, self._headers, b"".join(self._body)))
+        answer = WholeAnswer(status, self._headers, bytes(self._body))
+        self._drop_received()
+        future.set_result(answer)
 
     def _is_own_answer(self) -> bool:
         """Return whether the parsed answer is the request's; otherwise drop it."""
--- a/fuchsiamoor/daemon/upstream_connection_test.py
+++ b/fuchsiamoor/daemon/upstream_connection_test.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from fuchsiamoor.core import byte_account
 from fuchsiamoor.core.addresses import Address
 from fuchsiamoor.daemon import upstream_connection, upstream_pool
 from fuchsiamoor.daemon.upstream_connection import AnswerMatch, Lost, WholeAnswer
@@ -49,9 +50,9 @@
     return AnswerMatch.OTHER if (b"x-id", b"2") in headers else AnswerMatch.OWN
 
 
-def start_exchange(loop, match_answer=None):
+def start_exchange(loop, match_answer=None, account=None):
     connection = upstream_connection.UpstreamConnection(
-        BODY_LIMIT_BYTES, lambda lost: None
+        BODY_LIMIT_BYTES, lambda lost: None, account=account
     )
     transport = FakeTransport()
     connection.connection_made(transport)
@@ -241,3 +242,47 @@
         assert is_whole == (can_be_whole and cut >= whole_from), cut
         if is_whole and framing != "none":
             assert received.body in (b"hello", b"")
+
+
+ENDINGS = {
+    "whole": lambda connection: connection.data_received(b"z" * 10),
+    "malformed": lambda connection: connection.data_received(b"z" * 10 + b"nonsense"),
+    "closed": lambda connection: connection.connection_lost(None),
+    "aborted": lambda connection: connection.abort(),
+    "too much framing": lambda connection: connection.data_received(
+        b"z" * 10 + b"HTTP/1.1 100 X\r\n" + b"a: b\r\n" * 20_000
+    ),
+}
+
+
+# Bytes that stay counted after their exchange would refuse all later answers.
+@pytest.mark.parametrize("ending", ENDINGS)
+def test_an_ended_exchange_holds_nothing(ending):
+    async def scenario():
+        account = byte_account.ByteAccount("answers", 10_000)
+        connection, _, _ = start_exchange(asyncio.get_running_loop(), None, account)
+        connection.data_received(HEAD + b"content-length: 100\r\n\r\n" + b"z" * 90)
+        held_bytes = account.held_bytes
+        ENDINGS[ending](connection)
+        return held_bytes, account.held_bytes, account.holders
+
+    held_bytes, left_bytes, holders = asyncio.run(scenario())
+    assert held_bytes >= 90
+    assert (left_bytes, holders) == (0, {})
+
+
+# A sound answer that asked for room would be cut in place of one without end.
+def test_the_largest_answer_is_cut_and_not_the_one_that_asks_for_room():
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        account = byte_account.ByteAccount("answers", 10_000)
+        large, _, large_future = start_exchange(loop, None, account)
+        small, _, small_future = start_exchange(loop, None, account)
+        head = HEAD + b"content-length: 100000\r\n\r\n"
+        large.data_received(head + b"z" * 8_000)
+        small.data_received(head + b"z" * 3_000)
+        return large_future.result(), small_future.done(), account.held_bytes
+
+    lost, is_small_done, held_bytes = asyncio.run(scenario())
+    assert isinstance(lost, Lost) and not is_small_done
+    assert 3_000 <= held_bytes < 4_000
--- a/fuchsiamoor/daemon/upstream_pool.py
+++ b/fuchsiamoor/daemon/upstream_pool.py
@@ -4,6 +4,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 
+from fuchsiamoor.core import byte_account
 from fuchsiamoor.core.addresses import Address
 from fuchsiamoor.core.verdicts import NotRun, Reason
 from fuchsiamoor.daemon.upstream_connection import (
@@ -29,6 +30,8 @@
     answer_limit_bytes : int
     accepts_close_delimited : bool
         Whether an answer without a length may end when the connection closes.
+    account : ByteAccount
+        Counts the bytes of unfinished answers.
     open_count : int
         Connections that are open or being opened.
     idle : deque of UpstreamConnection
@@ -41,6 +44,9 @@
     connections: int
     answer_limit_bytes: int
     accepts_close_delimited: bool = False
+    account: byte_account.ByteAccount = field(
+        default_factory=byte_account.make_unlimited
+    )
     open_count: int = 0
     idle: deque[UpstreamConnection] = field(default_factory=deque)
     waiters: deque[asyncio.Future] = field(default_factory=deque)
@@ -192,6 +198,7 @@
                     pool.answer_limit_bytes,
                     lambda lost: _remove(pool, lost),
                     pool.accepts_close_delimited,
+                    pool.account,
                 ),
                 *pool.address,
             )
--- a/fuchsiamoor/platform/__main__.py
+++ b/fuchsiamoor/platform/__main__.py
@@ -7,7 +7,7 @@
 import uvloop
 
 from fuchsiamoor.agent import lifecycle
-from fuchsiamoor.core import agent_settings, errors, faults
+from fuchsiamoor.core import agent_settings, byte_account, errors, faults
 from fuchsiamoor.daemon import log_stream, logs
 from fuchsiamoor.platform import dialect, settings, store
 
@@ -34,8 +34,9 @@
 
 
 async def _run(loaded: agent_settings.AgentSettings) -> None:
-    client = store.make_store(loaded.store_address, STORE_TIMEOUT_MS)
-    agent = lifecycle.make_agent(loaded, dialect.make_dialect(), client)
+    accounts = byte_account.make_accounts(loaded.memory_bytes)
+    client = store.make_store(loaded.store_address, STORE_TIMEOUT_MS, accounts.store)
+    agent = lifecycle.make_agent(loaded, dialect.make_dialect(), client, accounts)
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, lifecycle.request_stop, agent)
--- a/fuchsiamoor/platform/store.py
+++ b/fuchsiamoor/platform/store.py
@@ -12,6 +12,7 @@
 
 from loguru import logger
 
+from fuchsiamoor.core import byte_account
 from fuchsiamoor.core.addresses import Address, format_address
 from fuchsiamoor.core.errors import (
     StoreHistoryLostError,
@@ -156,7 +157,11 @@
         upstream_pool.close(self.pool)
 
 
-def make_store(address: Address, timeout_ms: int) -> PlatformStore:
+def make_store(
+    address: Address,
+    timeout_ms: int,
+    account: byte_account.ByteAccount | None = None,
+) -> PlatformStore:
     """Return a client that has not connected yet.
 
     Parameters
@@ -164,8 +169,16 @@
     address : Address
     timeout_ms : int
         Timeout of one call, in milliseconds; a watch may take its ``wait_ms`` longer.
+    account : ByteAccount, optional
+        Counts the bytes of unfinished answers.
     """
-    pool = upstream_pool.Pool(address, MAX_CONNECTIONS, MAX_ANSWER_BYTES)
+    account = account or byte_account.make_unlimited()
+    pool = upstream_pool.Pool(
+        address,
+        MAX_CONNECTIONS,
+        min(MAX_ANSWER_BYTES, account.limit_bytes),
+        account=account,
+    )
     return PlatformStore(pool, timeout_ms)
 
 
--- a/fuchsiamoor/platform/store_test.py
+++ b/fuchsiamoor/platform/store_test.py
@@ -5,7 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from fuchsiamoor.core import errors
+from fuchsiamoor.core import byte_account, errors
 from fuchsiamoor.core.addresses import Address
 from fuchsiamoor.platform import store as stores
 from fuchsiamoor.store import port
@@ -120,3 +120,59 @@
 @given(json_values, st.sampled_from(sorted(CALLS)))
 def test_no_answer_raises_anything_but_store_errors(document, name):
     ask(json.dumps(document).encode(), name)
+
+
+def count_kept_bytes(store):
+    """Return the received bytes of unfinished answers on all connections."""
+    return sum(
+        connection._received_bytes
+        for connection in store.pool.open_connections
+        if connection._future is not None
+    )
+
+
+# Answers of the store were bounded each, but not those on all of its connections.
+def test_endless_answers_of_the_store_leave_room_for_a_sound_listing():
+    account = byte_account.make_accounts(64_000_000).store
+    page = json.dumps(
+        {"items": [GOOD | {"value": "aGkh" * 100_000}], "has_more": False, "at": 1}
+    ).encode()
+
+    async def serve(reader, writer):
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                if b"kv-range" in head:
+                    writer.write(make_answer(200, page))
+                    continue
+                writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 7900000\r\n\r\n")
+                while True:
+                    writer.write(b"z" * 65_536)
+                    await writer.drain()
+                    await asyncio.sleep(0.001)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            writer.close()
+
+    async def play():
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        address = Address(*server.sockets[0].getsockname()[:2])
+        store = stores.make_store(address, 1_000, account)
+        endless = [asyncio.create_task(store.get("a")) for _ in range(6)]
+        most_kept_bytes, listings = 0, 0
+        while not all(task.done() for task in endless):
+            listings += len((await store.list_prefix("a")).entries)
+            most_kept_bytes = max(
+                most_kept_bytes,
+                count_kept_bytes(store),
+            )
+            await asyncio.sleep(0.005)
+        store.close()
+        server.close()
+        return most_kept_bytes, listings, [task.exception() for task in endless]
+
+    most_kept_bytes, listings, failures = asyncio.run(asyncio.wait_for(play(), 20))
+    assert most_kept_bytes <= account.limit_bytes + 256 * 1024
+    assert listings > 0
+    assert all(isinstance(one, errors.StoreUnavailableError) for one in failures)
--- a/fuchsiamoor/reports/metric_names.py
+++ b/fuchsiamoor/reports/metric_names.py
@@ -126,6 +126,7 @@
     "heartbeat.malformed": "Heartbeats that could not be read.",
     "heartbeat.foreign": "Heartbeats that name another upstream than the local one.",
     "upstream.probed": "Health checks of the upstream beside the daemon.",
+    "bytes.cut.*": "Connections cut because too many received bytes were held.",
     "upstream.ended": "Incarnations of the upstream that ended.",
     "upstream.not_connected": "Requests that met no listening upstream.",
     "upstream.misdirected": "Requests refused as meant for another upstream.",
