Bound what callers' heads and unread answers hold on all connections

What callers would see: callers that never end their heads, or that ask and do not read, take the memory of a daemon, and the requests of the others end with it.

Cause: heads were bounded for each connection only, and the read in which a head begins was not counted at all. Answers were written whether or not the caller read them, without any bound, as nothing paused the reading of further requests; answers that waited for an earlier one were not counted.

Change: heads count in the account from the first byte until the answer, and answers while they wait; the connection that holds the most is closed, with 503 and a time to come back if it has no request in progress. A connection whose caller does not read is not read from.

--- a/fuchsiamoor/agent/http_server.py
+++ b/fuchsiamoor/agent/http_server.py
@@ -74,7 +74,8 @@
         Returns the limits in force, read once for each connection.
     accounts : Accounts
         Bodies are held until their request is answered; one for which there is no room
-        is refused, before it is read if its length is known.
+        is refused, before it is read if its length is known. Heads are held as long,
+        and answers until the caller has read them.
     """
 
     def __init__(
@@ -130,10 +131,12 @@
         # Bytes of the request being read, without those of the read that began it.
         self._received_bytes = 0
         self._read_bytes = 0
-        # Bytes of bodies of this connection that count in the server's budget.
+        # Bytes of bodies, and of heads of pending requests, that are counted as held.
         self._held_bytes = 0
+        self._pending_heads_bytes = 0
         self._is_closing = False
         self._is_paused = False
+        self._is_write_blocked = False
         self._loop = asyncio.get_running_loop()
         self._reset_request()
 
@@ -146,6 +149,10 @@
         self._target = b""
         self._headers: list[tuple[bytes, bytes]] = []
         self._head_bytes = 0
+        # Of the read in which the head began, which may hold earlier requests too.
+        self._first_read_bytes = 0
+        # What the head of the request being read counts as held.
+        self._held_head_bytes = 0
         self._body: list[bytes] = []
         self._body_bytes = 0
 
@@ -163,13 +170,72 @@
         for task in self._pending:
             task.cancel()
         self._pending.clear()
+        self._is_write_blocked = False
         self._release(self._held_bytes)
+        byte_account.release_all(self._http_server.accounts.heads, self)
+        byte_account.release_all(self._http_server.accounts.unsent, self)
         self._parser = None
 
     def eof_received(self) -> bool:
         """Close the connection: a half-closed one counts as disconnected."""
         return False
 
+    def pause_writing(self) -> None:
+        """Read no more requests while the caller does not read its answers."""
+        self._is_write_blocked = True
+        self._update_reading()
+        self._count_unsent()
+
+    def resume_writing(self) -> None:
+        """Read requests again."""
+        self._is_write_blocked = False
+        self._update_reading()
+        self._count_unsent()
+
+    def _update_reading(self) -> None:
+        is_paused = self._is_write_blocked or len(self._pending) >= PIPELINED_MAX
+        if is_paused == self._is_paused or self._transport.is_closing():
+            return
+        self._is_paused = is_paused
+        if is_paused:
+            self._transport.pause_reading()
+        else:
+            self._transport.resume_reading()
+
+    def _count_unsent(self) -> None:
+        """Count answers that wait for an earlier one or for the caller."""
+        unsent_bytes = sum(
+            len(task.result().body)
+            for task in self._pending
+            if task.done() and not task.cancelled() and task.exception() is None
+        )
+        if self._is_write_blocked:
+            unsent_bytes += self._transport.get_write_buffer_size()
+        account = self._http_server.accounts.unsent
+        if unsent_bytes:
+            byte_account.set_held(account, self, unsent_bytes)
+        else:
+            byte_account.release_all(account, self)
+
+    def _count_heads(self) -> bool:
+        """Count the heads of all requests; return False if the connection was cut."""
+        account = self._http_server.accounts.heads
+        heads_bytes = self._pending_heads_bytes + self._held_head_bytes
+        if heads_bytes:
+            return byte_account.set_held(account, self, heads_bytes)
+        byte_account.release_all(account, self)
+        return True
+
+    def cut(self, detail: str) -> None:
+        """Close the connection, as too many bytes are held."""
+        self._held_head_bytes = 0
+        if not self._pending and not self._is_write_blocked:
+            self._refuse(HTTPStatus.SERVICE_UNAVAILABLE, (RETRY_AFTER,))
+            return
+        self._is_closing = True
+        # The transport may be in the middle of a write.
+        self._loop.call_soon(self._transport.abort)
+
     def data_received(self, data: bytes) -> None:
         """Parse received bytes and enforce the limits on the head."""
         if self._is_closing:
@@ -192,6 +258,11 @@
         elif self._is_reading_request and self._is_head_complete:
             self._received_bytes += len(data)
             self._check_body_framing()
+        elif self._is_reading_head() and not self._is_closing:
+            headers_bytes = len(self._headers) * byte_account.HEADER_BYTES
+            read_bytes = self._first_read_bytes + self._head_bytes
+            self._held_head_bytes = read_bytes + headers_bytes
+            self._count_heads()
 
     def _check_body_framing(self) -> None:
         """Bound chunk framing and trailers, and the time between parts of a body."""
@@ -208,6 +279,7 @@
         self._reset_request()
         self._is_reading_request = True
         self._is_head_complete = False
+        self._first_read_bytes = self._read_bytes
         self._received_bytes = -self._read_bytes
 
     def on_url(self, url: bytes) -> None:
@@ -225,6 +297,9 @@
         if size > self._limits.header_bytes:
             self._refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
             return
+        self._held_head_bytes = size + len(self._headers) * byte_account.HEADER_BYTES
+        if not self._count_heads():
+            return
         lengths = [v for n, v in self._headers if n == b"content-length"]
         codings = [v for n, v in self._headers if n == b"transfer-encoding"]
         if len(lengths) > 1 or (lengths and codings) or not _is_chunked(codings):
@@ -270,23 +345,26 @@
             b"".join(self._body),
         )
         keep_alive = self._parser.should_keep_alive()
+        head_bytes = self._held_head_bytes
+        self._pending_heads_bytes += head_bytes
         self._reset_request()
         task = self._loop.create_task(self._http_server.handler(request))
         task.keep_alive = keep_alive
-        task.body_bytes = len(request.body)
+        task.body_bytes, task.head_bytes = len(request.body), head_bytes
         self._pending.append(task)
         task.add_done_callback(self._write_finished)
         if not keep_alive:
             self._is_closing = True
-        elif len(self._pending) >= PIPELINED_MAX:
-            self._is_paused = True
-            self._transport.pause_reading()
+        else:
+            self._update_reading()
 
     def _write_finished(self, _: asyncio.Task) -> None:
         """Write finished answers up to the first unfinished request, in order."""
         while self._pending and self._pending[0].done():
             task = self._pending.popleft()
             self._release(task.body_bytes)
+            self._pending_heads_bytes -= task.head_bytes
+            self._count_heads()
             if task.cancelled() or task.exception() is not None:
                 self._abort(task)
                 return
@@ -297,9 +375,9 @@
             if closes:
                 self._close()
                 return
-        if self._is_paused and len(self._pending) < PIPELINED_MAX:
-            self._is_paused = False
-            self._transport.resume_reading()
+        self._update_reading()
+        if self._pending or self._is_write_blocked:
+            self._count_unsent()
         if not self.is_busy and not self._is_closing:
             self._set_timer(self._limits.idle_timeout_ms, self._handle_idle_timeout)
 
@@ -325,7 +403,7 @@
 
         task = self._loop.create_task(make_refusal())
         task.keep_alive = False
-        task.body_bytes = 0
+        task.body_bytes = task.head_bytes = 0
         self._pending.append(task)
         task.add_done_callback(self._write_finished)
 
--- a/fuchsiamoor/agent/http_server_test.py
+++ b/fuchsiamoor/agent/http_server_test.py
@@ -32,8 +32,8 @@
         return http_server.HttpAnswer(200, (), request.target.encode() + request.body)
 
 
-async def _connect(handler):
-    accounts = byte_account.make_accounts(MEMORY_BYTES)._replace(
+async def _connect(handler, memory_bytes=MEMORY_BYTES):
+    accounts = byte_account.make_accounts(memory_bytes)._replace(
         bodies=byte_account.ByteAccount("bodies", BUDGET_BYTES)
     )
     server = http_server.HttpServer(handler, lambda: LIMITS, accounts)
@@ -253,3 +253,77 @@
         return held, server.accounts.bodies.held_bytes
 
     assert asyncio.run(play()) == (30, 0)
+
+
+async def _send_to_many(server, count, sent):
+    """Send bytes on connections of their own and return their readers and writers."""
+    address = server._server.sockets[0].getsockname()
+    opened = [await asyncio.open_connection(*address) for _ in range(count)]
+    for _, writer in opened:
+        writer.write(sent)
+    return opened
+
+
+async def _ask_anew(server, target):
+    """Send one request on a new connection and return what is received."""
+    ((reader, writer),) = await _send_to_many(
+        server, 1, _get(target, "Connection: close")
+    )
+    received = await asyncio.wait_for(reader.read(), 5)
+    writer.close()
+    return received
+
+
+# Heads that never end, of many callers, filled the memory of a machine.
+def test_unfinished_heads_of_many_callers_hold_a_bounded_number_of_bytes():
+    async def play():
+        server, _, first = await _connect(DelayHandler())
+        first.close()
+        opened = await _send_to_many(server, 400, b"GET /1 HTTP/1.1\r\n" + b"x" * 400)
+        await asyncio.sleep(0.1)
+        reading = [one for one in server.connections if one._is_reading_head()]
+        kept_bytes = sum(400 for one in reading if not one._is_closing)
+        received = await _ask_anew(server, "/1")
+        for _, other in opened:
+            other.transport.abort()
+        await asyncio.sleep(0.05)
+        server.close()
+        return kept_bytes, received, server.accounts
+
+    kept_bytes, received, accounts = asyncio.run(play())
+    assert kept_bytes <= MEMORY_BYTES / 16
+    assert received.startswith(b"HTTP/1.1 200")
+    assert accounts.heads.held_bytes == 0 and accounts.heads.holders == {}
+
+
+# Callers that do not read let their answers pile up in the daemon.
+@pytest.mark.parametrize("order", [("/1",), ("/2000", "/1")])
+def test_answers_that_callers_do_not_read_hold_a_bounded_number_of_bytes(order):
+    answer = http_server.HttpAnswer(200, (), b"z" * 1_000_000)
+
+    async def handle(request):
+        await asyncio.sleep(int(request.target.strip("/")) / 1_000)
+        return answer if request.target == "/1" else http_server.HttpAnswer(200)
+
+    async def play():
+        server, _, first = await _connect(handle, memory_bytes=64_000_000)
+        first.close()
+        requests = b"".join(map(_get, order))
+        opened = await _send_to_many(server, 10, requests + _get("/1") * 12)
+        await asyncio.sleep(0.3)
+        kept_bytes = 0
+        for one in server.connections:
+            kept_bytes += one._transport.get_write_buffer_size()
+            done = [task for task in one._pending if task.done()]
+            kept_bytes += sum(len(task.result().body) for task in done)
+        received = await _ask_anew(server, "/0")
+        for _, other in opened:
+            other.transport.abort()
+        await asyncio.sleep(0.05)
+        server.close()
+        return kept_bytes, received, server.accounts
+
+    kept_bytes, received, accounts = asyncio.run(play())
+    assert kept_bytes <= 64_000_000 / 16 + 10 * 64 * 1024
+    assert received.startswith(b"HTTP/1.1 200")
+    assert accounts.unsent.held_bytes == 0 and accounts.unsent.holders == {}
