Bound unfinished frames and unread messages of all links together

What callers would see: some peers that leave large frames unfinished, or that read nothing, take the memory of a daemon, and the requests of all others end with it.

Cause: a link is bounded to a frame of 16 MB in each direction and to 32 MB of messages that wait, but a daemon holds a link for each other daemon. A frame that had been taken from the queue was not counted any more until it was written.

Change: both count in the account, by link; of all links the one that holds the most is aborted. Of a link that is not open yet the messages are dropped, and their calls end as certainly not handled. One message waiting on a link may take as much as all of them.

--- a/fuchsiamoor/agent/lifecycle.py
+++ b/fuchsiamoor/agent/lifecycle.py
@@ -91,6 +91,7 @@
         handle,
         agent.metrics,
         lambda member: member.region != settings.region,
+        agent.accounts,
     )
     return agent
 
--- a/fuchsiamoor/peers/inbound.py
+++ b/fuchsiamoor/peers/inbound.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import functools
 import http
 import logging
 import time
@@ -15,9 +16,9 @@
 from websockets.asyncio import server as websockets_server
 from websockets.http11 import Request, Response
 
-from fuchsiamoor.core import addresses, messages
+from fuchsiamoor.core import addresses, byte_account, messages
 from fuchsiamoor.core.errors import AccessDeniedError, FrameError
-from fuchsiamoor.peers import codec, handshake, outbox
+from fuchsiamoor.peers import codec, counted_frames, handshake, outbox
 from fuchsiamoor.peers.codec import Envelope, Role
 
 MAX_RUNNING_CALLS = 4096
@@ -37,8 +38,8 @@
     """A link dialled by a peer."""
 
     sender: str
-    connection: websockets_server.ServerConnection
-    answers: outbox.Outbox = field(default_factory=outbox.Outbox)
+    connection: counted_frames.CountedServerConnection
+    answers: outbox.Outbox
     has_answers: asyncio.Event = field(default_factory=asyncio.Event)
     last_correlation_id: int = 0
     running_calls: int = 0
@@ -52,6 +53,7 @@
     authenticator: handshake.Authenticator
     handle: MessageHandler
     metrics: object
+    accounts: byte_account.Accounts
     server: websockets_server.Server | None = None
     open_links: dict[int, InboundLink] = field(default_factory=dict)
     tasks: set[asyncio.Task] = field(default_factory=set)
@@ -77,6 +79,9 @@
         close_timeout=CLOSE_TIMEOUT_S,
         max_size=codec.MAX_FRAME_BYTES,
         write_limit=WRITE_LIMIT_BYTES,
+        create_connection=functools.partial(
+            counted_frames.CountedServerConnection, acceptor.accounts.frames
+        ),
     )
     host, port = next(iter(acceptor.server.sockets)).getsockname()[:2]
     return addresses.Address(host, port)
@@ -143,14 +148,18 @@
 
 
 async def _serve_link(
-    acceptor: Acceptor, connection: websockets_server.ServerConnection
+    acceptor: Acceptor, connection: counted_frames.CountedServerConnection
 ) -> None:
     sender = handshake.parse_offer(connection.request.headers).sender
-    link = InboundLink(sender, connection)
+    answers = outbox.Outbox(
+        account=acceptor.accounts.unsent, abort_link=connection.transport.abort
+    )
+    link = InboundLink(sender, connection, answers)
     acceptor.open_links[id(link)] = link
     writer = asyncio.create_task(_write_answers(link, acceptor.metrics))
     try:
         async for frame in connection:
+            connection.end_frame()
             for envelope in codec.decode_frame(frame):
                 _handle_envelope(acceptor, link, envelope)
     except FrameError:
@@ -161,6 +170,7 @@
     finally:
         writer.cancel()
         del acceptor.open_links[id(link)]
+        byte_account.release_all(answers.account, answers)
 
 
 def _handle_envelope(acceptor: Acceptor, link: InboundLink, envelope: Envelope) -> None:
@@ -233,5 +243,6 @@
                 frame = outbox.take_frame(link.answers)
                 metrics.count("peers.sent_bytes", len(frame))
                 await link.connection.send(frame)
+                outbox.end_writing(link.answers)
     except websockets.ConnectionClosed:
         pass
--- a/fuchsiamoor/peers/links.py
+++ b/fuchsiamoor/peers/links.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from fuchsiamoor.core import addresses, members, messages
+from fuchsiamoor.core import addresses, byte_account, members, messages
 from fuchsiamoor.peers import handshake, inbound, outbound
 
 CLOSE_GRACE_MS = 2000
@@ -85,6 +85,7 @@
     handle: inbound.MessageHandler,
     metrics: Metrics,
     uses_compression: Callable[[members.Member], bool] = lambda member: False,
+    accounts: byte_account.Accounts | None = None,
 ) -> Links:
     """Return the links of a member; none is open yet.
 
@@ -100,11 +101,14 @@
     uses_compression : callable, optional
         Whether to compress the link to a member, because its network path is charged
         by volume.
+    accounts : Accounts, optional
+        Count unread frames, and messages that a peer has not read.
     """
+    accounts = accounts or byte_account.make_accounts(byte_account.UNLIMITED_BYTES)
     authenticator = handshake.make_authenticator(peer_keys)
     return Links(
-        outbound.Dialler(own_member_id, peer_keys, metrics, uses_compression),
-        inbound.Acceptor(own_member_id, authenticator, handle, metrics),
+        outbound.Dialler(own_member_id, peer_keys, metrics, accounts, uses_compression),
+        inbound.Acceptor(own_member_id, authenticator, handle, metrics, accounts),
     )
 
 
--- a/fuchsiamoor/peers/outbound.py
+++ b/fuchsiamoor/peers/outbound.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import functools
 import logging
 import secrets
 import time
@@ -15,7 +16,7 @@
 import websockets
 from websockets.asyncio import client as websockets_client
 
-from fuchsiamoor.core import members, messages
+from fuchsiamoor.core import byte_account, members, messages
 from fuchsiamoor.core.errors import (
     AccessDeniedError,
     FrameError,
@@ -23,7 +24,7 @@
     PeerTimeoutError,
     PeerUnreachableError,
 )
-from fuchsiamoor.peers import codec, handshake, outbox
+from fuchsiamoor.peers import codec, counted_frames, handshake, outbox
 from fuchsiamoor.peers.codec import Envelope, Role
 
 MAX_CALLS_IN_FLIGHT = 4096
@@ -69,7 +70,7 @@
     has_unsent: asyncio.Event = field(default_factory=asyncio.Event)
     last_correlation_id: int = 0
     task: asyncio.Task | None = None
-    connection: websockets_client.ClientConnection | None = None
+    connection: counted_frames.CountedClientConnection | None = None
     check_task: asyncio.Task | None = None
     is_peer_draining: bool = False
     dial_failures: int = 0
@@ -85,6 +86,7 @@
     own_member_id: str
     keys: tuple[str, ...]
     metrics: object
+    accounts: byte_account.Accounts
     uses_compression: Callable[[members.Member], bool] = lambda member: False
     links: dict[str, OutboundLink] = field(default_factory=dict)
     tasks: set[asyncio.Task] = field(default_factory=set)
@@ -153,6 +155,7 @@
     link = dialler.links.get(member.member_id)
     if link is None:
         link = dialler.links[member.member_id] = OutboundLink(member)
+        link.unsent = _make_outbox(dialler, link)
     if link.is_peer_draining:
         raise PeerUnreachableError(f"{member.member_id}: it is leaving")
     link.last_used_s = now_s
@@ -166,6 +169,25 @@
     return link
 
 
+def _make_outbox(dialler: Dialler, link: OutboundLink) -> outbox.Outbox:
+    return outbox.Outbox(
+        account=dialler.accounts.unsent, abort_link=lambda: _abort_link(link)
+    )
+
+
+def _abort_link(link: OutboundLink) -> None:
+    """Abort a link with too many unsent bytes; drop them if it is not open yet."""
+    if link.connection is not None:
+        link.connection.transport.abort()
+        return
+    for correlation_id in list(link.unsent.envelopes):
+        outbox.discard(link.unsent, correlation_id)
+        future = link.calls.pop(correlation_id, None)
+        if future is not None and not future.done():
+            name = link.member.member_id
+            future.set_exception(PeerUnreachableError(f"{name}: too much is unsent"))
+
+
 def _add_message(
     dialler: Dialler, link: OutboundLink, role: Role, message: messages.Message
 ) -> int:
@@ -181,6 +203,8 @@
         )
     link.last_correlation_id = correlation_id
     outbox.add(link.unsent, correlation_id, encoded)
+    if correlation_id not in link.unsent.envelopes:
+        raise PeerUnreachableError(f"{link.member.member_id}: too much is unsent")
     link.has_unsent.set()
     return correlation_id
 
@@ -203,7 +227,7 @@
 
 
 async def _check_connection(
-    link: OutboundLink, connection: websockets_client.ClientConnection
+    link: OutboundLink, connection: counted_frames.CountedClientConnection
 ) -> None:
     """Ping the peer; abort the connection if no pong arrives in time."""
     try:
@@ -236,7 +260,7 @@
 
 async def _dial(
     dialler: Dialler, link: OutboundLink
-) -> websockets_client.ClientConnection:
+) -> counted_frames.CountedClientConnection:
     """Open a connection and authenticate both sides."""
     host, port = link.member.peer_address
     offer = handshake.make_offer(
@@ -259,6 +283,9 @@
             close_timeout=CLOSE_TIMEOUT_S,
             max_size=codec.MAX_FRAME_BYTES,
             write_limit=WRITE_LIMIT_BYTES,
+            create_connection=functools.partial(
+                counted_frames.CountedClientConnection, dialler.accounts.frames
+            ),
         )
     except (
         OSError,
@@ -283,7 +310,7 @@
 async def _run_connection(
     dialler: Dialler,
     link: OutboundLink,
-    connection: websockets_client.ClientConnection,
+    connection: counted_frames.CountedClientConnection,
 ) -> None:
     reader = asyncio.create_task(_read_answers(dialler, link, connection))
     writer = asyncio.create_task(_write_messages(link, connection, dialler.metrics))
@@ -311,7 +338,7 @@
 
 async def _write_messages(
     link: OutboundLink,
-    connection: websockets_client.ClientConnection,
+    connection: counted_frames.CountedClientConnection,
     metrics: object,
 ) -> None:
     try:
@@ -322,6 +349,7 @@
                 frame = outbox.take_frame(link.unsent)
                 metrics.count("peers.sent_bytes", len(frame))
                 await connection.send(frame)
+                outbox.end_writing(link.unsent)
     except websockets.ConnectionClosed:
         pass
 
@@ -329,11 +357,12 @@
 async def _read_answers(
     dialler: Dialler,
     link: OutboundLink,
-    connection: websockets_client.ClientConnection,
+    connection: counted_frames.CountedClientConnection,
 ) -> None:
     loop = asyncio.get_running_loop()
     try:
         async for frame in connection:
+            connection.end_frame()
             link.last_received_s = loop.time()
             for envelope in codec.decode_frame(frame):
                 _handle_answer(dialler, link, envelope)
@@ -385,7 +414,8 @@
     link.is_peer_draining = False
     link.has_unsent.clear()
     calls, link.calls = link.calls, {}
-    unsent, link.unsent = link.unsent, outbox.Outbox()
+    unsent, link.unsent = link.unsent, _make_outbox(dialler, link)
+    byte_account.release_all(unsent.account, unsent)
     if calls:
         dialler.metrics.count("peers.links_lost")
     for correlation_id, future in calls.items():
--- a/fuchsiamoor/peers/outbox.py
+++ b/fuchsiamoor/peers/outbox.py
@@ -1,7 +1,9 @@
 """Send queue of one link, which batches queued envelopes into frames."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from fuchsiamoor.core import byte_account
 from fuchsiamoor.peers import codec
 
 MAX_QUEUED_BYTES = 32 * 1024 * 1024
@@ -9,19 +11,41 @@
 TARGET_FRAME_BYTES = 256 * 1024
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class Outbox:
-    """Queued envelopes, encoded, by correlation id, oldest first."""
+    """Queued envelopes, encoded, by correlation id, oldest first.
+
+    Parameters
+    ----------
+    envelopes : dict of int to bytes
+    size_bytes : int
+    writing_bytes : int
+        Size of the frame that was taken and is not written yet.
+    account : ByteAccount
+        Counts both.
+    abort_link : callable
+        Ends the link, whose peer reads too slowly.
+    """
 
     envelopes: dict[int, bytes] = field(default_factory=dict)
     size_bytes: int = 0
+    writing_bytes: int = 0
+    account: byte_account.ByteAccount = field(
+        default_factory=byte_account.make_unlimited
+    )
+    abort_link: Callable[[], None] = lambda: None
+
+    def cut(self, detail: str) -> None:
+        """End the link, as too many bytes are held."""
+        self.abort_link()
 
 
 def has_capacity(outbox: Outbox, size_bytes: int) -> bool:
     """Return whether an envelope of this size fits within the limits."""
-    return (
-        len(outbox.envelopes) < MAX_QUEUED_ENVELOPES
-        and outbox.size_bytes + size_bytes <= MAX_QUEUED_BYTES
+    return len(
+        outbox.envelopes
+    ) < MAX_QUEUED_ENVELOPES and outbox.size_bytes + size_bytes <= min(
+        MAX_QUEUED_BYTES, outbox.account.limit_bytes
     )
 
 
@@ -29,6 +53,7 @@
     """Queue an envelope; its correlation id must not be queued yet."""
     outbox.envelopes[correlation_id] = encoded
     outbox.size_bytes += len(encoded)
+    _count_held(outbox)
 
 
 def discard(outbox: Outbox, correlation_id: int) -> bool:
@@ -37,14 +62,29 @@
     if encoded is None:
         return False
     outbox.size_bytes -= len(encoded)
+    _count_held(outbox)
     return True
 
 
+def end_writing(outbox: Outbox) -> None:
+    """Count the frame that was taken last as no longer held."""
+    outbox.writing_bytes = 0
+    _count_held(outbox)
+
+
+def _count_held(outbox: Outbox) -> None:
+    held_bytes = outbox.size_bytes + outbox.writing_bytes
+    if held_bytes:
+        byte_account.set_held(outbox.account, outbox, held_bytes)
+    else:
+        byte_account.release_all(outbox.account, outbox)
+
+
 def take_frame(outbox: Outbox) -> bytes:
     """Remove the oldest envelopes and return them as one frame.
 
     The outbox must not be empty. An envelope larger than `TARGET_FRAME_BYTES` gets a
-    frame of its own.
+    frame of its own. Its bytes are held until `end_writing`.
 
     Examples
     --------
@@ -56,7 +96,7 @@
     if _fits_one_frame(outbox):
         taken = list(outbox.envelopes.values())
         outbox.envelopes.clear()
-        outbox.size_bytes = 0
+        outbox.writing_bytes, outbox.size_bytes = outbox.size_bytes, 0
         return codec.join_frame(taken)
     taken = []
     taken_bytes = 0
@@ -68,6 +108,7 @@
         taken_bytes += len(encoded)
         del outbox.envelopes[correlation_id]
     outbox.size_bytes -= taken_bytes
+    outbox.writing_bytes = taken_bytes
     return codec.join_frame(taken)
 
 
