Let the daemons of bench.agent_path serve: they refused, as not loaded

Each request was refused with 503, on the code before too, since a daemon sends nothing before it has read the store.

--- a/bench/agent_path.py
+++ b/bench/agent_path.py
@@ -60,6 +60,7 @@
     )._replace(upstream_address=await upstream.listen(LOOPBACK))
     agent = lifecycle.make_agent(settings, traffic_data.make_dialect(), None)
     agent.cache.catalog = traffic_data.make_catalog()
+    agent.cache.is_loaded = True
     heartbeat = traffic_data.make_heartbeat(
         service=traffic_data.PLAIN_SERVICE, slots=SLOTS
     )
