Give the product's own daemon the account of received bytes

What callers would see: as on the platform, one upstream that sends bytes without end takes the memory of the product's daemon.

Cause: 62 connections for requests with 4 MB each, and links as in agent/.

Change: `memory_mb` in the settings, 300 by default; connections to the upstream and links count in the account, `bytes.cut` counts what was cut.

Not included: answers of the store's HTTP client (64 MB each at most), and heads and unread answers of callers, which uvicorn holds.

--- a/fuchsiamoor/core/settings.py
+++ b/fuchsiamoor/core/settings.py
@@ -60,6 +60,8 @@
     peer_bind_address : Address or None
         Where it listens for other daemons if they reach `peer_address` through a relay
         or address translation.
+    memory_bytes : int
+        Memory of the machine that the daemon may use.
     """
 
     instance: str
@@ -77,3 +79,4 @@
     operator_keys: tuple[str, ...]
     timing: Timing
     peer_bind_address: Address | None = None
+    memory_bytes: int = 300_000_000
--- a/fuchsiamoor/daemon/settings_file.py
+++ b/fuchsiamoor/daemon/settings_file.py
@@ -18,6 +18,11 @@
 MAX_TIME_MS = 600_000
 MAX_DRIFT_RATIO = 0.1
 MAX_PORT = 65_535
+BYTES_PER_MB = 1_000_000
+# A daemon at rest takes about 40 MB.
+MIN_MEMORY_MB = 100
+MAX_MEMORY_MB = 1_000_000
+DEFAULT_MEMORY_MB = settings.Settings._field_defaults["memory_bytes"] // BYTES_PER_MB
 
 _SECRET_FIELDS = frozenset({"peer_keys", "operator_keys"})
 _LISTENING_FIELDS = (
@@ -130,6 +135,12 @@
     operator_keys: field_types.required(
         SharedKeys, "One or two in force for operators."
     )
+    memory_mb: field_types.optional_count(
+        "Memory that the daemon may use, in MB; received bytes get a share of it.",
+        DEFAULT_MEMORY_MB,
+        MIN_MEMORY_MB,
+        MAX_MEMORY_MB,
+    )
     timing: field_types.optional(TimingFields, "The same in every daemon.")
 
 
@@ -220,6 +231,7 @@
         operator_keys=tuple(document["operator_keys"]),
         timing=settings.Timing(**document.get("timing", {})),
         peer_bind_address=_parse_optional(document.get("peer_bind_address")),
+        memory_bytes=document.get("memory_mb", DEFAULT_MEMORY_MB) * BYTES_PER_MB,
     )
 
 
--- a/fuchsiamoor/daemon/settings_file_test.py
+++ b/fuchsiamoor/daemon/settings_file_test.py
@@ -21,6 +21,7 @@
         statsd_address="127.0.0.1:8125",
         peer_bind_address="127.0.0.1:7012",
         timing={"lease_ms": 900},
+        memory_mb=200,
     )
     path.write_bytes(documents_data.encode(document))
     found = settings_file.load_settings(path)
@@ -28,6 +29,7 @@
     assert found.statsd_address == Address("127.0.0.1", 8125)
     assert found.peer_bind_address == Address("127.0.0.1", 7012)
     assert found.timing == settings.Timing(lease_ms=900)
+    assert found.memory_bytes == 200_000_000
 
 
 def test_missing_file_is_a_fault(tmp_path):
--- a/fuchsiamoor/daemon/startup.py
+++ b/fuchsiamoor/daemon/startup.py
@@ -4,8 +4,8 @@
 
 from loguru import logger
 
+from fuchsiamoor.core import byte_account, members, requests, settings, verdicts
 from fuchsiamoor.core import configuration as configurations
-from fuchsiamoor.core import members, requests, settings, verdicts
 from fuchsiamoor.daemon import (
     announcements,
     caller_app,
@@ -61,14 +61,22 @@
         return await dispatch.handle_message(node, sender_id, message)
 
     node.handle_message = handle
+    accounts = byte_account.make_accounts(node.settings.memory_bytes)
+    for account in accounts:
+        account.on_cut = lambda name, size_bytes: node.metrics.count("bytes.cut")
     node.links = peer_links.make_links(
-        node.member.member_id, node.settings.peer_keys, handle, node.metrics
+        node.member.member_id,
+        node.settings.peer_keys,
+        handle,
+        node.metrics,
+        accounts=accounts,
     )
     node.client = upstream_client.make_upstream_client(
         node.settings.upstream_address,
         UPSTREAM_CONNECTIONS,
-        MAX_ANSWER_BYTES,
+        min(MAX_ANSWER_BYTES, accounts.answers.limit_bytes),
         node.settings.instance,
+        accounts.answers,
     )
 
 
--- a/fuchsiamoor/daemon/upstream_client.py
+++ b/fuchsiamoor/daemon/upstream_client.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+from fuchsiamoor.core import byte_account
 from fuchsiamoor.core.addresses import Address
 from fuchsiamoor.core.requests import Answer, Request
 from fuchsiamoor.core.verdicts import MayHaveRun, NotRun, Ran, Reason
@@ -171,7 +172,11 @@
 
 
 def make_upstream_client(
-    address: Address, connections: int, answer_limit_bytes: int, instance: str = ""
+    address: Address,
+    connections: int,
+    answer_limit_bytes: int,
+    instance: str = "",
+    account: byte_account.ByteAccount | None = None,
 ) -> UpstreamClient:
     """Return a client that has no open connections.
 
@@ -185,7 +190,10 @@
         Largest accepted body of an answer.
     instance : str
         Instance named as the server in answers that ran.
+    account : ByteAccount, optional
+        Counts the bytes of unfinished answers on all connections.
     """
+    account = account or byte_account.make_unlimited()
     for_requests = connections - CONTROL_CONNECTIONS
     if for_requests < 1:
         raise ValueError(
@@ -193,8 +201,10 @@
         )
     return UpstreamClient(
         instance,
-        upstream_pool.Pool(address, for_requests, answer_limit_bytes),
-        upstream_pool.Pool(address, CONTROL_CONNECTIONS, answer_limit_bytes),
+        *(
+            upstream_pool.Pool(address, size, answer_limit_bytes, account=account)
+            for size in (for_requests, CONTROL_CONNECTIONS)
+        ),
     )
 
 
