Let an answer of 16 MB fit a machine of 200 MB, as before

What callers would see: an answer of 12 MiB, which was served before, is cut on a machine of 200 MB.

Cause: shares of 1/16 are 12.5 MB there, and an answer counts with its head, its frame and in a write buffer.

Change: 1/12 for answers, frames and what is unread.

--- a/fuchsiamoor/core/byte_account.py
+++ b/fuchsiamoor/core/byte_account.py
@@ -23,14 +23,14 @@
 BODIES_SHARE = 1 / 8
 # Heads of callers' requests.
 HEADS_SHARE = 1 / 16
-# Unfinished answers of the upstream, held once.
-ANSWERS_SHARE = 1 / 16
+# Unfinished answers of the upstream, held once. One of 16 MB fits a machine of 200 MB.
+ANSWERS_SHARE = 1 / 12
 # Unfinished answers of the store; decoding takes a multiple of one answer.
 STORE_SHARE = 1 / 32
-# Unfinished frames of other daemons, held once.
-FRAMES_SHARE = 1 / 16
+# Unfinished frames of other daemons, held once; a frame may carry such an answer.
+FRAMES_SHARE = 1 / 12
 # Answers and messages that callers and other daemons have not read yet.
-UNSENT_SHARE = 1 / 16
+UNSENT_SHARE = 1 / 12
 # What a parsed header takes besides its characters: two byte strings and their tuple.
 HEADER_BYTES = 160
 # For connections outside of a daemon.
