Let calls outlast a late pong, and send new ones over another link

The daemon beside the upstream was not stopping.

Cause: after a call that is not answered in time, as questions for the load of 40 ms often are, the link is pinged, and it was aborted with all its calls where no pong came within 1 s. On a path with a queue of a second, a sound peer can't answer sooner.

The test pauses the reading of a peer and fails on the code before (link lost).

Change: after 1 s the link gets no more calls. What was not sent fails as unreachable, new calls dial another connection, and those in flight wait for their answers, until 3 s after the ping. The test of a silent connection sets both times.

--- a/fuchsiamoor/peers/links_test.py
+++ b/fuchsiamoor/peers/links_test.py
@@ -535,6 +535,7 @@
 
 def test_silent_connection_is_aborted_after_a_timeout(monkeypatch):
     monkeypatch.setattr(outbound, "PING_TIMEOUT_S", 0.02)
+    monkeypatch.setattr(outbound, "LOST_TIMEOUT_S", 0.06)
 
     async def scenario(a, b):
         await a.call(b.member, DONE)
@@ -549,6 +550,37 @@
     run_pair(scenario)
 
 
+# Calls in flight at a sound peer were cut when a slow network path held up a pong.
+def test_calls_in_flight_outlast_a_late_pong_and_new_ones_use_another_link(monkeypatch):
+    monkeypatch.setattr(outbound, "PING_TIMEOUT_S", 0.1)
+
+    async def slowly(_sender, message):
+        await asyncio.sleep(int(message.domain) / 1000)
+        return message
+
+    async def scenario(a, b):
+        def ask(run_ms, timeout_ms=5000):
+            return a.call(b.member, messages.FetchTable(str(run_ms)), timeout_ms)
+
+        await ask(0)
+        (slow,) = b.links.acceptor.open_links.values()
+        running = asyncio.create_task(ask(400))
+        await asyncio.sleep(0.05)
+        slow.connection.transport.pause_reading()
+        with pytest.raises(PeerTimeoutError):
+            await ask(0, timeout_ms=10)
+        await asyncio.sleep(0.15)
+        assert await ask(0) == messages.FetchTable("0")
+        assert a.metrics.counts["peers.dialled"] == 2
+        assert await running == messages.FetchTable("400")
+        slow.connection.transport.resume_reading()
+        await asyncio.sleep(0.1)
+        assert len(b.links.acceptor.open_links) == 1
+        assert not a.links.dialler.replaced
+
+    run_pair(scenario, slowly)
+
+
 # Calls in flight were lost with the link when a pong came late, behind many answers.
 def test_connection_that_brings_answers_is_kept_although_a_pong_is_late(monkeypatch):
     monkeypatch.setattr(outbound, "PING_TIMEOUT_S", 0.1)
--- a/fuchsiamoor/peers/outbound.py
+++ b/fuchsiamoor/peers/outbound.py
@@ -32,14 +32,18 @@
 INITIAL_BACKOFF_S = 0.05
 MAX_BACKOFF_S = 0.5
 IDLE_TIMEOUT_S = 60.0
+# A connection that brings nothing for this time after a ping gets no more calls.
 PING_TIMEOUT_S = 1.0
+# It is lost with its calls after this time: a few retransmissions, or a full queue of a
+# slow network path.
+LOST_TIMEOUT_S = 3.0
 CLOSE_TIMEOUT_S = 1.0
 WRITE_LIMIT_BYTES = 256 * 1024
 # Suppresses the log lines of the websockets library.
 DISABLED_LOGGER = logging.Logger(__name__, logging.CRITICAL + 1)
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class OutboundLink:
     """The link to one member, open or closed.
 
@@ -57,6 +61,8 @@
         None until the link is open.
     is_peer_draining : bool
         Whether the peer has announced that it accepts no more calls on this connection.
+    is_replaced : bool
+        Whether new calls use another link, as this one may have been lost.
     dial_failures : int
         Consecutive failed attempts to dial.
     next_dial_s, last_used_s, last_received_s : float
@@ -73,6 +79,7 @@
     connection: counted_frames.CountedClientConnection | None = None
     check_task: asyncio.Task | None = None
     is_peer_draining: bool = False
+    is_replaced: bool = False
     dial_failures: int = 0
     next_dial_s: float = 0.0
     last_used_s: float = 0.0
@@ -81,7 +88,15 @@
 
 @dataclass(slots=True)
 class Dialler:
-    """All outbound links of this member."""
+    """All outbound links of this member.
+
+    Parameters
+    ----------
+    links : dict of str to OutboundLink
+        Links that take new calls, by member id.
+    replaced : set of OutboundLink
+        Links that only wait for the answers to their calls.
+    """
 
     own_member_id: str
     keys: tuple[str, ...]
@@ -89,6 +104,7 @@
     accounts: byte_account.Accounts
     uses_compression: Callable[[members.Member], bool] = lambda member: False
     links: dict[str, OutboundLink] = field(default_factory=dict)
+    replaced: set[OutboundLink] = field(default_factory=set)
     tasks: set[asyncio.Task] = field(default_factory=set)
     is_closing: bool = False
 
@@ -114,6 +130,8 @@
         timer.cancel()
         if link.calls.pop(correlation_id, None) is not None:
             outbox.discard(link.unsent, correlation_id)
+        if link.is_replaced and not link.calls:
+            _abort_link(link)
 
 
 def tell(dialler: Dialler, member: members.Member, message: messages.Message) -> None:
@@ -137,7 +155,8 @@
 
 
 def _is_busy(dialler: Dialler) -> bool:
-    return any(link.calls or link.unsent.envelopes for link in dialler.links.values())
+    links = (*dialler.links.values(), *dialler.replaced)
+    return any(link.calls or link.unsent.envelopes for link in links)
 
 
 def _get_or_dial_link(
@@ -180,12 +199,7 @@
     if link.connection is not None:
         link.connection.transport.abort()
         return
-    for correlation_id in list(link.unsent.envelopes):
-        outbox.discard(link.unsent, correlation_id)
-        future = link.calls.pop(correlation_id, None)
-        if future is not None and not future.done():
-            name = link.member.member_id
-            future.set_exception(PeerUnreachableError(f"{name}: too much is unsent"))
+    _drop_unsent(link, "too much is unsent")
 
 
 def _add_message(
@@ -223,22 +237,29 @@
     dialler.metrics.count("peers.timeouts")
     future.set_exception(PeerTimeoutError(f"{name}: no answer in time"))
     if link.connection is not None and link.check_task is None:
-        link.check_task = asyncio.create_task(_check_connection(link, link.connection))
+        link.check_task = asyncio.create_task(
+            _check_connection(dialler, link, link.connection)
+        )
 
 
 async def _check_connection(
-    link: OutboundLink, connection: counted_frames.CountedClientConnection
+    dialler: Dialler,
+    link: OutboundLink,
+    connection: counted_frames.CountedClientConnection,
 ) -> None:
-    """Ping the peer; abort the connection if nothing arrives from it in time.
+    """Ping the peer; replace the link, and abort it later, if nothing arrives from it.
 
-    A pong waits behind the answers that the peer has queued.
+    A network path may be slow, or full, and a pong waits behind the answers that the
+    peer has queued. Calls in flight are therefore given more time than new ones, which
+    can use another connection.
     """
     pinged_s = asyncio.get_running_loop().time()
     try:
         pong = await connection.ping()
-        await asyncio.wait_for(pong, PING_TIMEOUT_S)
-    except TimeoutError:
-        if link.last_received_s < pinged_s:
+        if await _has_heard(link, pong, pinged_s, PING_TIMEOUT_S):
+            return
+        _replace_link(dialler, link)
+        if not await _has_heard(link, pong, pinged_s, LOST_TIMEOUT_S - PING_TIMEOUT_S):
             connection.transport.abort()
     except websockets.ConnectionClosed:
         pass
@@ -246,6 +267,37 @@
         link.check_task = None
 
 
+async def _has_heard(
+    link: OutboundLink, pong: asyncio.Future, since_s: float, wait_s: float
+) -> bool:
+    """Return whether a pong or an answer arrives from a peer in time."""
+    await asyncio.wait((pong,), timeout=wait_s)
+    return pong.done() or link.last_received_s >= since_s
+
+
+def _replace_link(dialler: Dialler, link: OutboundLink) -> None:
+    """Use another link for new calls, and for those that have not been sent."""
+    if dialler.links.get(link.member.member_id) is not link:
+        return
+    del dialler.links[link.member.member_id]
+    dialler.replaced.add(link)
+    link.is_replaced = True
+    dialler.metrics.count("peers.links_replaced")
+    _drop_unsent(link, "the link is slow")
+    if not link.calls:
+        _abort_link(link)
+
+
+def _drop_unsent(link: OutboundLink, cause: str) -> None:
+    """Fail the calls that have not been sent as unreachable."""
+    for correlation_id in list(link.unsent.envelopes):
+        outbox.discard(link.unsent, correlation_id)
+        future = link.calls.pop(correlation_id, None)
+        if future is not None and not future.done():
+            name = link.member.member_id
+            future.set_exception(PeerUnreachableError(f"{name}: {cause}"))
+
+
 async def _run_link(dialler: Dialler, link: OutboundLink) -> None:
     """Dial, then send and receive until the link breaks or is no longer needed."""
     cause = "link closed"
@@ -338,7 +390,8 @@
     if link.calls or link.unsent.envelopes:
         return False
     now_s = asyncio.get_running_loop().time()
-    return link.is_peer_draining or now_s - link.last_used_s >= IDLE_TIMEOUT_S
+    is_leaving = link.is_peer_draining or link.is_replaced
+    return is_leaving or now_s - link.last_used_s >= IDLE_TIMEOUT_S
 
 
 async def _write_messages(
@@ -374,7 +427,8 @@
             link.last_received_s = loop.time()
             for envelope in codec.decode_frame(frame):
                 _handle_answer(dialler, link, envelope)
-            if link.is_peer_draining and not link.calls and not link.unsent.envelopes:
+            is_leaving = link.is_peer_draining or link.is_replaced
+            if is_leaving and not link.calls and not link.unsent.envelopes:
                 return
     except FrameError:
         dialler.metrics.count("peers.bad_frames")
@@ -417,6 +471,7 @@
     Calls that are still unsent fail as unreachable; the others may have reached the
     peer and fail as lost.
     """
+    dialler.replaced.discard(link)
     link.task = None
     link.connection = None
     link.is_peer_draining = False
