--- a/fuchsiamoor/reports/metric_names.py
+++ b/fuchsiamoor/reports/metric_names.py
@@ -98,6 +98,7 @@
     "peers.refused": "Links refused for want of a valid peer key.",
     "peers.links_refused": "Links refused while leaving or over the limit.",
     "peers.links_lost": "Links that broke with calls on them.",
+    "peers.links_replaced": "Links silent for 1 s after a ping; new ones took calls.",
     "peers.other_member_expected": "Links meant for another run at this address.",
     "peers.bad_frames": "Frames that could not be read.",
     "peers.calls_refused": "Calls refused while leaving or over the limit.",
