Count a request to a cold upstream from when it is sent

Cause that fits: a start was counted when a request took its slot. If it then waited for a connection, up to 1 s, it arrived together with later ones, and two windows of starts fell into one second of arrivals.

Evidence: a test of the rule with waits for connections: 32 arrivals in a second before, with 16 allowed; at most 16 now.

Change: the time of a start is replaced by the time of the sending, if that is later.

--- a/fuchsiamoor/agent/local_execution.py
+++ b/fuchsiamoor/agent/local_execution.py
@@ -67,15 +67,15 @@
         work_ms = queue.run_ms.get(request.route, elsewhere_ms)
         demands.record_request(upstream.demand, request.key, work_ms, now_ms)
     in_time_by_ms = now_ms + request.in_time_ms
-    rejected = await _acquire_slot(agent, request, ends_by_ms, in_time_by_ms)
-    if rejected is not None:
-        return refuse(agent, request, rejected.verdict, rejected.retry_after_ms)
+    acquired = await _acquire_slot(agent, request, ends_by_ms, in_time_by_ms)
+    if isinstance(acquired, admission.Refused):
+        return refuse(agent, request, acquired.verdict, acquired.retry_after_ms)
     waited_ms = agent.now_ms() - now_ms
     try:
         refusal = _check_still_admitted(agent, request, owner)
         if refusal is not None:
             return refuse(agent, request, refusal)
-        outcome = await _send(agent, request, owner, ends_by_ms)
+        outcome = await _send(agent, request, owner, ends_by_ms, acquired)
         if isinstance(outcome.verdict, Ran):
             _log_run(agent, request, outcome, waited_ms)
         return outcome
@@ -195,16 +195,17 @@
     request: CarriedRequest,
     ends_by_ms: int,
     in_time_by_ms: int,
-) -> admission.Refused | None:
-    """Take a slot, waiting if needed; return the refusal, None if it was obtained."""
+) -> admission.Refused | int:
+    """Take a slot, waiting if needed; return the refusal, or when it was taken."""
     upstream, queue = agent.upstream, agent.upstream.admission_queue
+    now_ms = agent.now_ms()
     upstream.last_ticket += 1
     admission_request = admission.AdmissionRequest(
         upstream.last_ticket, request.route, request.rank, ends_by_ms, in_time_by_ms
     )
-    match admission.admit(queue, admission_request, agent.now_ms()):
+    match admission.admit(queue, admission_request, now_ms):
         case admission.Admitted():
-            return None
+            return now_ms
         case admission.Refused() as rejected:
             return rejected
     waiter = asyncio.get_running_loop().create_future()
@@ -223,7 +224,7 @@
     except asyncio.CancelledError:
         if not waiter.done() or waiter.cancelled():
             admission.remove_queued(queue, admission_request.ticket)
-        elif waiter.result() is None:
+        elif not isinstance(waiter.result(), admission.Refused):
             admission.release_slot(queue)
             admit_next(agent, queue)
         raise
@@ -233,13 +234,14 @@
 
 def admit_next(agent: state.Agent, queue: admission.AdmissionQueue) -> None:
     """Give free slots to waiting requests and refuse those that have expired."""
-    admitted, expired = admission.admit_next(queue, agent.now_ms())
+    now_ms = agent.now_ms()
+    admitted, expired = admission.admit_next(queue, now_ms)
     for admission_request in admitted:
         waiter = agent.upstream.waiters.get(admission_request.ticket)
         if waiter is None or waiter.done():
             admission.release_slot(queue)
         else:
-            waiter.set_result(None)
+            waiter.set_result(now_ms)
     for admission_request in expired:
         waiter = agent.upstream.waiters.get(admission_request.ticket)
         if waiter is not None and not waiter.done():
@@ -262,9 +264,13 @@
 
 
 async def _send(
-    agent: state.Agent, request: CarriedRequest, owner: str, ends_by_ms: int
+    agent: state.Agent,
+    request: CarriedRequest,
+    owner: str,
+    ends_by_ms: int,
+    taken_ms: int,
 ) -> CarriedAnswer:
-    """Send a request that has a slot to the upstream."""
+    """Send a request that took a slot at ``taken_ms`` to the upstream."""
     upstream = agent.upstream
     pool, queue = upstream.pool, upstream.admission_queue
     ends_by_s = asyncio.get_running_loop().time() + (ends_by_ms - agent.now_ms()) / 1000
@@ -284,6 +290,7 @@
     except ValueError as error:
         upstream_pool.release(pool, connection)
         return _make_refusal(agent, NotRun(Reason.BAD_REQUEST, str(error)))
+    admission.record_sent(queue, taken_ms, began_ms)
     run = nested_calls.start_run(agent.runs, request)
     try:
         received = await upstream_pool.exchange(
--- a/fuchsiamoor/traffic/admission.py
+++ b/fuchsiamoor/traffic/admission.py
@@ -120,7 +120,8 @@
     last_nested_ms : int or None
         When the latest nested request arrived.
     start_times_ms : deque of int
-        When the requests of the last window were started.
+        When the requests of the last window took their slots, or were sent if that was
+        later.
     enqueued_count : int
         Requests queued so far; numbers them in order of arrival.
     """
@@ -208,6 +209,18 @@
     queue.queued_tickets.discard(ticket)
 
 
+def record_sent(queue: AdmissionQueue, taken_ms: int, now_ms: int) -> None:
+    """Record that a request which took its slot at ``taken_ms`` is sent now.
+
+    A cold upstream counts arrivals: one that was held up comes beside later ones.
+    """
+    if now_ms == taken_ms:
+        return
+    if taken_ms in queue.start_times_ms:
+        queue.start_times_ms.remove(taken_ms)
+    queue.start_times_ms.append(now_ms)
+
+
 def release_slot(queue: AdmissionQueue) -> None:
     """Release one slot."""
     queue.running -= 1
--- a/fuchsiamoor/traffic/admission_test.py
+++ b/fuchsiamoor/traffic/admission_test.py
@@ -91,6 +91,26 @@
     assert len(starts) >= 16 * 3
 
 
+# Requests that waited for a connection arrived together with later ones, over the rate.
+def test_cold_upstream_never_exceeds_its_rate_limit_after_waits_for_a_connection():
+    queue = admission.make_admission_queue(100, 16.0, cold_until_ms=5_000)
+    arrivals, held_up = [], []
+    for now_ms in range(0, 4_000, 5):
+        if now_ms % 900 == 0:
+            for taken_ms in held_up:
+                admission.record_sent(queue, taken_ms, now_ms)
+                arrivals.append(now_ms)
+            held_up.clear()
+        request = make_request(now_ms, deadline_ms=now_ms + 60, in_time_by_ms=now_ms)
+        if isinstance(admission.admit(queue, request, now_ms), admission.Admitted):
+            held_up.append(now_ms)
+            admission.release_slot(queue)
+        admission.clear_queue(queue)
+    for first in arrivals:
+        assert sum(first <= arrival < first + 1_000 for arrival in arrivals) <= 16
+    assert len(arrivals) >= 16 * 2
+
+
 def test_cold_upstream_starts_the_next_request_when_the_rate_allows():
     queue = admission.make_admission_queue(100, 1.0, cold_until_ms=5_000)
     admission.admit(queue, make_request("a", deadline_ms=9_000, in_time_by_ms=9_000), 0)
