Keep two connections to a member at most, however slow its path

What operators would see: connections, and with them memory and descriptors, that grow at a daemon whose paths are slow, as each second without a pong opened another one beside those that wait for answers.

Evidence: a test with paths that stand still fails on the code before.

--- a/fuchsiamoor/peers/links.py
+++ b/fuchsiamoor/peers/links.py
@@ -84,7 +84,7 @@
 
     def abort(self) -> None:
         """Abort all connections without draining; peers see lost links."""
-        for link in (*self.dialler.links.values(), *self.dialler.replaced):
+        for link in (*self.dialler.links.values(), *self.dialler.replaced.values()):
             if link.connection is not None:
                 link.connection.transport.abort()
         for link in self.acceptor.open_links.values():
--- a/fuchsiamoor/peers/links_test.py
+++ b/fuchsiamoor/peers/links_test.py
@@ -581,6 +581,32 @@
     run_pair(scenario, slowly)
 
 
+def test_a_slow_path_has_two_connections_to_a_member_at_most(monkeypatch):
+    monkeypatch.setattr(outbound, "PING_TIMEOUT_S", 0.05)
+
+    async def scenario(a, b):
+        async def pause():
+            while True:
+                for link in b.links.acceptor.open_links.values():
+                    link.connection.transport.pause_reading()
+                await asyncio.sleep(0.005)
+
+        await a.call(b.member, DONE)
+        paths = asyncio.create_task(pause())
+        calls = [asyncio.create_task(a.call(b.member, DONE, 900)) for _ in range(3)]
+        opened = []
+        for _ in range(20):
+            calls.append(asyncio.create_task(a.call(b.member, DONE, 20)))
+            await asyncio.sleep(0.03)
+            opened.append(len(b.links.acceptor.open_links))
+        paths.cancel()
+        await asyncio.gather(*calls, return_exceptions=True)
+        assert a.metrics.counts["peers.links_replaced"] == 1
+        assert max(opened) == 2
+
+    run_pair(scenario)
+
+
 # Calls in flight were lost with the link when a pong came late, behind many answers.
 def test_connection_that_brings_answers_is_kept_although_a_pong_is_late(monkeypatch):
     monkeypatch.setattr(outbound, "PING_TIMEOUT_S", 0.1)
--- a/fuchsiamoor/peers/outbound.py
+++ b/fuchsiamoor/peers/outbound.py
@@ -94,8 +94,9 @@
     ----------
     links : dict of str to OutboundLink
         Links that take new calls, by member id.
-    replaced : set of OutboundLink
-        Links that only wait for the answers to their calls.
+    replaced : dict of str to OutboundLink
+        Links that only wait for the answers to their calls, by member id; a member has
+        one at most.
     """
 
     own_member_id: str
@@ -104,7 +105,7 @@
     accounts: byte_account.Accounts
     uses_compression: Callable[[members.Member], bool] = lambda member: False
     links: dict[str, OutboundLink] = field(default_factory=dict)
-    replaced: set[OutboundLink] = field(default_factory=set)
+    replaced: dict[str, OutboundLink] = field(default_factory=dict)
     tasks: set[asyncio.Task] = field(default_factory=set)
     is_closing: bool = False
 
@@ -155,7 +156,7 @@
 
 
 def _is_busy(dialler: Dialler) -> bool:
-    links = (*dialler.links.values(), *dialler.replaced)
+    links = (*dialler.links.values(), *dialler.replaced.values())
     return any(link.calls or link.unsent.envelopes for link in links)
 
 
@@ -277,10 +278,11 @@
 
 def _replace_link(dialler: Dialler, link: OutboundLink) -> None:
     """Use another link for new calls, and for those that have not been sent."""
-    if dialler.links.get(link.member.member_id) is not link:
+    member_id = link.member.member_id
+    if dialler.links.get(member_id) is not link or member_id in dialler.replaced:
         return
-    del dialler.links[link.member.member_id]
-    dialler.replaced.add(link)
+    del dialler.links[member_id]
+    dialler.replaced[member_id] = link
     link.is_replaced = True
     dialler.metrics.count("peers.links_replaced")
     _drop_unsent(link, "the link is slow")
@@ -471,7 +473,8 @@
     Calls that are still unsent fail as unreachable; the others may have reached the
     peer and fail as lost.
     """
-    dialler.replaced.discard(link)
+    if link.is_replaced:
+        dialler.replaced.pop(link.member.member_id, None)
     link.task = None
     link.connection = None
     link.is_peer_draining = False
