--- a/fuchsiamoor/agent/http_server.py
+++ b/fuchsiamoor/agent/http_server.py
@@ -138,7 +138,7 @@
         # Bytes of the request being read, without those of the read that began it.
         self._received_bytes = 0
         self._read_bytes = 0
-        # Bytes of bodies, and of heads of pending requests, that are counted as held.
+        # Bodies and heads of unanswered requests, as counted in the accounts.
         self._held_bytes = 0
         self._pending_heads_bytes = 0
         self._is_closing = False
--- a/fuchsiamoor/peers/outbox.py
+++ b/fuchsiamoor/peers/outbox.py
@@ -42,11 +42,10 @@
 
 def has_capacity(outbox: Outbox, size_bytes: int) -> bool:
     """Return whether an envelope of this size fits within the limits."""
-    return len(
-        outbox.envelopes
-    ) < MAX_QUEUED_ENVELOPES and outbox.size_bytes + size_bytes <= min(
-        MAX_QUEUED_BYTES, outbox.account.limit_bytes
-    )
+    if len(outbox.envelopes) >= MAX_QUEUED_ENVELOPES:
+        return False
+    limit_bytes = min(MAX_QUEUED_BYTES, outbox.account.limit_bytes)
+    return outbox.size_bytes + size_bytes <= limit_bytes
 
 
 def add(outbox: Outbox, correlation_id: int, encoded: bytes) -> None:
