Organisations: callers' keys, and the name for upstreams

Measured: tests of agent, platform, traffic and peers pass. The test of errors without keys failed first (a ValueError of a scalar showed the value); the others were written after the code.

--- a/fuchsiamoor/agent/caller_requests.py
+++ b/fuchsiamoor/agent/caller_requests.py
@@ -5,6 +5,7 @@
 from loguru import logger
 
 from fuchsiamoor.agent import (
+    access_control,
     forwarding,
     nested_calls,
     retrying,
@@ -47,7 +48,7 @@
             )
         else:
             route_name = route.name
-            answer = await _serve_until_stop(agent, request, route, arrived_ms)
+            answer = await _check_and_serve(agent, request, route, arrived_ms)
     elapsed_ms = agent.now_ms() - arrived_ms
     agent.metrics.record_answer(route_name, answer.status, elapsed_ms)
     return answer
@@ -65,15 +66,37 @@
     return request.parent_id not in agent.runs
 
 
+async def _check_and_serve(
+    agent: state.Agent,
+    request: requests.CallerRequest,
+    route: catalog.Route,
+    arrived_ms: int,
+) -> HttpAnswer:
+    """Serve a request if its caller may use the route."""
+    match access_control.check_access(agent, request, route):
+        case access_control.UnknownKey():
+            agent.metrics.count("callers.unknown_key")
+            own_header = agent.dialect.write_request_id(request.request_id)
+            return HttpAnswer(401, (own_header,))
+        case access_control.Refused(verdict, retry_after_ms):
+            return _make_refusal(agent, request, verdict, retry_after_ms, arrived_ms)
+        case access_control.Granted(request, route, organisation):
+            name = organisation.name if organisation is not None else ""
+            return await _serve_until_stop(agent, request, route, name, arrived_ms)
+
+
 async def _serve_until_stop(
     agent: state.Agent,
     request: requests.CallerRequest,
     route: catalog.Route,
+    organisation: str,
     arrived_ms: int,
 ) -> HttpAnswer:
     """Serve a request; if the daemon stops first, answer whether it may have run."""
     attempts = Attempts()
-    task = asyncio.ensure_future(_serve(agent, request, route, arrived_ms, attempts))
+    task = asyncio.ensure_future(
+        _serve(agent, request, route, organisation, arrived_ms, attempts)
+    )
     agent.caller_tasks.add(task)
     try:
         return await task
@@ -101,6 +124,7 @@
     agent: state.Agent,
     request: requests.CallerRequest,
     route: catalog.Route,
+    organisation: str,
     arrived_ms: int,
     attempts: Attempts,
 ) -> HttpAnswer:
@@ -127,7 +151,14 @@
         attempts.target = target.instance
         attempts.is_in_flight = True
         outcome = await forwarding.forward(
-            agent, request, route, service, target, deadlines, attempts.arrivals
+            agent,
+            request,
+            route,
+            service,
+            target,
+            deadlines,
+            attempts.arrivals,
+            organisation,
         )
         attempts.is_in_flight = False
         arrivals, attempts.last_outcome = attempts.arrivals, outcome
--- a/fuchsiamoor/agent/forwarding.py
+++ b/fuchsiamoor/agent/forwarding.py
@@ -29,10 +29,12 @@
     target: registrations.Registration,
     deadlines: Deadlines,
     arrivals: int,
+    organisation: str,
 ) -> CarriedAnswer:
     """Send a request to the daemon beside an instance, or run it locally.
 
-    ``arrivals`` is the number of earlier attempts that reached an upstream.
+    ``arrivals`` is the number of earlier attempts that reached an upstream, and
+    ``organisation`` the name on whose behalf the caller sent it.
     """
     now_ms = agent.now_ms()
     carried = CarriedRequest(
@@ -54,6 +56,7 @@
         in_time_ms=deadlines.in_time_by_ms - now_ms,
         catalog_version=agent.cache.catalog.version,
         sent_ms=now_ms,
+        organisation=organisation,
     )
     instance_selection.record_sent(agent.selection_stats, target.instance)
     try:
@@ -180,8 +183,7 @@
     views, now_ms = agent.selection_stats, agent.now_ms()
     if outcome.load is not UNKNOWN_LOAD:
         instance_selection.update_load(views, target.instance, outcome.load, now_ms)
-    if outcome.catalog_version > agent.cache.catalog.version:
-        agent.catalog_refresh_due.set()
+    state.note_catalog_version(agent, outcome.catalog_version)
     match outcome.verdict:
         case Ran() if outcome.status < 300:
             instance_selection.record_run(
--- a/fuchsiamoor/agent/lifecycle.py
+++ b/fuchsiamoor/agent/lifecycle.py
@@ -196,8 +196,7 @@
         remaining_ms=request.remaining_ms - delay_ms,
         in_time_ms=request.in_time_ms - delay_ms,
     )
-    if request.catalog_version > agent.cache.catalog.version:
-        agent.catalog_refresh_due.set()
+    state.note_catalog_version(agent, request.catalog_version)
     if request.body_ahead_bytes:
         body = transfers.take_body(
             agent.transfers,
--- a/fuchsiamoor/agent/state.py
+++ b/fuchsiamoor/agent/state.py
@@ -248,6 +248,8 @@
         Held while this daemon writes a range table.
     catalog_refresh_due : asyncio.Event
         Set when another daemon has a newer catalog than this one.
+    known_catalog_version : int
+        Latest version of which another daemon has told.
     tasks : set of Task
         Background tasks.
     rng : Random
@@ -301,6 +303,7 @@
     stopped: asyncio.Event = field(default_factory=asyncio.Event)
     table_lock: asyncio.Lock = field(default_factory=asyncio.Lock)
     catalog_refresh_due: asyncio.Event = field(default_factory=asyncio.Event)
+    known_catalog_version: int = 0
     tasks: set[asyncio.Task] = field(default_factory=set)
     rng: random.Random = field(default_factory=random.Random)
     now_ms: Callable[[], int] = clock.read_clock_ms
@@ -338,6 +341,13 @@
     )
 
 
+def note_catalog_version(agent: Agent, version: int) -> None:
+    """Let the catalog be read again if another daemon has a newer one."""
+    agent.known_catalog_version = max(agent.known_catalog_version, version)
+    if version > agent.cache.catalog.version:
+        agent.catalog_refresh_due.set()
+
+
 def notify_change(agent: Agent) -> None:
     """Count a change of the cache, and wake all tasks that wait for one."""
     agent.cache.revision += 1
--- a/fuchsiamoor/core/carried.py
+++ b/fuchsiamoor/core/carried.py
@@ -61,6 +61,8 @@
         Version in force at the sender.
     sent_ms : int
         Sender's monotonic time, by which the receiver detects a delay in transit.
+    organisation : str
+        On whose behalf the caller sent it; empty if on nobody's.
     """
 
     request_id: str
@@ -81,6 +83,8 @@
     in_time_ms: int
     catalog_version: int
     sent_ms: int
+    organisation: str = ""
+    ADDED_FIELDS = 1
 
 
 class CarriedAnswer(NamedTuple):
--- a/fuchsiamoor/peers/codec_test.py
+++ b/fuchsiamoor/peers/codec_test.py
@@ -7,7 +7,7 @@
 from fuchsiamoor.core.errors import FrameError
 from fuchsiamoor.peers import codec
 from fuchsiamoor.peers.codec import Envelope, Role
-from fuchsiamoor.testing import messages_data
+from fuchsiamoor.testing import messages_data, traffic_data
 
 envelopes = st.builds(
     Envelope,
@@ -154,3 +154,16 @@
         codec.decode_member(garbage)
     except FrameError:
         pass
+
+
+def test_a_field_that_the_version_before_lacks_is_sent_only_if_it_is_set():
+    plain = traffic_data.make_carried_request()
+    named = plain._replace(organisation="lab")
+    envelope = Envelope(1, Role.CALL, messages.AskTransfer(plain, 5))
+    sent = cbor2.loads(codec.encode_envelope(envelope))
+    assert len(sent[3]) == len(plain) - 1
+    for request in (plain, named):
+        for message in (request, messages.AskTransfer(request, 5)):
+            frame = [codec.encode_envelope(Envelope(1, Role.CALL, message))]
+            (received,) = codec.decode_frame(codec.join_frame(frame))
+            assert received.message == message
--- a/fuchsiamoor/peers/records.py
+++ b/fuchsiamoor/peers/records.py
@@ -1,9 +1,12 @@
 """Serialisation of `NamedTuple` records to and from plain CBOR arrays.
 
 Readers and writers are derived from the fields' type hints, so that a new field needs
-no code here. Supported types are ``str``, ``bytes``, ``int``, ``bool``, string
-enumerations, records, unions of records, and tuples and dicts of these. Readers check
-every type and raise `UnreadableRecordError`, which the codec converts to `FrameError`.
+no code here. The last fields of a record that its class counts as ``ADDED_FIELDS`` are
+not sent while they equal their defaults, so that daemons of the version before
+understand it, and may be missing from what such a daemon sends. Supported types are
+``str``, ``bytes``, ``int``, ``bool``, string enumerations, records, unions of records,
+and tuples and dicts of these. Readers check every type and raise
+`UnreadableRecordError`, which the codec converts to `FrameError`.
 """
 
 import functools
@@ -54,7 +57,7 @@
         return _make_dict_reader(*arguments)
     if isinstance(hint, type) and issubclass(hint, Enum):
         return _make_enum_reader(hint)
-    return _make_fields_reader(hint, _field_hints(hint))
+    return _make_fields_reader(hint, _field_hints(hint), _list_added(hint))
 
 
 @functools.cache
@@ -81,7 +84,10 @@
         return _write_enum
     writers = [make_writer(field) for field in _field_hints(hint)]
     converted = tuple((i, writer) for i, writer in enumerate(writers) if writer)
-    return functools.partial(_write_record, converted) if converted else None
+    added = _list_added(hint)
+    if not converted and not added:
+        return None
+    return functools.partial(_write_record, converted, added)
 
 
 def _field_hints(record_type: type) -> list[object]:
@@ -89,6 +95,13 @@
     return [hints[name] for name in record_type._fields]
 
 
+def _list_added(record_type: type) -> tuple:
+    """Return the defaults of the fields that the version before does not know."""
+    count = getattr(record_type, "ADDED_FIELDS", 0)
+    names = record_type._fields[-count:] if count else ()
+    return tuple(record_type._field_defaults[name] for name in names)
+
+
 def _decoded_type(hint: object) -> type:
     """Return the type to which the CBOR library decodes a field's value."""
     if hint in _PLAIN_TYPES:
@@ -124,8 +137,13 @@
     return read
 
 
-def _make_fields_reader(record_type: type, hints: Sequence[object]) -> Reader:
-    """Return a reader for a record or a tuple of fixed length."""
+def _make_fields_reader(
+    record_type: type, hints: Sequence[object], added: tuple = ()
+) -> Reader:
+    """Return a reader for a record or a tuple of fixed length.
+
+    ``added`` are the defaults of the last fields, which may be missing.
+    """
     expected = tuple(map(_decoded_type, hints))
     readers = tuple(
         (i, make_reader(hint))
@@ -134,6 +152,10 @@
     )
 
     def read(value: object) -> tuple:
+        if added and type(value) is list:
+            missing = len(expected) - len(value)
+            if 0 < missing <= len(added):
+                value.extend(added[-missing:])
         if type(value) is not list or tuple(map(type, value)) != expected:
             raise UnreadableRecordError(_describe_fields(record_type, expected, value))
         for i, read_field in readers:
@@ -207,8 +229,12 @@
     return [members.index(record_type), *plain]
 
 
-def _write_record(writers: tuple, value: tuple) -> list:
+def _write_record(writers: tuple, added: tuple, value: tuple) -> list:
     plain = list(value)
     for i, write in writers:
         plain[i] = write(plain[i])
+    for default in reversed(added):
+        if plain[-1] != default:
+            break
+        plain.pop()
     return plain
--- a/fuchsiamoor/platform/operator_entries.py
+++ b/fuchsiamoor/platform/operator_entries.py
@@ -3,7 +3,7 @@
 import json
 
 from fuchsiamoor.platform import scalars
-from fuchsiamoor.traffic import catalog
+from fuchsiamoor.traffic import catalog, organisations
 
 CATALOG_KEY = "op/config"
 EVACUATE_PREFIX = "op/evacuate/"
@@ -47,6 +47,7 @@
                 header_timeout_ms=scalars.read_duration_ms(limits["header_timeout"]),
                 idle_timeout_ms=scalars.read_duration_ms(limits["idle_timeout"]),
             ),
+            _read_organisations(document.get("tenants")),
         )
     except scalars.MALFORMED as error:
         raise ValueError(f"configuration: malformed: {error!r}") from error
@@ -88,6 +89,7 @@
         rank=scalars.read_int(row.get("priority", 0), "priority"),
         attempts_max=max(1, scalars.read_int(row.get("max_attempts", 1), "attempts")),
         home_regions=_read_regions(row.get("allowed_regions", [])),
+        is_public=scalars.read_bool(row.get("public", False), "public"),
     )
 
 
@@ -97,6 +99,36 @@
     return frozenset(scalars.read_text(name, "region") for name in names)
 
 
+def _read_organisations(table: dict | None) -> organisations.Organisations | None:
+    """Decode the organisations; an error names no value, as it may be a key."""
+    if table is None:
+        return None
+    try:
+        rows = [_read_organisation(row) for row in _list_rows(table)]
+    except (ValueError, *scalars.MALFORMED) as error:
+        raise ValueError(f"organisations: {type(error).__name__}") from None
+    return organisations.make_organisations(rows)
+
+
+def _read_organisation(row: dict) -> organisations.Organisation:
+    rate_per_s = scalars.read_float(row.get("rate_per_s", 0), "rate_per_s")
+    burst = scalars.read_float(row.get("burst", 0), "burst")
+    return organisations.Organisation(
+        name=scalars.read_text(row["name"], "organisation"),
+        key_digests=_digest_keys(row.get("api_keys", [])),
+        priority=max(0, scalars.read_int(row.get("priority", 0), "priority")),
+        quota=organisations.Quota(rate_per_s, burst) if rate_per_s > 0 else None,
+        home_regions=_read_regions(row.get("allowed_regions", [])),
+    )
+
+
+def _digest_keys(keys: object) -> frozenset[bytes]:
+    """Return the digests of an organisation's keys; no error shows a key."""
+    if not isinstance(keys, list) or not all(isinstance(key, str) for key in keys):
+        raise ValueError("api_keys: expected a list of texts")
+    return frozenset(organisations.digest_key(key.encode()) for key in keys)
+
+
 def _read_service(row: dict) -> catalog.ServiceSettings:
     cold_start = row.get("cold_start")
     return catalog.ServiceSettings(
--- a/fuchsiamoor/platform/wire.py
+++ b/fuchsiamoor/platform/wire.py
@@ -9,7 +9,7 @@
     WholeAnswer,
     match_request_id,
 )
-from fuchsiamoor.traffic import catalog, requests, upstreams
+from fuchsiamoor.traffic import catalog, organisations, requests, upstreams
 
 _REQUEST_ID = b"fuchsiamoor-request-id"
 # Milliseconds until the caller's timeout, counted from the sending of the request.
@@ -17,6 +17,9 @@
 _KEY = b"fuchsiamoor-shard-key"
 _CALLER_SERVICE = b"fuchsiamoor-caller-service"
 _EXPECTED_UPSTREAM = b"fuchsiamoor-expect-instance"
+_ORGANISATION = b"fuchsiamoor-tenant"
+_AUTHORIZATION = b"authorization"
+_KEY_SCHEME = b"bearer"
 # Signature of an upstream's answer, forwarded to the caller unchanged.
 _SIGNATURE = b"fuchsiamoor-server-stamp"
 _LOAD = b"fuchsiamoor-server-load"
@@ -26,7 +29,9 @@
 _COLD_FOR = b"fuchsiamoor-cold-start-ms"
 
 # Set by the daemon, in place of any value that the caller sent.
-_DAEMON_HEADERS = frozenset((_DEADLINE, _CALLER_SERVICE, _EXPECTED_UPSTREAM))
+_DAEMON_HEADERS = frozenset(
+    (_DEADLINE, _CALLER_SERVICE, _EXPECTED_UPSTREAM, _ORGANISATION)
+)
 # Meant for the daemon; removed from answers to callers.
 _INTERNAL_HEADERS = frozenset((_LOAD, _NOT_RUN, _UPSTREAM_ID, _COLD_FOR))
 _MISDIRECTED_STATUS = 421
@@ -52,7 +57,7 @@
         If a header that routing needs is missing, duplicated or malformed.
     """
     routing_headers: dict[bytes, bytes] = {}
-    forwarded, hosts = [], []
+    forwarded, hosts, credentials = [], [], []
     connection_headers = _list_connection_headers(headers)
     for name, value in headers:
         if name == b"host":
@@ -67,6 +72,9 @@
             or name in connection_headers
         ):
             continue
+        if name == _AUTHORIZATION:
+            credentials.append((name, value))
+            continue
         forwarded.append((name, value))
     if len(hosts) != 1:
         raise ValueError(f"Host: found {len(hosts)} headers, expected one")
@@ -85,9 +93,21 @@
         # An upstream names a nested request by the id of the request that it runs, then
         # a dot and a suffix.
         parent_id=request_id.rpartition(".")[0],
+        key_digest=_digest_key(credentials),
+        credentials=tuple(credentials),
     )
 
 
+def _digest_key(credentials: list[tuple[bytes, bytes]]) -> bytes:
+    """Return the digest of the only key, empty bytes if there isn't exactly one."""
+    if len(credentials) != 1:
+        return b""
+    scheme, _, key = credentials[0][1].strip().partition(b" ")
+    if scheme.lower() != _KEY_SCHEME or not key.strip():
+        return b""
+    return organisations.digest_key(key.strip())
+
+
 def _list_connection_headers(headers: Headers) -> frozenset[bytes]:
     return frozenset(
         token.strip().lower()
@@ -138,6 +158,8 @@
         b"%b: %b" % (_CALLER_SERVICE, request.caller_service.encode("latin-1")),
         b"%b: %b" % (_EXPECTED_UPSTREAM, upstream_id.encode("latin-1")),
     ]
+    if request.organisation:
+        lines.append(b"%b: %b" % (_ORGANISATION, request.organisation.encode()))
     if request.body or request.method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
         lines.append(b"content-length: %d" % len(request.body))
     head = b"\r\n".join(lines)
--- a/fuchsiamoor/platform/wire_data.py
+++ b/fuchsiamoor/platform/wire_data.py
@@ -86,6 +86,21 @@
     },
 }
 
+ORGANISATIONS = {
+    "columns": [
+        "name",
+        "api_keys",
+        "priority",
+        "rate_per_s",
+        "burst",
+        "allowed_regions",
+    ],
+    "rows": [
+        ["hule930", ["42q4", "kn2f"], 1, 92, 92, ["almaty"]],
+        ["vemi204", ["9zz1"], None, None, None, None],
+    ],
+}
+
 SETTINGS = {
     "metrics_port": 9464,
     "fields": {
@@ -122,9 +137,9 @@
     return json.dumps(HEARTBEAT | changes).encode()
 
 
-def encode_configuration() -> bytes:
-    """Return the value of a configuration entry."""
-    return json.dumps(CONFIGURATION).encode()
+def encode_configuration(**changes: object) -> bytes:
+    """Return the value of a configuration entry, with some fields replaced."""
+    return json.dumps(CONFIGURATION | changes).encode()
 
 
 def encode_settings() -> bytes:
--- a/fuchsiamoor/platform/wire_test.py
+++ b/fuchsiamoor/platform/wire_test.py
@@ -16,6 +16,7 @@
 )
 from fuchsiamoor.ranges import granting
 from fuchsiamoor.testing import traffic_data
+from fuchsiamoor.traffic import organisations
 
 HEADERS = (
     (b"host", b"ficu95.example"),
@@ -247,6 +248,71 @@
         operator_entries.read_catalog(json.dumps(document).encode())
 
 
+def test_organisations_are_decoded():
+    content = wire_data.encode_configuration(tenants=wire_data.ORGANISATIONS)
+    known = operator_entries.read_catalog(content).organisations
+    digest = organisations.digest_key(b"kn2f")
+    limited = organisations.find_organisation(known, digest)
+    assert (limited.name, limited.priority) == ("hule930", 1)
+    assert limited.quota == organisations.Quota(92.0, 92.0)
+    assert limited.home_regions == {"almaty"}
+    free = known.by_name["vemi204"]
+    assert (free.priority, free.quota, free.home_regions) == (0, None, frozenset())
+
+
+def test_a_configuration_without_organisations_needs_no_keys():
+    content = wire_data.encode_configuration()
+    assert operator_entries.read_catalog(content).organisations is None
+
+
+@pytest.mark.parametrize(
+    ("column", "value"),
+    [
+        ("name", ["42q4"]),
+        ("api_keys", "42q4"),
+        ("api_keys", [["42q4"]]),
+        ("priority", "42q4"),
+        ("rate_per_s", -1),
+        ("allowed_regions", ["42q4", 1]),
+    ],
+)
+def test_malformed_organisations_are_refused_without_a_key_in_the_error(column, value):
+    table = json.loads(json.dumps(wire_data.ORGANISATIONS))
+    table["rows"][0][table["columns"].index(column)] = value
+    with pytest.raises(ValueError, match="organisations") as refused:
+        operator_entries.read_catalog(wire_data.encode_configuration(tenants=table))
+    assert "42q4" not in repr(refused.value)
+
+
+@pytest.mark.parametrize(
+    ("headers", "key"),
+    [
+        ([b"Bearer 42q4"], b"42q4"),
+        ([b"bearer  42q4 "], b"42q4"),
+        ([b"Bearer"], None),
+        ([b"Basic 42q4"], None),
+        ([b"Bearer 42q4", b"Bearer kn2f"], None),
+        ([], None),
+    ],
+)
+def test_the_key_is_read_and_kept_apart_from_the_headers(headers, key):
+    given = [(b"authorization", value) for value in headers]
+    given.append((b"fuchsiamoor-tenant", b"forged"))
+    request = wire.read_request("GET", "/", (*HEADERS, *given), b"")
+    assert request.key_digest == (organisations.digest_key(key) if key else b"")
+    names = {name for name, _ in request.headers}
+    assert not names & {b"authorization", b"fuchsiamoor-tenant"}
+    assert [value for _, value in request.credentials] == headers
+
+
+@pytest.mark.parametrize("organisation", ["", "hule930"])
+def test_the_upstream_gets_the_name_of_the_organisation(organisation):
+    carried = traffic_data.make_carried_request(organisation=organisation)
+    lines = wire.write_request(carried, "i-7", 250).split(b"\r\n")
+    found = [line for line in lines if line.startswith(b"fuchsiamoor-tenant")]
+    assert found == [b"fuchsiamoor-tenant: hule930"] * bool(organisation)
+
+
 @pytest.mark.parametrize("upstream_id", ["", "a b", "a?b", "i" * 129, "é"])
 def test_a_call_with_an_odd_upstream_id_is_none(upstream_id):
     path = f"/api/instances/{upstream_id}/heartbeat"
--- a/fuchsiamoor/testing/caller_requests_data.py
+++ b/fuchsiamoor/testing/caller_requests_data.py
@@ -81,14 +81,20 @@
     )
 
 
-def make_request(target="/read/1", key=-1, wait_ms=1_000, parent_id="") -> HttpRequest:
-    """Return a caller's request in the format of the plain test dialect."""
+def make_request(
+    target="/read/1", key=-1, wait_ms=1_000, parent_id="", secret=b""
+) -> HttpRequest:
+    """Return a caller's request in the format of the plain test dialect.
+
+    With ``secret``, it carries this key of an organisation.
+    """
     headers = (
         (b"host", b"shop.example"),
         (b"x-request", b"a1"),
         (b"x-key", b"%d" % key),
         (b"x-wait", b"%d" % wait_ms),
         (b"x-parent", parent_id.encode()),
+        *([(b"x-secret", secret)] if secret else []),
     )
     return HttpRequest("GET", target, headers, b"")
 
--- a/fuchsiamoor/testing/traffic_data.py
+++ b/fuchsiamoor/testing/traffic_data.py
@@ -7,7 +7,7 @@
 from fuchsiamoor.core.addresses import Address
 from fuchsiamoor.core.carried import NO_KEY, CarriedRequest
 from fuchsiamoor.daemon.upstream_connection import AnswerMatch
-from fuchsiamoor.traffic import catalog, requests, upstreams
+from fuchsiamoor.traffic import catalog, organisations, requests, upstreams
 
 KEYED_SERVICE = "stock"
 PLAIN_SERVICE = "desk"
@@ -193,6 +193,8 @@
         wait_ms=int(found.get(b"x-wait", b"1000")),
         key=int(found.get(b"x-key", b"-1")),
         parent_id=found.get(b"x-parent", b"").decode(),
+        key_digest=organisations.digest_key(found.get(b"x-secret", b"")),
+        credentials=tuple(header for header in headers if header[0] == b"x-secret"),
     )
 
 
--- a/fuchsiamoor/traffic/catalog.py
+++ b/fuchsiamoor/traffic/catalog.py
@@ -4,6 +4,8 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from fuchsiamoor.traffic.organisations import Organisations
+
 KEY_COUNT = 65_536
 
 
@@ -37,6 +39,8 @@
         Largest number of upstreams to which one request may be sent.
     home_regions : frozenset of str
         Regions in which a request may be processed; empty for all regions.
+    is_public : bool
+        Whether callers need no key.
     """
 
     name: str
@@ -49,6 +53,7 @@
     rank: int
     attempts_max: int
     home_regions: frozenset[str]
+    is_public: bool = False
 
 
 class ServiceSettings(NamedTuple):
@@ -96,12 +101,15 @@
         By host, longest prefix first.
     services : dict of str to ServiceSettings
     limits : CallerLimits
+    organisations : Organisations or None
+        None if callers need no keys.
     """
 
     version: int
     routes: dict[str, tuple[Route, ...]]
     services: dict[str, ServiceSettings]
     limits: CallerLimits
+    organisations: Organisations | None = None
 
 
 def make_empty_catalog() -> Catalog:
@@ -114,6 +122,7 @@
     routes: Iterable[Route],
     services: Iterable[ServiceSettings],
     limits: CallerLimits,
+    organisations: Organisations | None = None,
 ) -> Catalog:
     """Return a catalog whose routes are in the order that `find_route` needs."""
     by_host: dict[str, list[Route]] = {}
@@ -124,7 +133,11 @@
         for host, routes_of_host in by_host.items()
     }
     return Catalog(
-        version, ordered, {service.name: service for service in services}, limits
+        version,
+        ordered,
+        {service.name: service for service in services},
+        limits,
+        organisations,
     )
 
 
--- a/fuchsiamoor/traffic/requests.py
+++ b/fuchsiamoor/traffic/requests.py
@@ -27,6 +27,10 @@
     parent_id : str
         Id of the request that an upstream runs and on whose behalf it sent this one;
         empty for any other caller.
+    key_digest : bytes
+        Digest of the caller's key; empty without exactly one key.
+    credentials : Headers
+        Headers that may carry a key; they are not in ``headers``.
     """
 
     request_id: str
@@ -38,6 +42,8 @@
     wait_ms: int
     key: int
     parent_id: str
+    key_digest: bytes = b""
+    credentials: Headers = ()
 
     @property
     def is_nested(self) -> bool:
