Store eras: versions and leases carry the era, tables are adopted

Versions and lease ids now carry the era that the store's answers name; a range table's version starts with it; the first table of an era is adopted from the newest known one by owners' claims.

--- a/fuchsiamoor/agent/lifecycle.py
+++ b/fuchsiamoor/agent/lifecycle.py
@@ -27,6 +27,7 @@
     metrics,
     registrations,
     state,
+    store_eras,
     store_sync,
     table_writer,
     transfers,
@@ -76,6 +77,7 @@
         lambda call, timeout_ms: call_any_peer(agent, call, timeout_ms),
         lambda: agent.now_ms(),
         agent.metrics.count,
+        on_era=functools.partial(store_eras.begin, agent),
     )
     agent.events = event_log.EventLog(lambda: agent.now_ms())
     agent.ask_health = upstream_lifecycle.ask_health
--- a/fuchsiamoor/agent/registrations.py
+++ b/fuchsiamoor/agent/registrations.py
@@ -19,6 +19,7 @@
 REGISTRATION_PREFIX = "fuchsiamoor/instances/"
 RUNS_PREFIX = "fuchsiamoor/runs/"
 LEAVES_PREFIX = "fuchsiamoor/leaves/"
+CLAIMS_PREFIX = "fuchsiamoor/claims/"
 TABLE_PREFIX = "fuchsiamoor/ranges/"
 
 
@@ -88,6 +89,23 @@
     owner: str
 
 
+class Claim(NamedTuple):
+    """An owner's claim to its rows, after the store came back from a copy.
+
+    Parameters
+    ----------
+    era : int
+        Era of the store in which it was made.
+    owner : str
+    version : int
+        Newest version of the range table that its daemon knows or has tried to write.
+    """
+
+    era: int
+    owner: str
+    version: int
+
+
 @dataclass(slots=True)
 class Directory:
     """Registrations of all instances, by instance.
@@ -106,6 +124,8 @@
         Incarnation of each instance's upstream that has announced to leave.
     leave_versions : dict of str to int
         Store version of each of these.
+    claims : dict of str to Claim
+        Latest claim of each instance.
     lapsed : dict of str to (Registration, int)
         Registrations whose lease ended, with the time; their daemons may still be
         reachable.
@@ -119,6 +139,7 @@
     run_owners: dict[str, str] = field(default_factory=dict)
     left_owners: dict[str, str] = field(default_factory=dict)
     leave_versions: dict[str, int] = field(default_factory=dict)
+    claims: dict[str, Claim] = field(default_factory=dict)
     lapsed: dict[str, tuple[Registration, int]] = field(default_factory=dict)
     revision: int = 0
 
@@ -138,6 +159,11 @@
     return LEAVES_PREFIX + instance
 
 
+def claim_key(instance: str) -> str:
+    """Return the store key of an instance's claim."""
+    return CLAIMS_PREFIX + instance
+
+
 def table_key(service: str) -> str:
     """Return the store key of a service's range table."""
     return TABLE_PREFIX + service
@@ -158,6 +184,11 @@
     return codec.encode_record(leave)
 
 
+def encode_claim(claim: Claim) -> bytes:
+    """Return a claim encoded in CBOR."""
+    return codec.encode_record(claim)
+
+
 def apply_entry(directory: Directory, entry: port.Entry) -> bool:
     """Apply a store entry to the directory; return False if its key is of another kind.
 
@@ -174,6 +205,9 @@
     if entry.key.startswith(LEAVES_PREFIX):
         _apply_leave(directory, entry)
         return True
+    if entry.key.startswith(CLAIMS_PREFIX):
+        _apply_claim(directory, entry)
+        return True
     if not entry.key.startswith(REGISTRATION_PREFIX):
         return False
     instance = entry.key.removeprefix(REGISTRATION_PREFIX)
@@ -224,6 +258,15 @@
     directory.left_owners[instance] = owner
 
 
+def _apply_claim(directory: Directory, entry: port.Entry) -> None:
+    instance = entry.key.removeprefix(CLAIMS_PREFIX)
+    found = codec.decode_record(Claim, entry.value)
+    _check_owner(instance, found.owner)
+    known = directory.claims.get(instance)
+    if known is None or found.era >= known.era:
+        directory.claims[instance] = found
+
+
 def _decode_registration(instance: str, value: bytes) -> Registration:
     found = codec.decode_record(Registration, value)
     if found.instance != instance:
--- a/fuchsiamoor/agent/state.py
+++ b/fuchsiamoor/agent/state.py
@@ -102,6 +102,9 @@
     unreadable_tables : set of str
         Services whose table in the store cannot be decoded; the latest one that could
         be is in ``tables``, and is to be written again.
+    copied_tables : dict of str to RangeTable
+        Tables of an earlier era that a copy of the store has brought back, of services
+        without any other; never in force.
     absent_since_ms : dict of str to int
         Time since which each owner that a table names has had no registration.
     first_seen_ms : dict of str to int
@@ -120,6 +123,7 @@
     tables: dict[str, range_tables.RangeTable] = field(default_factory=dict)
     table_versions: dict[str, int] = field(default_factory=dict)
     unreadable_tables: set[str] = field(default_factory=set)
+    copied_tables: dict[str, range_tables.RangeTable] = field(default_factory=dict)
     absent_since_ms: dict[str, int] = field(default_factory=dict)
     first_seen_ms: dict[str, int] = field(default_factory=dict)
     is_loaded: bool = False
@@ -183,6 +187,41 @@
     write_due: asyncio.Event = field(default_factory=asyncio.Event)
 
 
+@dataclass(slots=True)
+class EraState:
+    """Eras of the store, as this daemon knows them.
+
+    Parameters
+    ----------
+    era : int
+        Latest era that is known.
+    since_ms : int
+        Time at which this daemon learned of it.
+    listed_era : int
+        Era of the latest listing of the store.
+    granted_owner : str
+        Owner whose registration the era of the cached table confirmed; empty if none.
+    grants_until_ms : int
+        Time until which that registration is certainly valid.
+    tried_versions : dict of str to int
+        Highest version of each service's table that this daemon may have written.
+    kept_evacuated : dict of str to int
+        Data centres whose evacuation the store has lost, with the time until which they
+        stay out of service.
+    changed : asyncio.Event
+        Set when an era begins, until the store is listed in it.
+    """
+
+    era: int = 0
+    since_ms: int = 0
+    listed_era: int = 0
+    granted_owner: str = ""
+    grants_until_ms: int = 0
+    tried_versions: dict[str, int] = field(default_factory=dict)
+    kept_evacuated: dict[str, int] = field(default_factory=dict)
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+
+
 @dataclass(slots=True)
 class Agent:
     """State of one daemon.
@@ -204,6 +243,7 @@
     cache : StoreCache
     registration : RegistrationState
     leaves : LeaveState
+    eras : EraState
     selection_stats : SelectionStats
         Measurements of instances, by which one is chosen.
     candidates : dict of (str, frozenset) to CandidateSet
@@ -269,6 +309,7 @@
     cache: StoreCache = field(default_factory=StoreCache)
     registration: RegistrationState = field(default_factory=RegistrationState)
     leaves: LeaveState = field(default_factory=LeaveState)
+    eras: EraState = field(default_factory=EraState)
     selection_stats: instance_selection.SelectionStats = field(
         default_factory=instance_selection.make_selection_stats
     )
--- a/fuchsiamoor/agent/store_sync.py
+++ b/fuchsiamoor/agent/store_sync.py
@@ -8,6 +8,7 @@
     leaves,
     registrations,
     state,
+    store_eras,
     succession,
     upstream_lifecycle,
     watch_relay,
@@ -15,6 +16,7 @@
 from fuchsiamoor.core import errors
 from fuchsiamoor.ranges import granting
 from fuchsiamoor.ranges import table as tables
+from fuchsiamoor.store import eras as store_era
 from fuchsiamoor.store import port
 
 # Lease of a registration: a lost daemon is noticed after this time.
@@ -75,13 +77,18 @@
 
 async def _register_or_renew(agent: state.Agent) -> None:
     registration = agent.registration
+    await _wait_for_listing(agent)
     if registration.lease_id:
         confirmed = registration.confirmed
         if confirmed is not None and confirmed != make_registration(agent):
             await _register(agent)
             return
-        sent_ms = agent.now_ms()
-        if await agent.store.renew_lease(registration.lease_id):
+        sent_ms, era = agent.now_ms(), agent.eras.era
+        is_renewed = await agent.store.renew_lease(registration.lease_id)
+        if agent.eras.era != era:
+            registration.update_due.set()
+            return
+        if is_renewed:
             if confirmed is not None:
                 registration.valid_until_ms = sent_ms + granting.REGISTRATION_VALID_MS
                 return
@@ -95,8 +102,7 @@
 async def _register(agent: state.Agent) -> None:
     """Write the registration and the run's record, then refresh the range table."""
     registration, settings = agent.registration, agent.settings
-    if not agent.cache.is_loaded:
-        await _wait_for_listing(agent)
+    era = agent.eras.era
     if registration.confirmed is None:
         await _wait_for_heartbeat(agent)
     if not registration.lease_id:
@@ -110,16 +116,24 @@
     key = registrations.registration_key(settings.instance)
     value = registrations.encode_registration(desired)
     run_value = registrations.encode_run_record(_make_run_record(agent))
+    claim = store_eras.make_claim(agent)
+    claim_key = registrations.claim_key(settings.instance)
+    claims = () if claim is None else (registrations.encode_claim(claim),)
     try:
         result = await agent.store.transact(
             (port.Precondition(runs_key, run_version),),
             (
                 port.Put(key, value, registration.lease_id),
+                *(port.Put(claim_key, claim_value) for claim_value in claims),
+                # Last, as its version is taken from the answer.
                 port.Put(runs_key, run_value),
             ),
         )
     except errors.StoreOutcomeUnknownError:
         result = await _resolve_outcome(agent, key, value, runs_key)
+    if agent.eras.era != era:
+        registration.update_due.set()
+        return
     match result:
         case port.PreconditionFailed():
             await _reload_run_record(agent, runs_key)
@@ -132,6 +146,10 @@
             registrations.apply_entry(
                 directory, port.Entry(runs_key, run_value, version)
             )
+            for claim_value in claims:
+                registrations.apply_entry(
+                    directory, port.Entry(claim_key, claim_value, version)
+                )
     registration.confirmed = desired
     if is_new:
         # Grants under an earlier registration are void, so the table is read again.
@@ -170,7 +188,7 @@
 
 
 async def _wait_for_listing(agent: state.Agent) -> None:
-    """Wait until the store has been listed once.
+    """Wait until the store has been listed in its present era.
 
     Raises
     ------
@@ -178,7 +196,7 @@
         If that takes too long; the caller tries again.
     """
     for _ in range(10):
-        if agent.cache.is_loaded:
+        if store_eras.is_listed(agent):
             return
         await state.wait_for_change(agent, 200)
     raise errors.StoreUnavailableError("the store has not been listed yet")
@@ -212,6 +230,10 @@
     version, failures = None, 0
     while not agent.stopped.is_set():
         try:
+            if agent.eras.era != agent.eras.listed_era:
+                delay_ms = store_eras.compute_relist_delay_ms(agent)
+                await asyncio.sleep(delay_ms / 1000)
+                version = None
             if version is None:
                 version = await _load_listing(agent)
             else:
@@ -229,21 +251,32 @@
 
 async def _load_listing(agent: state.Agent) -> int:
     listing = await agent.store.list_prefix(watch_relay.ALL_PREFIX)
-    now_ms = agent.now_ms()
+    now_ms, eras = agent.now_ms(), agent.eras
+    if store_era.era_of(listing.version) != eras.era:
+        raise errors.StoreUnavailableError("listing of an earlier era")
+    is_restored = eras.listed_era != eras.era
+    if is_restored:
+        store_eras.forget_versions(agent)
     for entry in listing.entries:
         apply_entry(agent, entry)
     cache = agent.cache
     registrations.apply_listing(cache.directory, listing.entries, now_ms)
     keys = {entry.key for entry in listing.entries}
-    cache.evacuated = {
+    evacuated = {
         centre
         for centre in map(agent.dialect.read_evacuated, keys)
         if centre is not None
     }
+    if is_restored:
+        evacuated = store_eras.keep_evacuated(agent, evacuated)
+        store_eras.restore_leave(agent)
+    cache.evacuated = evacuated
     # The listing does not show registrations that were added and removed since the last
     # one, so absence is counted from now.
     cache.absent_since_ms.clear()
     cache.is_loaded = True
+    eras.listed_era = eras.era
+    eras.changed.clear()
     agent.source_heard_ms = now_ms
     succession.forget_superseded(agent)
     update_derived_state(agent)
@@ -253,18 +286,25 @@
 async def _watch_once(agent: state.Agent, version: int) -> int:
     watch_task = asyncio.ensure_future(watch_relay.watch(agent, version))
     refresh_asked = asyncio.ensure_future(agent.catalog_refresh_due.wait())
+    era_changed = asyncio.ensure_future(agent.eras.changed.wait())
     try:
         await asyncio.wait(
-            (watch_task, refresh_asked), return_when=asyncio.FIRST_COMPLETED
+            (watch_task, refresh_asked, era_changed),
+            return_when=asyncio.FIRST_COMPLETED,
         )
+        if agent.eras.era != agent.eras.listed_era:
+            return version
         if refresh_asked.done():
             agent.catalog_refresh_due.clear()
             await _refresh_catalog(agent)
         changes = await watch_task
+        if agent.eras.era != agent.eras.listed_era:
+            return version
         agent.source_heard_ms = agent.now_ms()
     finally:
         watch_task.cancel()
         refresh_asked.cancel()
+        era_changed.cancel()
     for change in changes.changes:
         if change.entry is None:
             _apply_deletion(agent, change.key)
@@ -294,6 +334,7 @@
             _apply_table(agent, entry)
         elif not registrations.apply_entry(cache.directory, entry):
             centre = dialect.read_evacuated(entry.key)
+            agent.eras.kept_evacuated.pop(centre, None)
             if centre is not None and centre not in cache.evacuated:
                 cache.evacuated.add(centre)
                 logger.bind(data_centre=centre).info("data centre out of service")
@@ -335,18 +376,39 @@
     if registrations.table_key(found.service) != entry.key:
         raise ValueError(f"range table: found service {found.service!r:.40}")
     cached = agent.cache.tables.get(found.service)
+    if tables.era_of(found.version) < store_era.era_of(entry.version):
+        _note_copied_table(agent, found, entry)
+        return
     if cached is None or found.version > cached.version:
         agent.cache.tables[found.service] = found
         agent.cache.table_versions[found.service] = entry.version
         agent.cache.unreadable_tables.discard(found.service)
+        agent.cache.copied_tables.pop(found.service, None)
         logger.bind(service=found.service, version=found.version).info(
             "range table in force"
         )
 
 
+def _note_copied_table(
+    agent: state.Agent, found: tables.RangeTable, entry: port.Entry
+) -> None:
+    """Note a table of an earlier era, which is to be replaced by the one in force."""
+    cache, service = agent.cache, found.service
+    if entry.version <= cache.table_versions.get(service, port.ABSENT):
+        return
+    cache.table_versions[service] = entry.version
+    cached = cache.tables.get(service)
+    if cached is None:
+        cache.copied_tables[service] = found
+    elif tables.era_of(cached.version) == agent.eras.era:
+        cache.unreadable_tables.add(service)
+    logger.bind(service=service, version=found.version).info("range table is a copy")
+
+
 def _apply_deletion(agent: state.Agent, key: str) -> None:
     registrations.apply_deletion(agent.cache.directory, key, agent.now_ms())
     centre = agent.dialect.read_evacuated(key)
+    agent.eras.kept_evacuated.pop(centre, None)
     if centre is not None and centre in agent.cache.evacuated:
         agent.cache.evacuated.discard(centre)
         logger.bind(data_centre=centre).info("data centre back in service")
@@ -358,6 +420,7 @@
     upstream_lifecycle.update_cold_rate(agent)
     upstream_lifecycle.resume_drain(agent)
     cache = agent.cache
+    store_eras.drop_kept_evacuated(agent)
     registrations.drop_lapsed(cache.directory, KEEP_LAPSED_MS, now_ms)
     succession.note_absences(cache, now_ms)
     confirmed = agent.registration.confirmed
--- a/fuchsiamoor/agent/table_writer.py
+++ b/fuchsiamoor/agent/table_writer.py
@@ -13,12 +13,13 @@
 from fuchsiamoor.agent import (
     registrations,
     state,
+    store_eras,
     store_sync,
     succession,
     upstream_lifecycle,
 )
 from fuchsiamoor.core import errors
-from fuchsiamoor.ranges import granting, planning
+from fuchsiamoor.ranges import granting, planning, recovery
 from fuchsiamoor.ranges import table as tables
 from fuchsiamoor.store import port
 from fuchsiamoor.traffic import upstreams
@@ -34,6 +35,9 @@
 MAX_SETTLE_MS = 5_000
 # Delay of each daemon after the one before it in the order.
 TURN_MS = 700
+# Owners have registered again and made their claims by this time after the store has
+# come back: their listings are spread over 1.5 s.
+ADOPT_AFTER_MS = 3_000
 # Pause after a write: for a moment, other daemons may see other members than this one.
 PAUSE_MS = 200
 # Owners that one write may declare lost: each takes two of the 32 entries that a store
@@ -95,13 +99,20 @@
 async def _write_if_due(agent: state.Agent, check: _DueCheck) -> None:
     """Write the next table if one is due and it is this daemon's turn."""
     now_ms, service = agent.now_ms(), agent.settings.service
-    table = agent.cache.tables.get(service) or tables.make_empty_table(service)
+    table = _find_newest_table(agent, service)
     owner_states = assess_owners(agent, table, now_ms)
-    if table.version == 0 and not _is_settled(check, owner_states, now_ms):
+    is_first = tables.is_first(table)
+    if is_first and not _is_settled(check, owner_states, now_ms):
         return
-    planned = planning.plan_next_table(table, owner_states)
+    if _must_wait_for_earlier_eras(agent, table):
+        check.due_since_ms, check.again_ms = None, _find_settled_ms(agent)
+        return
+    if tables.era_of(table.version) != agent.eras.era:
+        planned = _plan_adoption(agent, table, owner_states)
+    else:
+        planned = planning.plan_next_table(table, owner_states)
     is_unreadable = service in agent.cache.unreadable_tables
-    if planned is None and is_unreadable and table.version > 0:
+    if planned is None and is_unreadable and not is_first:
         planned = table._replace(version=table.version + 1)
     if planned is None:
         check.due_since_ms = None
@@ -118,6 +129,54 @@
     await asyncio.sleep(PAUSE_MS / 1000)
 
 
+def _find_newest_table(agent: state.Agent, service: str) -> tables.RangeTable:
+    """Return the newest known table, the empty one if there is none."""
+    cache = agent.cache
+    return (
+        cache.tables.get(service)
+        or cache.copied_tables.get(service)
+        or tables.make_empty_table(service, agent.eras.era)
+    )
+
+
+def _must_wait_for_earlier_eras(agent: state.Agent, table: tables.RangeTable) -> bool:
+    """Return whether keys that a table assigns next may still be held elsewhere."""
+    if store_eras.is_settled(agent):
+        return False
+    if not store_eras.is_listed(agent):
+        return True
+    if tables.is_first(table):
+        return bool(store_eras.list_claims(agent))
+    if tables.era_of(table.version) == agent.eras.era:
+        return recovery.has_unowned_rows(table)
+    # A copy that the store brought back does not show who had the keys last.
+    if table.service not in agent.cache.tables:
+        return True
+    claims = store_eras.list_claims(agent)
+    if recovery.are_all_claimed(table, claims):
+        return False
+    return agent.now_ms() < agent.eras.since_ms + ADOPT_AFTER_MS
+
+
+def _find_settled_ms(agent: state.Agent) -> int:
+    """Return when the store's present era next allows more without any change."""
+    since_ms, now_ms = agent.eras.since_ms, agent.now_ms()
+    adopt_ms = since_ms + ADOPT_AFTER_MS
+    return adopt_ms if now_ms < adopt_ms else since_ms + succession.LOST_AFTER_MS + 1
+
+
+def _plan_adoption(
+    agent: state.Agent, table: tables.RangeTable, owner_states: planning.OwnerStates
+) -> tables.RangeTable:
+    """Return the first table of the store's present era."""
+    era, claims = agent.eras.era, store_eras.list_claims(agent)
+    if not store_eras.is_settled(agent):
+        return recovery.plan_adoption(table, era, claims)
+    adopted = recovery.plan_adoption(table, era, claims, owner_states.registered)
+    base = adopted._replace(version=tables.make_version(era, 0))
+    return planning.plan_next_table(base, owner_states) or adopted
+
+
 def _is_settled(
     check: _DueCheck, owner_states: planning.OwnerStates, now_ms: int
 ) -> bool:
@@ -268,21 +327,31 @@
     if cached is not None and cached.version != table.version:
         agent.metrics.count("ranges.write_conflict")
         return False
+    if tables.era_of(planned.version) != agent.eras.era:
+        agent.metrics.count("ranges.write_refused")
+        return False
     key = registrations.table_key(planned.service)
     expected_version = agent.cache.table_versions.get(planned.service, port.ABSENT)
     value = tables.encode_table(planned)
-    if table.version == 0:
+    if tables.is_first(table):
         expected_version = port.ABSENT
+    # A write whose answer is lost may have taken effect.
+    tried = agent.eras.tried_versions
+    tried_before = tried.get(planned.service, 0)
+    tried[planned.service] = max(tried_before, planned.version)
     try:
         result = await agent.store.transact(
             (port.Precondition(key, expected_version), *expected),
             (port.Put(key, value),),
         )
     except errors.StoreUnavailableError:
+        tried[planned.service] = tried_before
         agent.metrics.count("ranges.write_refused")
         return False
     except errors.StoreOutcomeUnknownError:
-        result = port.PreconditionFailed()
+        result, is_unknown = port.PreconditionFailed(), True
+    else:
+        is_unknown = False
     match result:
         case port.Committed(version):
             agent.metrics.count("ranges.written")
@@ -292,6 +361,8 @@
             return True
         case port.PreconditionFailed():
             agent.metrics.count("ranges.write_conflict")
+            if not is_unknown:
+                tried[planned.service] = tried_before
     try:
         await store_sync.refresh_table(agent, planned.service)
     except errors.StoreError as error:
--- a/fuchsiamoor/agent/upstream_lifecycle.py
+++ b/fuchsiamoor/agent/upstream_lifecycle.py
@@ -4,7 +4,7 @@
 
 from loguru import logger
 
-from fuchsiamoor.agent import leaves, state, succession
+from fuchsiamoor.agent import leaves, state, store_eras, succession
 from fuchsiamoor.core import addresses
 from fuchsiamoor.core.verdicts import NotRun, Reason
 from fuchsiamoor.daemon import upstream_pool
@@ -72,7 +72,7 @@
         upstream.granting,
         table,
         heartbeat,
-        agent.registration.valid_until_ms,
+        store_eras.find_grants_until_ms(agent, table),
         agent.settings.bounds.hold_max_ms,
         now_ms,
     )
@@ -175,6 +175,7 @@
     if upstream.granting is not None:
         upstream.granting.current_grants = ()
         upstream.granting.current_until_ms = 0
+        upstream.granting.was_ended = True
     if upstream.pool is not None:
         # What has been sent may still be answered; a process that ends resets it.
         upstream_pool.close_after_answers(upstream.pool)
--- a/fuchsiamoor/agent/watch_relay.py
+++ b/fuchsiamoor/agent/watch_relay.py
@@ -13,8 +13,8 @@
 
 from fuchsiamoor.agent import registrations, state
 from fuchsiamoor.core import errors, messages
+from fuchsiamoor.store import eras, port, relayed
 from fuchsiamoor.store import feed as feeds
-from fuchsiamoor.store import port, relayed
 
 # One watch covers the keys of operators and of daemons.
 ALL_PREFIX = ""
@@ -165,7 +165,9 @@
     call = messages.StoreCall(FOLLOW, cbor2.dumps([version, wait_ms]))
     member = registrations.make_peer(watcher)
     answer = await agent.links.call(member, call, wait_ms + ANSWER_MARGIN_MS)
-    return relayed.read_answer("watch", answer)
+    changes = relayed.read_answer("watch", answer)
+    agent.store.learn_era(eras.era_of(changes.version))
+    return changes
 
 
 async def handle_follow_call(
--- a/fuchsiamoor/ranges/granting.py
+++ b/fuchsiamoor/ranges/granting.py
@@ -82,6 +82,8 @@
         Grants of the last answer.
     current_until_ms : int
         End of the hold of the last answer.
+    was_ended : bool
+        Whether the incarnation has ever counted as ended, even if it came back.
     """
 
     owner: str
@@ -90,6 +92,7 @@
     handover_tokens: list[upstreams.ReleasedRange] = field(default_factory=list)
     current_grants: tuple[Grant, ...] = ()
     current_until_ms: int = 0
+    was_ended: bool = False
 
 
 def make_grant_state(owner: str) -> GrantState:
--- a/fuchsiamoor/ranges/table.py
+++ b/fuchsiamoor/ranges/table.py
@@ -2,7 +2,8 @@
 
 A table is a single value in the store that is replaced by compare-and-swap. Its rows
 cover all keys in order. A fence is the version of the table that assigned the row to
-its owner, so fences only increase.
+its owner, so fences only increase. A version holds the store's era in its upper bits,
+so that they also increase if the store loses writes.
 """
 
 import re
@@ -17,6 +18,9 @@
 _FORMAT_VERSION = 1
 # Versions are fences, which upstreams read as JSON numbers.
 _VERSION_MAX = 2**53 - 1
+# Bits of a version below the store's era; a table that is written every second fills
+# them in 136 years.
+_COUNT_BITS = 32
 _STARTED = re.compile(r"[0-9]{1,19}")
 
 
@@ -124,10 +128,31 @@
     return upstreams.Incarnation(upstream_id, int(started))
 
 
-def make_empty_table(service: str) -> RangeTable:
-    """Return version 0, in which no key has an owner."""
+def make_version(era: int, count: int) -> int:
+    """Return the version of a table that is the given one of its era.
+
+    Examples
+    --------
+    >>> make_version(0, 7), make_version(1, 0) > make_version(0, 7)
+    (7, True)
+    """
+    return era << _COUNT_BITS | count
+
+
+def era_of(version: int) -> int:
+    """Return the era of the store in which a version was planned."""
+    return version >> _COUNT_BITS
+
+
+def is_first(table: RangeTable) -> bool:
+    """Return whether no table has been written yet in the era."""
+    return table.version == make_version(era_of(table.version), 0)
+
+
+def make_empty_table(service: str, era: int = 0) -> RangeTable:
+    """Return the version before the first of an era, in which no key has an owner."""
     row = Row(0, catalog.KEY_COUNT - 1, NO_OWNER, 0)
-    return RangeTable(service, 0, (row,))
+    return RangeTable(service, make_version(era, 0), (row,))
 
 
 def find_row(table: RangeTable, key: int) -> Row:
--- a/fuchsiamoor/store/feed.py
+++ b/fuchsiamoor/store/feed.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 
 from fuchsiamoor.core import errors
-from fuchsiamoor.store import port
+from fuchsiamoor.store import eras, port
 
 # Number of watch results kept; a follower that is further behind asks the store.
 BATCHES_MAX = 128
@@ -67,6 +67,9 @@
     >>> list_after(feed, 3).version
     5
     """
+    if eras.era_of(changes.version) != eras.era_of(feed.last_version):
+        stop(feed)
+        return
     feed.last_version = changes.version
     if not changes.changes:
         return
@@ -79,12 +82,17 @@
 def list_after(feed: Feed, version: int) -> port.Changes:
     """Return the buffered changes after a version.
 
+    If that is of an earlier era, nothing is returned but a version of the new one.
+
     Raises
     ------
     StoreUnavailableError
         If the feed is stopped, or no longer has all changes since that version.
     """
-    if not feed.is_open or version < feed.first_version:
+    era, own_era = eras.era_of(version), eras.era_of(feed.last_version)
+    if feed.is_open and era < own_era:
+        return port.Changes(feed.last_version, ())
+    if not feed.is_open or version < feed.first_version or era > own_era:
         raise errors.StoreUnavailableError(
             f"feed has no history since version {version}"
         )
@@ -106,7 +114,7 @@
         If the feed is stopped, or no longer has all changes since that version.
     """
     changes = list_after(feed, version)
-    if changes.changes:
+    if changes.changes or eras.era_of(changes.version) != eras.era_of(version):
         return changes
     waiter = asyncio.get_running_loop().create_future()
     feed.waiters.add(waiter)
--- a/fuchsiamoor/store/port.py
+++ b/fuchsiamoor/store/port.py
@@ -129,9 +129,18 @@
 class TransactionalStore(Protocol):
     """A store that changes several keys in one transaction.
 
-    `get`, `list_prefix` and `watch` are as in `Store`.
+    `get`, `list_prefix` and `watch` are as in `Store`. Versions and lease ids carry the
+    store's era, see `fuchsiamoor.store.eras`; those of an earlier era than the latest
+    one known are never sent.
+
+    Parameters
+    ----------
+    era : int
+        Latest era of the store that is known; it may be raised from outside.
     """
 
+    era: int
+
     async def get(self, key: str) -> Entry | None:
         """Read one key."""
 
--- a/fuchsiamoor/store/relayed.py
+++ b/fuchsiamoor/store/relayed.py
@@ -14,7 +14,7 @@
 import cbor2
 
 from fuchsiamoor.core import errors, messages
-from fuchsiamoor.store import port
+from fuchsiamoor.store import eras, port
 
 # After a direct call failed without effect, calls go to a peer first for this time.
 PREFER_RELAY_MS = 1_000
@@ -30,6 +30,10 @@
     """Count nothing."""
 
 
+def _ignore_era(era: int) -> None:
+    """Do nothing."""
+
+
 CallPeer = Callable[[messages.StoreCall, int], Awaitable[messages.StoreAnswer]]
 
 
@@ -52,6 +56,11 @@
         Time until which no call is relayed.
     relayed_calls : int
         Number of calls that a peer has answered.
+    on_era : callable
+        Called with each new era of the store, before the result that showed it is
+        returned.
+    era : int
+        Latest era of the store that is known.
     """
 
     direct: port.TransactionalStore
@@ -61,6 +70,15 @@
     prefer_relay_until_ms: int = 0
     relay_backoff_until_ms: int = 0
     relayed_calls: int = 0
+    on_era: Callable[[int], None] = _ignore_era
+    era: int = 0
+
+    def learn_era(self, era: int) -> None:
+        """Take note of an era that an answer or another daemon has named."""
+        self.direct.era = max(self.direct.era, era)
+        if self.direct.era > self.era:
+            self.era = self.direct.era
+            self.on_era(self.era)
 
     async def get(self, key: str) -> port.Entry | None:
         """Read one key."""
@@ -120,6 +138,8 @@
         except errors.StoreUnavailableError:
             self.count(f"store.refused.{name}")
             raise
+        finally:
+            self.learn_era(self.direct.era)
 
     async def _relay(self, name: str, arguments: tuple):
         if name == "watch":
@@ -140,7 +160,12 @@
         if answer.outcome == "refused":
             self.relay_backoff_until_ms = self.now_ms() + RELAY_BACKOFF_MS
         self.relayed_calls += 1
-        return read_answer(name, answer)
+        result = read_answer(name, answer)
+        era = _find_era(result)
+        if era is not None and era < self.era:
+            raise errors.StoreOutcomeUnknownError(f"relayed answer of era {era}")
+        self.learn_era(era or 0)
+        return result
 
 
 async def handle_call(
@@ -216,6 +241,17 @@
             raise errors.StoreOutcomeUnknownError(content)
 
 
+def _find_era(result: object) -> int | None:
+    """Return the era that a result carries, None if it carries none."""
+    match result:
+        case port.Entry() | port.Listing() | port.Changes() | port.Committed():
+            return eras.era_of(result.version)
+        case str():
+            return eras.split_lease_id(result)[0]
+        case _:
+            return None
+
+
 def _read_plain(value: object, expected: type) -> object:
     if type(value) is not expected:
         raise TypeError(f"found {type(value).__name__}, expected {expected.__name__}")
--- a/fuchsiamoor/testing/transactional_store.py
+++ b/fuchsiamoor/testing/transactional_store.py
@@ -1,15 +1,17 @@
 """An in-memory transactional store on the event loop's clock, with fault injection.
 
-Faults are outages, lost answers and compacted history. Each daemon has its own client,
-so that the store can be unreachable for one daemon only.
+Faults are outages, lost answers, compacted history, and a return from a copy of chosen
+age. Each daemon has its own client, so that the store can be unreachable for one daemon
+only.
 """
 
 import asyncio
 import random
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from fuchsiamoor.core import errors
-from fuchsiamoor.store import port
+from fuchsiamoor.store import eras, port
 
 CALL_MS = 4
 
@@ -31,6 +33,21 @@
     lease_id: str
 
 
+class Copy(NamedTuple):
+    """What a restore brings back: items without a lease, and the counters.
+
+    Parameters
+    ----------
+    items : dict of str to Item
+    version : int
+    last_lease : int
+    """
+
+    items: dict[str, Item]
+    version: int
+    last_lease: int
+
+
 @dataclass(slots=True)
 class StoreState:
     """The contents of the store and its injected faults.
@@ -47,6 +64,12 @@
         Share of the writes with lost answers that take effect seconds later.
     history_from : int
         Version up to which the history of changes is compacted.
+    version : int
+        Revision of the last change, without the era; so are those of items.
+    last_lease : int
+        Number of the last lease that was granted.
+    era : int
+        Rises by one with each restore; 0 for a store that names none.
     """
 
     rng: random.Random
@@ -60,6 +83,7 @@
     lost_share: float = 0.0
     late_share: float = 0.0
     last_lease: int = 0
+    era: int = 0
     calls: int = 0
     changed: asyncio.Event = field(default_factory=asyncio.Event)
 
@@ -100,6 +124,22 @@
     state.changed.set()
 
 
+def take_copy(state: StoreState) -> Copy:
+    """Return a copy of what a restore keeps."""
+    items = {key: item for key, item in state.items.items() if not item.lease_id}
+    return Copy(items, state.version, state.last_lease)
+
+
+def restore(state: StoreState, copy: Copy) -> None:
+    """Go back to a copy: later writes and all leases are lost, a new era begins."""
+    state.items = dict(copy.items)
+    state.leases.clear()
+    state.version, state.last_lease = copy.version, copy.last_lease
+    state.changes = [one for one in state.changes if one[0] <= copy.version]
+    state.era += 1
+    state.changed.set()
+
+
 def _put(state: StoreState, put: port.Put) -> None:
     state.version += 1
     state.items[put.key] = Item(put.value, state.version, put.lease_id)
@@ -131,6 +171,10 @@
         _end_lease(state, lease_id)
 
 
+def _read_number(lease_id: str) -> str:
+    return str(eras.split_lease_id(lease_id)[1]) if lease_id else ""
+
+
 @dataclass(slots=True)
 class StoreClient:
     """One daemon's client of the store; see `port.TransactionalStore`.
@@ -139,27 +183,31 @@
     ----------
     cut_until_ms : float
         Time until which the calls of this client fail.
+    era : int
+        Latest era that this client has seen.
     """
 
     state: StoreState
     cut_until_ms: float = 0.0
+    era: int = 0
     is_closed: bool = False
 
     async def get(self, key: str) -> port.Entry | None:
         """Read one key."""
         await self._begin()
         item = self.state.items.get(key)
-        return None if item is None else port.Entry(key, item.value, item.version)
+        return None if item is None else self._make_entry(key, item)
 
     async def list_prefix(self, prefix: str) -> port.Listing:
         """Read all keys under a prefix."""
         await self._begin()
         entries = tuple(
-            port.Entry(key, item.value, item.version)
+            self._make_entry(key, item)
             for key, item in sorted(self.state.items.items())
             if key.startswith(prefix)
         )
-        return port.Listing(self.state.version, entries)
+        version = eras.make_version(self.state.era, self.state.version)
+        return port.Listing(version, entries)
 
     async def watch(
         self, prefix: str, after_version: int, wait_ms: int
@@ -169,16 +217,19 @@
         until_ms = now_ms() + wait_ms
         while True:
             self._raise_if_unreachable()
-            if after_version < self.state.history_from:
+            self.era = max(self.era, self.state.era)
+            after, era = eras.revision_of(after_version), self.state.era
+            if eras.era_of(after_version) != era or after < self.state.history_from:
                 raise errors.StoreHistoryLostError("history compacted")
             found = tuple(
-                change
+                port.Change(change.key, self._raise_version(change.entry))
                 for version, change in self.state.changes
-                if version > after_version and change.key.startswith(prefix)
+                if version > after and change.key.startswith(prefix)
             )
             # The version must not cover a change that came after the last look.
             if found or now_ms() >= until_ms:
-                return port.Changes(self.state.version, found)
+                version = eras.make_version(era, self.state.version)
+                return port.Changes(version, found)
             await asyncio.sleep(0.02)
 
     async def transact(
@@ -188,6 +239,11 @@
         deletes: tuple[str, ...] = (),
     ) -> port.TransactResult:
         """Set and delete keys atomically if every precondition holds."""
+        lease_ids = tuple(put.lease_id for put in puts)
+        versions = tuple(version for _, version in expected)
+        if eras.is_of_earlier_era(self.era, versions, lease_ids):
+            return port.PreconditionFailed()
+        sent_era = self.era
         await self._begin()
         state = self.state
         if state.rng.random() < state.lost_share:
@@ -199,15 +255,29 @@
             else:
                 self._apply(expected, puts, deletes)
             raise errors.StoreOutcomeUnknownError("the answer was lost")
-        return self._apply(expected, puts, deletes)
+        result = self._apply(expected, puts, deletes)
+        if state.era != sent_era and isinstance(result, port.Committed):
+            raise errors.StoreOutcomeUnknownError("answered in another era")
+        return result
+
+    def _make_entry(self, key: str, item: Item) -> port.Entry:
+        version = eras.make_version(self.state.era, item.version)
+        return port.Entry(key, item.value, version)
+
+    def _raise_version(self, entry: port.Entry | None) -> port.Entry | None:
+        if entry is None:
+            return None
+        return entry._replace(version=eras.make_version(self.state.era, entry.version))
 
     def _apply(self, expected, puts, deletes) -> port.TransactResult:
         state = self.state
         expire_leases(state)
+        # The store itself knows revisions and lease numbers only.
         for key, version in expected:
             item = state.items.get(key)
-            if (item.version if item else port.ABSENT) != version:
+            if (item.version if item else port.ABSENT) != eras.revision_of(version):
                 return port.PreconditionFailed()
+        puts = [put._replace(lease_id=_read_number(put.lease_id)) for put in puts]
         if any(put.lease_id and put.lease_id not in state.leases for put in puts):
             return port.PreconditionFailed()
         for put in puts:
@@ -215,34 +285,42 @@
         for key in deletes:
             _delete(state, key)
         state.changed.set()
-        return port.Committed(state.version)
+        return port.Committed(eras.make_version(state.era, state.version))
 
     async def grant_lease(self, ttl_ms: int) -> str:
         """Return the id of a new lease."""
         await self._begin()
         self.state.last_lease += 1
-        lease_id = str(self.state.last_lease)
-        self.state.leases[lease_id] = Lease(ttl_ms, now_ms() + ttl_ms)
-        return lease_id
+        number = self.state.last_lease
+        self.state.leases[str(number)] = Lease(ttl_ms, now_ms() + ttl_ms)
+        return eras.make_lease_id(self.state.era, number)
 
     async def renew_lease(self, lease_id: str) -> bool:
         """Extend a lease by its time to live; return False if it has ended."""
+        if eras.is_of_earlier_era(self.era, (), (lease_id,)):
+            return False
+        sent_era = self.era
         await self._begin()
-        lease = self.state.leases.get(lease_id)
+        lease = self.state.leases.get(_read_number(lease_id))
         if lease is None:
             return False
         lease.end_ms = now_ms() + lease.ttl_ms
+        if self.state.era != sent_era:
+            raise errors.StoreOutcomeUnknownError("answered in another era")
         return True
 
     async def revoke_lease(self, lease_id: str) -> None:
         """End a lease and delete its keys."""
+        if eras.is_of_earlier_era(self.era, (), (lease_id,)):
+            return
         await self._begin()
-        _end_lease(self.state, lease_id)
+        _end_lease(self.state, _read_number(lease_id))
 
     async def _begin(self) -> None:
         self.state.calls += 1
         await asyncio.sleep(CALL_MS / 1000)
         self._raise_if_unreachable()
+        self.era = max(self.era, self.state.era)
         expire_leases(self.state)
 
     def _raise_if_unreachable(self) -> None:
