--- a/fuchsiamoor/agent/store_sync.py
+++ b/fuchsiamoor/agent/store_sync.py
@@ -310,7 +310,7 @@
             _apply_deletion(agent, change.key)
         else:
             apply_entry(agent, change.entry)
-    if changes.changes:
+    if changes.changes or agent.eras.kept_evacuated:
         update_derived_state(agent)
         await asyncio.sleep(watch_relay.compute_pause_ms(agent) / 1000)
     return changes.version
--- a/fuchsiamoor/agent/watch_relay.py
+++ b/fuchsiamoor/agent/watch_relay.py
@@ -166,7 +166,7 @@
     member = registrations.make_peer(watcher)
     answer = await agent.links.call(member, call, wait_ms + ANSWER_MARGIN_MS)
     changes = relayed.read_answer("watch", answer)
-    agent.store.learn_era(eras.era_of(changes.version))
+    agent.store.learn_era(relayed.read_era(answer))
     return changes
 
 
@@ -187,4 +187,4 @@
         changes = await feeds.read(agent.feed, version, min(wait_ms, WATCH_MS))
     except errors.StoreUnavailableError as error:
         return messages.StoreAnswer("refused", cbor2.dumps(str(error)))
-    return messages.StoreAnswer("done", cbor2.dumps(changes))
+    return relayed.write_answer(eras.era_of(changes.version), changes)
--- a/fuchsiamoor/core/messages.py
+++ b/fuchsiamoor/core/messages.py
@@ -299,9 +299,10 @@
     Parameters
     ----------
     outcome : str
-        ``done``, ``refused``, ``unknown`` or ``forgotten``.
+        ``done``, ``dated``, ``refused``, ``unknown`` or ``forgotten``.
     content : bytes
-        The answer or the error message, in CBOR.
+        The answer or the error message, in CBOR; after ``dated`` the store's era and
+        the answer.
     """
 
     outcome: str
--- a/fuchsiamoor/store/relayed.py
+++ b/fuchsiamoor/store/relayed.py
@@ -3,7 +3,8 @@
 A call is repeated through a peer only if it certainly had no effect. While peers cannot
 reach the store either, a backoff limits the calls to them.
 
-The outcome in a peer's `messages.StoreAnswer` is ``done`` with the result, or, with the
+The outcome in a peer's `messages.StoreAnswer` is ``done`` with the result, ``dated``
+with the store's era and the result (for a store that names its era), or, with the
 error's text, ``refused`` (`StoreUnavailableError`), ``unknown``
 (`StoreOutcomeUnknownError`) or ``forgotten`` (`StoreHistoryLostError`).
 """
@@ -160,12 +161,11 @@
         if answer.outcome == "refused":
             self.relay_backoff_until_ms = self.now_ms() + RELAY_BACKOFF_MS
         self.relayed_calls += 1
-        result = read_answer(name, answer)
-        era = _find_era(result)
-        if era is not None and era < self.era:
+        era = read_era(answer)
+        if answer.outcome in ("done", "dated") and era < self.era:
             raise errors.StoreOutcomeUnknownError(f"relayed answer of era {era}")
-        self.learn_era(era or 0)
-        return result
+        self.learn_era(era)
+        return read_answer(name, answer)
 
 
 async def handle_call(
@@ -194,7 +194,25 @@
             answer = [version]
         case port.PreconditionFailed():
             answer = []
-    return messages.StoreAnswer("done", cbor2.dumps(answer))
+    return write_answer(store.era, answer)
+
+
+def write_answer(era: int, result: object) -> messages.StoreAnswer:
+    """Return the answer with a result that the store gave in an era."""
+    if era:
+        return messages.StoreAnswer("dated", cbor2.dumps([era, result]))
+    return messages.StoreAnswer("done", cbor2.dumps(result))
+
+
+def read_era(answer: messages.StoreAnswer) -> int:
+    """Return the era that an answer names, 0 if it names none."""
+    if answer.outcome != "dated":
+        return 0
+    try:
+        era, _ = cbor2.loads(answer.content)
+        return max(0, min(_read_plain(era, int), eras.ERA_MAX))
+    except (cbor2.CBORDecodeError, TypeError, ValueError, RecursionError):
+        return 0
 
 
 def _read_arguments(call: messages.StoreCall) -> list:
@@ -219,7 +237,9 @@
     """
     try:
         content = cbor2.loads(answer.content)
-        if answer.outcome == "done":
+        if answer.outcome == "dated":
+            _, content = content
+        if answer.outcome in ("done", "dated"):
             return _RESULT_READERS[name](content)
     except (
         cbor2.CBORDecodeError,
@@ -241,17 +261,6 @@
             raise errors.StoreOutcomeUnknownError(content)
 
 
-def _find_era(result: object) -> int | None:
-    """Return the era that a result carries, None if it carries none."""
-    match result:
-        case port.Entry() | port.Listing() | port.Changes() | port.Committed():
-            return eras.era_of(result.version)
-        case str():
-            return eras.split_lease_id(result)[0]
-        case _:
-            return None
-
-
 def _read_plain(value: object, expected: type) -> object:
     if type(value) is not expected:
         raise TypeError(f"found {type(value).__name__}, expected {expected.__name__}")
