--- a/fuchsiamoor/store/relayed.py
+++ b/fuchsiamoor/store/relayed.py
@@ -3,7 +3,8 @@
 A call is repeated through a peer only if it certainly had no effect. While peers cannot
 reach the store either, a backoff limits the calls to them.
 
-The outcome in a peer's `messages.StoreAnswer` is ``done`` with the result, or, with the
+The outcome in a peer's `messages.StoreAnswer` is ``done`` with the result, ``dated``
+with the store's era and the result (for a store that names its era), or, with the
 error's text, ``refused`` (`StoreUnavailableError`), ``unknown``
 (`StoreOutcomeUnknownError`) or ``forgotten`` (`StoreHistoryLostError`).
 """
@@ -14,7 +15,7 @@
 import cbor2
 
 from fuchsiamoor.core import errors, messages
-from fuchsiamoor.store import port
+from fuchsiamoor.store import eras, port
 
 # After a direct call failed without effect, calls go to a peer first for this time.
 PREFER_RELAY_MS = 1_000
@@ -30,6 +31,10 @@
     """Count nothing."""
 
 
+def _ignore_era(era: int) -> None:
+    """Do nothing."""
+
+
 CallPeer = Callable[[messages.StoreCall, int], Awaitable[messages.StoreAnswer]]
 
 
@@ -52,6 +57,11 @@
         Time until which no call is relayed.
     relayed_calls : int
         Number of calls that a peer has answered.
+    on_era : callable
+        Called with each new era of the store, before the result that showed it is
+        returned.
+    era : int
+        Latest era of the store that is known.
     """
 
     direct: port.TransactionalStore
@@ -61,6 +71,15 @@
     prefer_relay_until_ms: int = 0
     relay_backoff_until_ms: int = 0
     relayed_calls: int = 0
+    on_era: Callable[[int], None] = _ignore_era
+    era: int = 0
+
+    def learn_era(self, era: int) -> None:
+        """Take note of an era that an answer or another daemon has named."""
+        self.direct.era = max(self.direct.era, era)
+        if self.direct.era > self.era:
+            self.era = self.direct.era
+            self.on_era(self.era)
 
     async def get(self, key: str) -> port.Entry | None:
         """Read one key."""
@@ -120,6 +139,8 @@
         except errors.StoreUnavailableError:
             self.count(f"store.refused.{name}")
             raise
+        finally:
+            self.learn_era(self.direct.era)
 
     async def _relay(self, name: str, arguments: tuple):
         if name == "watch":
@@ -140,6 +161,10 @@
         if answer.outcome == "refused":
             self.relay_backoff_until_ms = self.now_ms() + RELAY_BACKOFF_MS
         self.relayed_calls += 1
+        era = read_era(answer)
+        if answer.outcome in ("done", "dated") and era < self.era:
+            raise errors.StoreOutcomeUnknownError(f"relayed answer of era {era}")
+        self.learn_era(era)
         return read_answer(name, answer)
 
 
@@ -169,7 +194,25 @@
             answer = [version]
         case port.PreconditionFailed():
             answer = []
-    return messages.StoreAnswer("done", cbor2.dumps(answer))
+    return write_answer(store.era, answer)
+
+
+def write_answer(era: int, result: object) -> messages.StoreAnswer:
+    """Return the answer with a result that the store gave in an era."""
+    if era:
+        return messages.StoreAnswer("dated", cbor2.dumps([era, result]))
+    return messages.StoreAnswer("done", cbor2.dumps(result))
+
+
+def read_era(answer: messages.StoreAnswer) -> int:
+    """Return the era that an answer names, 0 if it names none."""
+    if answer.outcome != "dated":
+        return 0
+    try:
+        era, _ = cbor2.loads(answer.content)
+        return max(0, min(_read_plain(era, int), eras.ERA_MAX))
+    except (cbor2.CBORDecodeError, TypeError, ValueError, RecursionError):
+        return 0
 
 
 def _read_arguments(call: messages.StoreCall) -> list:
@@ -194,7 +237,9 @@
     """
     try:
         content = cbor2.loads(answer.content)
-        if answer.outcome == "done":
+        if answer.outcome == "dated":
+            _, content = content
+        if answer.outcome in ("done", "dated"):
             return _RESULT_READERS[name](content)
     except (
         cbor2.CBORDecodeError,
