List the counter of unknown keys

Cause: the merge of the organisations' keys left it out of the metrics' names, and the check of names failed. Change: one name. Measured: metric_names_test.py passes.

--- a/fuchsiamoor/reports/metric_names.py
+++ b/fuchsiamoor/reports/metric_names.py
@@ -119,6 +119,7 @@
     "stop.drain_timed_out": "Stops that did not wait for the last requests.",
     METRICS_DROPPED: "Metrics dropped because their name is not on this page.",
     "callers.malformed": "Requests of callers that could not be read.",
+    "callers.unknown_key": "Requests whose key no organisation holds.",
     "budget.empty": "Repeats not sent, as none were left in the budget.",
     "peers.unreachable": "Carried requests that certainly did not leave.",
     "peers.lost": "Carried requests whose link broke or fell silent.",
