--- a/fuchsiamoor/store/feed_test.py
+++ b/fuchsiamoor/store/feed_test.py
@@ -3,8 +3,8 @@
 import pytest
 
 from fuchsiamoor.core import errors
+from fuchsiamoor.store import eras, port
 from fuchsiamoor.store import feed as feeds
-from fuchsiamoor.store import port
 from fuchsiamoor.testing import virtual_time
 
 
@@ -74,3 +74,30 @@
         return changes.version
 
     assert virtual_time.run(scenario()) == 12
+
+
+def test_a_follower_of_an_earlier_era_learns_of_the_new_one_without_waiting():
+    feed, version = feeds.Feed(), eras.make_version(2, 4)
+    feeds.start(feed, version)
+    started_ms = virtual_time.run(_read_at_once(feed, eras.make_version(1, 90)))
+    assert started_ms == (port.Changes(version, ()), 0)
+
+
+async def _read_at_once(feed, version):
+    changes = await feeds.read(feed, version, 500)
+    return changes, virtual_time.now_ms()
+
+
+def test_a_follower_that_is_ahead_by_an_era_asks_elsewhere():
+    feed = make_feed(11)
+    with pytest.raises(errors.StoreUnavailableError):
+        feeds.list_after(feed, eras.make_version(1, 2))
+
+
+# Changes of the new era do not follow on those of the earlier one.
+def test_a_feed_stops_at_a_change_of_era_until_the_store_is_listed_again():
+    feed = make_feed(11)
+    feeds.append(feed, make_batch(eras.make_version(1, 2)))
+    assert not feed.is_open
+    feeds.start(feed, eras.make_version(1, 2))
+    assert list_keys(feeds.list_after(feed, eras.make_version(1, 2))) == []
--- a/fuchsiamoor/store/relayed_test.py
+++ b/fuchsiamoor/store/relayed_test.py
@@ -119,7 +119,7 @@
 
 
 @given(
-    st.sampled_from(["done", "forgotten", "refused", "unknown", "other"]),
+    st.sampled_from(["done", "dated", "forgotten", "refused", "unknown", "other"]),
     st.sampled_from(["get", "list_prefix", "watch", "transact", "grant_lease"]),
     st.binary(max_size=40) | st.just(b"\x81" * 5_000),
 )
@@ -128,3 +128,28 @@
         relayed.read_answer(name, messages.StoreAnswer(outcome, content))
     except errors.StoreError:
         pass
+
+
+# A peer that answers for a daemon also tells it of the era.
+def test_relayed_answers_name_the_era():
+    async def scenario():
+        state, own_client, _, store = _make()
+        learned = []
+        store.on_era = learned.append
+        lease_id = await store.grant_lease(2_000)
+        transactional_store.restore(state, transactional_store.take_copy(state))
+        own_client.cut_until_ms = 60_000
+        return await store.renew_lease(lease_id), learned
+
+    assert virtual_time.run(scenario()) == (False, [1])
+
+
+def test_a_relayed_answer_of_an_earlier_era_shows_nothing():
+    async def scenario():
+        _, own_client, _, store = _make()
+        own_client.cut_until_ms = 60_000
+        store.learn_era(1)
+        await store.get("a")
+
+    with pytest.raises(errors.StoreOutcomeUnknownError):
+        virtual_time.run(scenario())
