--- a/fuchsiamoor/agent/lifecycle.py
+++ b/fuchsiamoor/agent/lifecycle.py
@@ -138,6 +138,8 @@
             return balancing.report_utilization(agent)
         case messages.StoreCall(watch_relay.FOLLOW):
             return await watch_relay.handle_follow_call(agent, message)
+        case messages.StoreCall(store_sync.CATALOG):
+            return store_sync.handle_catalog_call(agent)
         case messages.StoreCall():
             return await relayed.handle_call(agent.store, message)
         case _:
--- a/fuchsiamoor/agent/state.py
+++ b/fuchsiamoor/agent/state.py
@@ -91,6 +91,8 @@
     Parameters
     ----------
     catalog : Catalog
+    catalog_entry : Entry or None
+        The entry that holds it, None before the first one.
     evacuated : set of str
         Data centres out of service.
     directory : Directory
@@ -118,6 +120,7 @@
     """
 
     catalog: catalogs.Catalog = field(default_factory=catalogs.make_empty_catalog)
+    catalog_entry: port.Entry | None = None
     evacuated: set[str] = field(default_factory=set)
     directory: registrations.Directory = field(default_factory=registrations.Directory)
     tables: dict[str, range_tables.RangeTable] = field(default_factory=dict)
--- a/fuchsiamoor/agent/store_eras.py
+++ b/fuchsiamoor/agent/store_eras.py
@@ -32,6 +32,7 @@
         eras.granted_owner = agent.upstream.owner if is_confirmed else ""
         eras.grants_until_ms = registration.valid_until_ms if is_confirmed else 0
     logger.bind(era=era, before=eras.era).info("store era begins")
+    agent.metrics.count("store.era")
     eras.era, eras.since_ms = era, now_ms
     registration.lease_id = ""
     registration.update_due.set()
--- a/fuchsiamoor/agent/store_restore_test.py
+++ b/fuchsiamoor/agent/store_restore_test.py
@@ -320,3 +320,39 @@
         return result, world.store.items["k"].value
 
     assert _play_scene(scene, count=1)[0] == (port.PreconditionFailed(), b"new")
+
+
+# The copy's configuration is older than the one in force.
+def test_a_daemon_that_starts_learns_the_configuration_that_the_copy_lacks():
+    async def scene(world):
+        copy = transactional_store.take_copy(world.store)
+        transactional_store.put_now(
+            world.store, CATALOG_KEY, traffic_data.encode_version(5)
+        )
+        await asyncio.sleep(1)
+        store_restores.go_away(world, 0.1, copy)
+        await asyncio.sleep(3)
+        machine = world.machines[0]
+        schedules._restart_daemon(world, machine)
+        await asyncio.sleep(2)
+        return machine.agent.cache.catalog.version
+
+    assert _play_scene(scene) == (5, [])
+
+
+# A stopping daemon's lease may belong to another one after a restore.
+def test_a_daemon_that_stops_at_a_restore_ends_no_lease_of_another_one():
+    async def scene(world):
+        copy = transactional_store.take_copy(world.store)
+        stopping = world.machines[0].agent
+        lease_id = stopping.registration.lease_id
+        store_restores.go_away(world, 0.1, copy)
+        await asyncio.sleep(4)
+        await stopping.store.revoke_lease(lease_id)
+        await asyncio.sleep(0.1)
+        return sum(
+            registrations.registration_key(machine.instance) in world.store.items
+            for machine in world.machines
+        )
+
+    assert _play_scene(scene) == (4, [])
--- a/fuchsiamoor/agent/store_sync.py
+++ b/fuchsiamoor/agent/store_sync.py
@@ -13,11 +13,11 @@
     upstream_lifecycle,
     watch_relay,
 )
-from fuchsiamoor.core import errors
+from fuchsiamoor.core import errors, messages
 from fuchsiamoor.ranges import granting
 from fuchsiamoor.ranges import table as tables
 from fuchsiamoor.store import eras as store_era
-from fuchsiamoor.store import port
+from fuchsiamoor.store import port, relayed
 
 # Lease of a registration: a lost daemon is noticed after this time.
 LEASE_MS = 2_000
@@ -30,6 +30,9 @@
 # A registration may lapse by an outage of the store, so its daemon is still called for
 # this time.
 KEEP_LAPSED_MS = 8_000
+CATALOG = "catalog"
+# A few round trips between regions; a daemon that starts waits for it.
+CATALOG_TIMEOUT_MS = 300
 
 
 def make_registration(agent: state.Agent) -> registrations.Registration:
@@ -254,7 +257,7 @@
     now_ms, eras = agent.now_ms(), agent.eras
     if store_era.era_of(listing.version) != eras.era:
         raise errors.StoreUnavailableError("listing of an earlier era")
-    is_restored = eras.listed_era != eras.era
+    is_first, is_restored = not agent.cache.is_loaded, eras.listed_era != eras.era
     if is_restored:
         store_eras.forget_versions(agent)
     for entry in listing.entries:
@@ -279,6 +282,8 @@
     eras.changed.clear()
     agent.source_heard_ms = now_ms
     succession.forget_superseded(agent)
+    if is_first:
+        await _ask_peer_for_catalog(agent)
     update_derived_state(agent)
     return listing.version
 
@@ -318,10 +323,35 @@
 
 async def _refresh_catalog(agent: state.Agent) -> None:
     """Read the catalog at once, because another daemon has a newer version."""
+    known_version = agent.cache.catalog.version
     found = await agent.store.get(agent.dialect.catalog_key)
     if found is not None:
         apply_entry(agent, found)
         update_derived_state(agent)
+    if agent.cache.catalog.version == known_version:
+        await _ask_peer_for_catalog(agent)
+
+
+async def _ask_peer_for_catalog(agent: state.Agent) -> None:
+    """Learn a catalog that the store has lost, where it has come back from a copy."""
+    if agent.eras.era == 0:
+        return
+    call = messages.StoreCall(CATALOG, b"")
+    try:
+        answer = await agent.store.call_peer(call, CATALOG_TIMEOUT_MS)
+        found = relayed.read_answer("get", answer)
+    except (errors.PeerError, errors.StoreError) as error:
+        logger.bind(error=str(error)).debug("no catalog from another daemon")
+        return
+    if found is not None and found.key == agent.dialect.catalog_key:
+        apply_entry(agent, found)
+        update_derived_state(agent)
+
+
+def handle_catalog_call(agent: state.Agent) -> messages.StoreAnswer:
+    """Answer another daemon's call with the newest catalog that is known here."""
+    entry = agent.cache.catalog_entry
+    return relayed.write_answer(agent.eras.era, entry)
 
 
 def apply_entry(agent: state.Agent, entry: port.Entry) -> None:
@@ -367,7 +397,7 @@
 def _apply_catalog(agent: state.Agent, entry: port.Entry) -> None:
     found = agent.dialect.read_catalog(entry.value)
     if found.version > agent.cache.catalog.version:
-        agent.cache.catalog = found
+        agent.cache.catalog, agent.cache.catalog_entry = found, entry
         logger.bind(version=found.version).info("catalog in force")
 
 
--- a/fuchsiamoor/agent/table_writer.py
+++ b/fuchsiamoor/agent/table_writer.py
@@ -355,6 +355,8 @@
     match result:
         case port.Committed(version):
             agent.metrics.count("ranges.written")
+            if tables.era_of(table.version) != tables.era_of(planned.version):
+                agent.metrics.count("ranges.adopted")
             store_sync.apply_entry(agent, port.Entry(key, value, version))
             succession.note_absences(agent.cache, agent.now_ms())
             state.notify_change(agent)
