Leaves of daemons that are gone, and lost owners, after a restore

Watchers write leaves again that a copy lacks and whose daemons are gone. An adopted table keeps owners without a registration, under new fences, until they count as lost: a daemon of an earlier version may still hold by its own. The check for keys given away too early plants its fault at the wait itself now, as the old one changes nothing any more.

--- a/fuchsiamoor/agent/state.py
+++ b/fuchsiamoor/agent/state.py
@@ -200,6 +200,8 @@
         Latest era that is known.
     since_ms : int
         Time at which this daemon learned of it.
+    was_watcher : bool
+        Whether this daemon was a watcher then.
     listed_era : int
         Era of the latest listing of the store.
     granted_owner : str
@@ -217,6 +219,7 @@
 
     era: int = 0
     since_ms: int = 0
+    was_watcher: bool = False
     listed_era: int = 0
     granted_owner: str = ""
     grants_until_ms: int = 0
--- a/fuchsiamoor/agent/store_eras.py
+++ b/fuchsiamoor/agent/store_eras.py
@@ -34,6 +34,8 @@
     logger.bind(era=era, before=eras.era).info("store era begins")
     agent.metrics.count("store.era")
     eras.era, eras.since_ms = era, now_ms
+    # The first listing of the era lacks the registrations that show it.
+    eras.was_watcher = _is_watcher(agent)
     registration.lease_id = ""
     registration.update_due.set()
     eras.changed.set()
@@ -97,10 +99,9 @@
 
 def compute_relist_delay_ms(agent: state.Agent) -> int:
     """Return the delay of the first listing in a new era, in milliseconds."""
-    own, registered = agent.settings.instance, agent.cache.directory.registered
-    watchers = watch_relay.find_watchers(agent, agent.settings.region)
-    if not agent.cache.is_loaded or own in {one.instance for one in watchers}:
+    if not agent.cache.is_loaded or agent.eras.was_watcher:
         return 0
+    registered = agent.cache.directory.registered
     spread_ms = min(RELIST_SPREAD_MAX_MS, RELIST_SPREAD_MS * len(registered))
     return int(agent.rng.random() * spread_ms)
 
@@ -137,12 +138,22 @@
         logger.bind(data_centre=centre).info("data centre back in service")
 
 
-def restore_leave(agent: state.Agent) -> None:
-    """Announce the leave of this daemon's upstream again if the copy lacks it."""
+def restore_leaves(agent: state.Agent) -> None:
+    """Announce leaves again that the copy lacks.
+
+    Each daemon does so for its own upstream, and watchers for all that they know, whose
+    daemons may be gone.
+    """
     upstream, directory = agent.upstream, agent.cache.directory
-    if upstream.draining_since_ms is None or not upstream.owner:
-        return
-    instance = agent.settings.instance
-    if directory.leave_versions.get(instance, port.ABSENT) == port.ABSENT:
-        directory.left_owners.pop(instance, None)
-    leaves.announce(agent, upstream.owner)
+    for instance, owner in tuple(directory.left_owners.items()):
+        is_lost = directory.leave_versions.get(instance, port.ABSENT) == port.ABSENT
+        if is_lost and (agent.eras.was_watcher or instance == agent.settings.instance):
+            del directory.left_owners[instance]
+            leaves.announce(agent, owner)
+    if upstream.draining_since_ms is not None and upstream.owner:
+        leaves.announce(agent, upstream.owner)
+
+
+def _is_watcher(agent: state.Agent) -> bool:
+    watchers = watch_relay.find_watchers(agent, agent.settings.region)
+    return agent.settings.instance in {one.instance for one in watchers}
--- a/fuchsiamoor/agent/store_restore_test.py
+++ b/fuchsiamoor/agent/store_restore_test.py
@@ -110,7 +110,9 @@
 def test_checker_catches_keys_given_away_before_the_earlier_era_has_run_out(
     monkeypatch,
 ):
-    monkeypatch.setattr(store_eras, "is_settled", lambda agent: True)
+    monkeypatch.setattr(
+        table_writer, "_must_wait_for_earlier_eras", lambda agent, table: False
+    )
     assert any(virtual_time.run(_play(seed)).violations for seed in range(40))
 
 
@@ -356,3 +358,20 @@
         )
 
     assert _play_scene(scene) == (4, [])
+
+
+# A daemon that ended after its upstream's leave cannot write that again itself.
+def test_a_leave_that_the_copy_lacks_is_written_again_for_a_daemon_that_is_gone():
+    async def scene(world):
+        copy = transactional_store.take_copy(world.store)
+        machine = world.machines[3]
+        machine.upstream.is_draining = True
+        await asyncio.sleep(2)
+        key = registrations.leave_key(machine.instance)
+        value = world.store.items[key].value
+        range_simulation.kill_daemon(machine)
+        store_restores.go_away(world, 0.1, copy)
+        await asyncio.sleep(3)
+        return world.store.items[key].value == value
+
+    assert _play_scene(scene) == (True, [])
--- a/fuchsiamoor/agent/store_sync.py
+++ b/fuchsiamoor/agent/store_sync.py
@@ -272,7 +272,7 @@
     }
     if is_restored:
         evacuated = store_eras.keep_evacuated(agent, evacuated)
-        store_eras.restore_leave(agent)
+        store_eras.restore_leaves(agent)
     cache.evacuated = evacuated
     # The listing does not show registrations that were added and removed since the last
     # one, so absence is counted from now.
--- a/fuchsiamoor/agent/table_writer.py
+++ b/fuchsiamoor/agent/table_writer.py
@@ -172,7 +172,9 @@
     era, claims = agent.eras.era, store_eras.list_claims(agent)
     if not store_eras.is_settled(agent):
         return recovery.plan_adoption(table, era, claims)
-    adopted = recovery.plan_adoption(table, era, claims, owner_states.registered)
+    # An owner without a registration may be back: it is replaced as usual.
+    live_owners = tables.list_owners(table) - owner_states.ended
+    adopted = recovery.plan_adoption(table, era, claims, live_owners)
     base = adopted._replace(version=tables.make_version(era, 0))
     return planning.plan_next_table(base, owner_states) or adopted
 
