--- a/fuchsiamoor/agent/state.py
+++ b/fuchsiamoor/agent/state.py
@@ -91,6 +91,8 @@
     Parameters
     ----------
     catalog : Catalog
+    catalog_entry : Entry or None
+        The entry that holds it, None before the first one.
     evacuated : set of str
         Data centres out of service.
     directory : Directory
@@ -118,6 +120,7 @@
     """
 
     catalog: catalogs.Catalog = field(default_factory=catalogs.make_empty_catalog)
+    catalog_entry: port.Entry | None = None
     evacuated: set[str] = field(default_factory=set)
     directory: registrations.Directory = field(default_factory=registrations.Directory)
     tables: dict[str, range_tables.RangeTable] = field(default_factory=dict)
@@ -197,6 +200,8 @@
         Latest era that is known.
     since_ms : int
         Time at which this daemon learned of it.
+    was_watcher : bool
+        Whether this daemon was a watcher then.
     listed_era : int
         Era of the latest listing of the store.
     granted_owner : str
@@ -214,6 +219,7 @@
 
     era: int = 0
     since_ms: int = 0
+    was_watcher: bool = False
     listed_era: int = 0
     granted_owner: str = ""
     grants_until_ms: int = 0
--- a/fuchsiamoor/agent/table_writer.py
+++ b/fuchsiamoor/agent/table_writer.py
@@ -172,7 +172,9 @@
     era, claims = agent.eras.era, store_eras.list_claims(agent)
     if not store_eras.is_settled(agent):
         return recovery.plan_adoption(table, era, claims)
-    adopted = recovery.plan_adoption(table, era, claims, owner_states.registered)
+    # An owner without a registration may be back: it is replaced as usual.
+    live_owners = tables.list_owners(table) - owner_states.ended
+    adopted = recovery.plan_adoption(table, era, claims, live_owners)
     base = adopted._replace(version=tables.make_version(era, 0))
     return planning.plan_next_table(base, owner_states) or adopted
 
@@ -355,6 +357,8 @@
     match result:
         case port.Committed(version):
             agent.metrics.count("ranges.written")
+            if tables.era_of(table.version) != tables.era_of(planned.version):
+                agent.metrics.count("ranges.adopted")
             store_sync.apply_entry(agent, port.Entry(key, value, version))
             succession.note_absences(agent.cache, agent.now_ms())
             state.notify_change(agent)
