--- a/fuchsiamoor/agent/store_eras.py
+++ b/fuchsiamoor/agent/store_eras.py
@@ -86,7 +86,7 @@
     }
 
 
-def is_settled(agent: state.Agent) -> bool:
+def have_earlier_grants_expired(agent: state.Agent) -> bool:
     """Return whether all that earlier eras granted has certainly run out."""
     elapsed_ms = agent.now_ms() - agent.eras.since_ms
     return agent.eras.era == 0 or elapsed_ms > succession.LOST_AFTER_MS
--- a/fuchsiamoor/agent/store_restore_test.py
+++ b/fuchsiamoor/agent/store_restore_test.py
@@ -7,6 +7,7 @@
 from fuchsiamoor.agent import ownership_schedules_test as schedules
 from fuchsiamoor.agent import registrations, store_eras, store_sync, table_writer
 from fuchsiamoor.core import errors
+from fuchsiamoor.ranges import granting
 from fuchsiamoor.ranges import table as tables
 from fuchsiamoor.store import eras, port
 from fuchsiamoor.testing import (
@@ -375,3 +376,43 @@
         return world.store.items[key].value == value
 
     assert _play_scene(scene) == (True, [])
+
+
+async def _cut_off_across_a_restore(world):
+    """Cut a daemon off from the store and all others before a restore."""
+    machine = world.machines[0]
+    copy = transactional_store.take_copy(world.store)
+    machine.client.cut_until_ms = transactional_store.now_ms() + 60_000
+    machine.agent.links = schedules._NoLinks()
+    await asyncio.sleep(0.5)
+    store_restores.go_away(world, 0.1, copy)
+    await asyncio.sleep(20)
+    return range_simulation.count_held_keys(world)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_keys_of_a_daemon_that_does_not_learn_of_the_restore_go_to_others(seed):
+    assert _play_scene(_cut_off_across_a_restore, seed) == (65_536, [])
+
+
+def test_checker_catches_holds_that_outlast_the_era_in_which_they_were_granted(
+    monkeypatch,
+):
+    monkeypatch.setattr(granting, "REGISTRATION_VALID_MS", 30_000)
+    found = [_play_scene(_cut_off_across_a_restore, seed) for seed in range(4)]
+    assert all(violations for _, violations in found)
+
+
+# A renewal in the new era must not prolong what the table of the earlier one grants.
+def test_grants_by_a_table_of_an_earlier_era_end_with_its_registration():
+    async def scene(world):
+        agent = world.machines[0].agent
+        table, until_ms = agent.cache.tables[SERVICE], agent.registration.valid_until_ms
+        for era in (1, 2):
+            agent.store.learn_era(era)
+            agent.registration.valid_until_ms += 5_000
+            assert store_eras.find_grants_until_ms(agent, table) == until_ms
+        present = table._replace(version=tables.make_version(2, 1))
+        return store_eras.find_grants_until_ms(agent, present) - until_ms
+
+    assert _play_scene(scene)[0] == 10_000
--- a/fuchsiamoor/agent/table_writer.py
+++ b/fuchsiamoor/agent/table_writer.py
@@ -105,7 +105,7 @@
     if is_first and not _is_settled(check, owner_states, now_ms):
         return
     if _must_wait_for_earlier_eras(agent, table):
-        check.due_since_ms, check.again_ms = None, _find_settled_ms(agent)
+        check.due_since_ms, check.again_ms = None, _find_next_step_ms(agent)
         return
     if tables.era_of(table.version) != agent.eras.era:
         planned = _plan_adoption(agent, table, owner_states)
@@ -141,7 +141,7 @@
 
 def _must_wait_for_earlier_eras(agent: state.Agent, table: tables.RangeTable) -> bool:
     """Return whether keys that a table assigns next may still be held elsewhere."""
-    if store_eras.is_settled(agent):
+    if store_eras.have_earlier_grants_expired(agent):
         return False
     if not store_eras.is_listed(agent):
         return True
@@ -158,7 +158,7 @@
     return agent.now_ms() < agent.eras.since_ms + ADOPT_AFTER_MS
 
 
-def _find_settled_ms(agent: state.Agent) -> int:
+def _find_next_step_ms(agent: state.Agent) -> int:
     """Return when the store's present era next allows more without any change."""
     since_ms, now_ms = agent.eras.since_ms, agent.now_ms()
     adopt_ms = since_ms + ADOPT_AFTER_MS
@@ -170,7 +170,7 @@
 ) -> tables.RangeTable:
     """Return the first table of the store's present era."""
     era, claims = agent.eras.era, store_eras.list_claims(agent)
-    if not store_eras.is_settled(agent):
+    if not store_eras.have_earlier_grants_expired(agent):
         return recovery.plan_adoption(table, era, claims)
     # An owner without a registration may be back: it is replaced as usual.
     live_owners = tables.list_owners(table) - owner_states.ended
