Adoption before the grants of the earlier era run out

With an owner lost just before a restore, adoption waited 3 s from the return of the store, and after 5 s of outage all keys were without an owner for 1 s.

--- a/fuchsiamoor/agent/store_restore_test.py
+++ b/fuchsiamoor/agent/store_restore_test.py
@@ -416,3 +416,17 @@
         return store_eras.find_grants_until_ms(agent, present) - until_ms
 
     assert _play_scene(scene)[0] == 10_000
+
+
+def test_a_store_that_names_an_era_from_the_start_is_served_at_once():
+    async def play():
+        world = range_simulation.make_world(seed=1)
+        world.store.era = 3
+        await schedules._start_all(world)
+        held = range_simulation.count_held_keys(world)
+        agent = world.machines[0].agent
+        version = agent.cache.tables[SERVICE].version
+        await range_simulation.close(world)
+        return held, version
+
+    assert virtual_time.run(play()) == (65_536, tables.make_version(3, 1))
--- a/fuchsiamoor/agent/table_writer.py
+++ b/fuchsiamoor/agent/table_writer.py
@@ -35,9 +35,10 @@
 MAX_SETTLE_MS = 5_000
 # Delay of each daemon after the one before it in the order.
 TURN_MS = 700
-# Owners have registered again and made their claims by this time after the store has
-# come back: their listings are spread over 1.5 s.
-ADOPT_AFTER_MS = 3_000
+# Owners are registered again, with their claims, within two seconds of the return of
+# the store. Claims are awaited for longer while grants of the earlier era last.
+ADOPT_AFTER_MS = 2_000
+ADOPT_AFTER_MAX_MS = 3_000
 # Pause after a write: for a moment, other daemons may see other members than this one.
 PAUSE_MS = 200
 # Owners that one write may declare lost: each takes two of the 32 entries that a store
@@ -155,14 +156,22 @@
     claims = store_eras.list_claims(agent)
     if recovery.are_all_claimed(table, claims):
         return False
-    return agent.now_ms() < agent.eras.since_ms + ADOPT_AFTER_MS
+    return agent.now_ms() < _find_adoption_ms(agent)
 
 
 def _find_next_step_ms(agent: state.Agent) -> int:
     """Return when the store's present era next allows more without any change."""
-    since_ms, now_ms = agent.eras.since_ms, agent.now_ms()
-    adopt_ms = since_ms + ADOPT_AFTER_MS
-    return adopt_ms if now_ms < adopt_ms else since_ms + succession.LOST_AFTER_MS + 1
+    adopt_ms = _find_adoption_ms(agent)
+    if agent.now_ms() < adopt_ms:
+        return adopt_ms
+    return agent.eras.since_ms + succession.LOST_AFTER_MS + 1
+
+
+def _find_adoption_ms(agent: state.Agent) -> int:
+    """Return when a table is adopted that not all owners have claimed."""
+    since_ms, grants_until_ms = agent.eras.since_ms, agent.eras.grants_until_ms
+    latest_ms = since_ms + ADOPT_AFTER_MAX_MS
+    return min(latest_ms, max(since_ms + ADOPT_AFTER_MS, grants_until_ms - TURN_MS))
 
 
 def _plan_adoption(
