--- a/fuchsiamoor/agent/table_writer.py
+++ b/fuchsiamoor/agent/table_writer.py
@@ -35,9 +35,10 @@
 MAX_SETTLE_MS = 5_000
 # Delay of each daemon after the one before it in the order.
 TURN_MS = 700
-# Owners have registered again and made their claims by this time after the store has
-# come back: their listings are spread over 1.5 s.
-ADOPT_AFTER_MS = 3_000
+# Owners are registered again, with their claims, within two seconds of the return of
+# the store. Claims are awaited for longer while grants of the earlier era last.
+ADOPT_AFTER_MS = 2_000
+ADOPT_AFTER_MAX_MS = 3_000
 # Pause after a write: for a moment, other daemons may see other members than this one.
 PAUSE_MS = 200
 # Owners that one write may declare lost: each takes two of the 32 entries that a store
@@ -105,7 +106,7 @@
     if is_first and not _is_settled(check, owner_states, now_ms):
         return
     if _must_wait_for_earlier_eras(agent, table):
-        check.due_since_ms, check.again_ms = None, _find_settled_ms(agent)
+        check.due_since_ms, check.again_ms = None, _find_next_step_ms(agent)
         return
     if tables.era_of(table.version) != agent.eras.era:
         planned = _plan_adoption(agent, table, owner_states)
@@ -141,7 +142,7 @@
 
 def _must_wait_for_earlier_eras(agent: state.Agent, table: tables.RangeTable) -> bool:
     """Return whether keys that a table assigns next may still be held elsewhere."""
-    if store_eras.is_settled(agent):
+    if store_eras.have_earlier_grants_expired(agent):
         return False
     if not store_eras.is_listed(agent):
         return True
@@ -155,14 +156,22 @@
     claims = store_eras.list_claims(agent)
     if recovery.are_all_claimed(table, claims):
         return False
-    return agent.now_ms() < agent.eras.since_ms + ADOPT_AFTER_MS
+    return agent.now_ms() < _find_adoption_ms(agent)
 
 
-def _find_settled_ms(agent: state.Agent) -> int:
+def _find_next_step_ms(agent: state.Agent) -> int:
     """Return when the store's present era next allows more without any change."""
-    since_ms, now_ms = agent.eras.since_ms, agent.now_ms()
-    adopt_ms = since_ms + ADOPT_AFTER_MS
-    return adopt_ms if now_ms < adopt_ms else since_ms + succession.LOST_AFTER_MS + 1
+    adopt_ms = _find_adoption_ms(agent)
+    if agent.now_ms() < adopt_ms:
+        return adopt_ms
+    return agent.eras.since_ms + succession.LOST_AFTER_MS + 1
+
+
+def _find_adoption_ms(agent: state.Agent) -> int:
+    """Return when a table is adopted that not all owners have claimed."""
+    since_ms, grants_until_ms = agent.eras.since_ms, agent.eras.grants_until_ms
+    latest_ms = since_ms + ADOPT_AFTER_MAX_MS
+    return min(latest_ms, max(since_ms + ADOPT_AFTER_MS, grants_until_ms - TURN_MS))
 
 
 def _plan_adoption(
@@ -170,7 +179,7 @@
 ) -> tables.RangeTable:
     """Return the first table of the store's present era."""
     era, claims = agent.eras.era, store_eras.list_claims(agent)
-    if not store_eras.is_settled(agent):
+    if not store_eras.have_earlier_grants_expired(agent):
         return recovery.plan_adoption(table, era, claims)
     # An owner without a registration may be back: it is replaced as usual.
     live_owners = tables.list_owners(table) - owner_states.ended
