--- a/fuchsiamoor/platform/process_data.py
+++ b/fuchsiamoor/platform/process_data.py
@@ -30,6 +30,7 @@
 # Of the daemon that callers connect to, and of another one.
 ENTRY_IP, OTHER_IP = "127.0.0.1", "127.0.0.2"
 HEARTBEAT_S = 0.3
+DEADLINE_MS = 20_000
 SLOTS = 8
 START_TIMEOUT_S = 30
 
@@ -274,7 +275,7 @@
         f"{method} {target} HTTP/1.1",
         f"Host: {HOST}",
         f"Fuchsiamoor-Request-Id: {request_id}",
-        "Fuchsiamoor-Deadline-Ms: 20000",
+        f"Fuchsiamoor-Deadline-Ms: {DEADLINE_MS}",
         *lines,
     ]
     return "\r\n".join((*head, "", "")).encode()
