--- a/bench/agent_path.py
+++ b/bench/agent_path.py
@@ -22,6 +22,7 @@
 
 from fuchsiamoor.agent import (
     caller_requests,
+    connection_limits,
     http_server,
     lifecycle,
     registrations,
@@ -38,6 +39,7 @@
 CONCURRENCY = 8
 SLOTS = 64
 MEMORY_BYTES = 200_000_000
+DESCRIPTORS = 4_100
 ANSWER_BODY = b"x" * 4_000
 WARM_UP_REQUESTS = 400
 
@@ -54,7 +56,8 @@
         return traffic_data.make_catalog().limits
 
     accounts = byte_account.make_accounts(MEMORY_BYTES)
-    upstream = http_server.HttpServer(_serve_upstream, get_limits, accounts)
+    limits = connection_limits.make_limits(MEMORY_BYTES, DESCRIPTORS)
+    upstream = http_server.HttpServer(_serve_upstream, get_limits, accounts, limits)
     settings = traffic_data.make_settings(
         f"10.0.0.{number + 1}", service=traffic_data.PLAIN_SERVICE
     )._replace(upstream_address=await upstream.listen(LOOPBACK))
@@ -66,7 +69,10 @@
     )
     upstream_lifecycle.handle_heartbeat(agent, heartbeat)
     callers = http_server.HttpServer(
-        lambda request: caller_requests.handle(agent, request), get_limits, accounts
+        lambda request: caller_requests.handle(agent, request),
+        get_limits,
+        accounts,
+        limits,
     )
     return agent, await callers.listen(LOOPBACK)
 
--- a/fuchsiamoor/agent/http_server_test.py
+++ b/fuchsiamoor/agent/http_server_test.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from fuchsiamoor.agent import http_server
+from fuchsiamoor.agent import connection_limits, http_server
 from fuchsiamoor.core import byte_account
 from fuchsiamoor.core.addresses import Address
 from fuchsiamoor.traffic.catalog import CallerLimits
@@ -13,6 +13,8 @@
     header_bytes=500, body_bytes=64, header_timeout_ms=200, idle_timeout_ms=400
 )
 
+CONNECTIONS = connection_limits.ConnectionLimits(connections=1_000, handled=1_000)
+
 
 class DelayHandler:
     """Answers with target and body, after the delay in milliseconds in the target."""
@@ -32,11 +34,11 @@
         return http_server.HttpAnswer(200, (), request.target.encode() + request.body)
 
 
-async def _connect(handler, memory_bytes=MEMORY_BYTES):
+async def _connect(handler, memory_bytes=MEMORY_BYTES, connections=CONNECTIONS):
     accounts = byte_account.make_accounts(memory_bytes)._replace(
         bodies=byte_account.ByteAccount("bodies", BUDGET_BYTES)
     )
-    server = http_server.HttpServer(handler, lambda: LIMITS, accounts)
+    server = http_server.HttpServer(handler, lambda: LIMITS, accounts, connections)
     address = await server.listen(Address("127.0.0.1", 0))
     reader, writer = await asyncio.open_connection(*address)
     return server, reader, writer
--- a/fuchsiamoor/agent/lifecycle.py
+++ b/fuchsiamoor/agent/lifecycle.py
@@ -18,6 +18,7 @@
 from fuchsiamoor.agent import (
     balancing,
     caller_requests,
+    connection_limits,
     dialect,
     endpoints,
     event_log,
@@ -236,11 +237,25 @@
     """Listen, run the supervisor tree until a stop is requested, and close."""
     settings = agent.settings
     await peer_links.serve(agent.links, settings.peer_address)
-    caller_server = _make_server(agent, caller_requests.handle)
+    caller_server = _make_server(
+        agent,
+        caller_requests.handle,
+        connection_limits.make_limits(settings.memory_bytes, settings.descriptors),
+    )
+    service_limits = connection_limits.make_service_limits()
     other_servers = [
-        (_make_server(agent, endpoints.handle_readiness), settings.ready_address),
-        (_make_server(agent, endpoints.handle_upstream_call), settings.control_address),
-        (_make_server(agent, endpoints.handle_metrics), settings.metrics_address),
+        (
+            _make_server(agent, endpoints.handle_readiness, service_limits),
+            settings.ready_address,
+        ),
+        (
+            _make_server(agent, endpoints.handle_upstream_call, service_limits),
+            settings.control_address,
+        ),
+        (
+            _make_server(agent, endpoints.handle_metrics, service_limits),
+            settings.metrics_address,
+        ),
     ]
     await caller_server.listen(settings.caller_address)
     for server, address in other_servers:
@@ -261,12 +276,18 @@
     logger.bind(run=agent.run).info("stopped")
 
 
-def _make_server(agent: state.Agent, handle) -> http_server.HttpServer:
+def _make_server(
+    agent: state.Agent, handle, limits: connection_limits.ConnectionLimits
+) -> http_server.HttpServer:
     def get_limits() -> CallerLimits:
         return agent.cache.catalog.limits
 
     return http_server.HttpServer(
-        functools.partial(handle, agent), get_limits, agent.accounts
+        functools.partial(handle, agent),
+        get_limits,
+        agent.accounts,
+        limits,
+        lambda: agent.metrics.count("callers.closed_for_others"),
     )
 
 
--- a/fuchsiamoor/core/agent_settings.py
+++ b/fuchsiamoor/core/agent_settings.py
@@ -63,6 +63,8 @@
     memory_bytes : int
         Memory of the machine that the daemon may use.
     bounds : Bounds
+    descriptors : int
+        Files and connections that the daemon may have open.
     """
 
     instance: str
@@ -80,3 +82,4 @@
     lease_min_ms: int
     memory_bytes: int
     bounds: Bounds
+    descriptors: int = 4_096
--- a/fuchsiamoor/platform/settings.py
+++ b/fuchsiamoor/platform/settings.py
@@ -8,6 +8,8 @@
 from fuchsiamoor.platform import scalars
 
 PATH_VARIABLE = "FUCHSIAMOOR_BOOT"
+# Where the settings name none: the least of a machine on the platform.
+DESCRIPTORS_DEFAULT = 4_100
 
 
 def load_settings() -> agent_settings.AgentSettings:
@@ -44,6 +46,7 @@
     listen = fields["listen"]
     store = fields["platform"]
     metrics_port = document.get("metrics_port")
+    limits = fields["limits"]
     return agent_settings.AgentSettings(
         instance=host,
         service=scalars.read_text(fields["service"], "service"),
@@ -64,9 +67,11 @@
         store_address=scalars.read_address(store["address"]),
         heartbeat_ms=scalars.read_duration_ms(fields["heartbeat"]),
         lease_min_ms=scalars.read_duration_ms(store["ttl_min"]),
-        memory_bytes=scalars.read_int(fields["limits"]["memory_mb"], "memory_mb")
-        * 1_000_000,
+        memory_bytes=scalars.read_int(limits["memory_mb"], "memory_mb") * 1_000_000,
         bounds=_read_bounds(fields["bounds"]),
+        descriptors=scalars.read_int(
+            limits.get("max_fds", DESCRIPTORS_DEFAULT), "max_fds"
+        ),
     )
 
 
