Only 100 to 599 are statuses; whatever else comes is no answer

Cause: a status below 100 was taken for an interim answer, so that the caller waited out its deadline; 600 and more, other versions and ICE went through as answers. What another daemon carried was not checked at all, and an answer of another kind failed the handler.

Change: core/http_status.py, asked by the connection to an upstream and the store, by what daemons carry (both daemons) and by the HTTP client of the tool and the product's store. 101 counts as none. The connection ends at once; the request may have run.

Not brought about by a test: a status line without the rest of its head is judged once the head is complete.

--- a/fuchsiamoor/agent/caller_requests_test.py
+++ b/fuchsiamoor/agent/caller_requests_test.py
@@ -1,5 +1,7 @@
 import asyncio
 
+import pytest
+
 from fuchsiamoor.agent import (
     caller_requests,
     lifecycle,
@@ -7,7 +9,7 @@
     target_selection,
 )
 from fuchsiamoor.core import errors, messages
-from fuchsiamoor.core.verdicts import NotRun, Reason
+from fuchsiamoor.core.verdicts import NotRun, Ran, Reason
 from fuchsiamoor.ranges import table as tables
 from fuchsiamoor.testing import traffic_data, virtual_time
 from fuchsiamoor.testing.caller_requests_data import (
@@ -82,6 +84,32 @@
     assert (answer.status, len(agent.links.calls)) == (502, 1)
 
 
+# A status of 0 from another daemon went to the caller as it was.
+@pytest.mark.parametrize(
+    "answered",
+    [
+        *(make_outcome(Ran(), status) for status in (0, 99, 100, 101, 600, 999, -1)),
+        messages.Done(),
+        messages.TransferGranted(),
+    ],
+)
+@pytest.mark.parametrize("is_idempotent", [False, True])
+def test_what_is_no_answer_may_have_run(answered, is_idempotent):
+    async def script(instance, message):
+        return answered if instance == "10.0.0.2" else RAN
+
+    route = traffic_data.make_route(is_idempotent=is_idempotent)
+
+    def agent_factory():
+        made = traffic_data.make_catalog(1, route)
+        return make_agent(script, "10.0.0.2", catalog=made)
+
+    agent, answer, elapsed_ms = _play(agent_factory)
+    sent = [call for call in agent.links.calls if call[0] == "10.0.0.2"]
+    assert (answer.status, len(sent)) == (502, 1)
+    assert elapsed_ms < 100
+
+
 def test_without_retry_budget_there_is_no_retry():
     def agent_factory():
         agent = make_agent(always(LOST), "10.0.0.2", "10.0.0.3")
--- a/fuchsiamoor/agent/forwarding.py
+++ b/fuchsiamoor/agent/forwarding.py
@@ -4,7 +4,7 @@
 
 from fuchsiamoor.agent import local_execution, registrations, state, transfers
 from fuchsiamoor.agent.attempts import Deadlines
-from fuchsiamoor.core import errors, members, messages
+from fuchsiamoor.core import errors, http_status, members, messages
 from fuchsiamoor.core.carried import CarriedAnswer, CarriedRequest, Load
 from fuchsiamoor.core.verdicts import MayHaveRun, NotRun, Ran, Reason
 from fuchsiamoor.traffic import catalog, instance_selection, requests
@@ -93,7 +93,7 @@
             sent_ms=agent.now_ms(),
         )
     try:
-        return await agent.links.call(member, carried, timeout_ms)
+        answer = await agent.links.call(member, carried, timeout_ms)
     except errors.PeerUnreachableError as error:
         agent.metrics.count("peers.unreachable")
         return _make_failure(NotRun(Reason.CONNECT_FAILED, str(error)), False)
@@ -104,6 +104,22 @@
     except asyncio.CancelledError:
         agent.links.tell(member, messages.Cancel(carried.request_id))
         raise
+    return _check_answer(agent, answer)
+
+
+def _check_answer(agent: state.Agent, answer: messages.Message) -> CarriedAnswer:
+    """Return what a daemon answered to a request, if it can be an answer to one."""
+    match answer:
+        case CarriedAnswer(verdict=Ran(), status=status):
+            if http_status.is_final(status):
+                return answer
+            detail = f"an answer with status {status}"
+        case CarriedAnswer():
+            return answer
+        case _:
+            detail = f"answered with {type(answer).__name__}"
+    agent.metrics.count("peers.no_answers")
+    return _make_failure(MayHaveRun(Reason.TRUNCATED, detail), True)
 
 
 async def _send_body_ahead(
@@ -132,7 +148,7 @@
     match answer:
         case messages.TransferGranted():
             return None
-        case CarriedAnswer():
+        case CarriedAnswer(verdict=NotRun()):
             return answer
     return _make_failure(NotRun(Reason.OVER_LIMIT, "the body was not granted"), False)
 
--- a/fuchsiamoor/daemon/forwarding.py
+++ b/fuchsiamoor/daemon/forwarding.py
@@ -6,13 +6,13 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple, Protocol
 
-from fuchsiamoor.core import errors, messages
+from fuchsiamoor.core import errors, http_status, messages
 from fuchsiamoor.core.configuration import Configuration
 from fuchsiamoor.core.members import Member
 from fuchsiamoor.core.messages import Answered, Forward, Message
 from fuchsiamoor.core.requests import Answer, Request
 from fuchsiamoor.core.tables import ShardTable
-from fuchsiamoor.core.verdicts import MayHaveRun, NotRun, Reason
+from fuchsiamoor.core.verdicts import MayHaveRun, NotRun, Ran, Reason
 from fuchsiamoor.routing import error_answers, retry, routes
 from fuchsiamoor.routing.hedging import LatencyWindow
 from fuchsiamoor.routing.load_balancing import (
@@ -107,11 +107,17 @@
     if (
         not isinstance(answered, Answered)
         or answered.answer.request_id != request.request_id
+        or not _has_status(answered.answer)
     ):
         return _refuse(request, MayHaveRun(Reason.LINK_LOST, "answer not understood"))
     return answered
 
 
+def _has_status(answer: Answer) -> bool:
+    is_ran = isinstance(answer.verdict, Ran)
+    return not is_ran or http_status.is_final(answer.status)
+
+
 def _make_forward(
     entry: Entry, request: Request, permit: retry.Permit, route: routes.Route
 ) -> Forward:
--- a/fuchsiamoor/daemon/upstream_connection.py
+++ b/fuchsiamoor/daemon/upstream_connection.py
@@ -7,7 +7,7 @@
 
 import httptools
 
-from fuchsiamoor.core import byte_account
+from fuchsiamoor.core import byte_account, http_status
 from fuchsiamoor.core.verdicts import Reason
 
 # Largest accepted head of an answer. All bytes of an answer that are not part of its
@@ -16,6 +16,9 @@
 # Requests that may have been refused on one connection before it is closed.
 MAX_REFUSED_IDS = 256
 
+# The parser takes other protocols with the same kind of head, and other versions.
+_FIRST_BYTES = (b"", b"H")
+_VERSIONS = ("1.0", "1.1")
 _FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
 
 
@@ -28,10 +31,19 @@
 
 
 class Lost(NamedTuple):
-    """No complete answer will arrive; the request may have run."""
+    """No complete answer will arrive; the request may have run.
+
+    Parameters
+    ----------
+    reason : Reason
+    detail : str
+    is_reset : bool
+        Whether the upstream reset the connection before any byte of an answer.
+    """
 
     reason: Reason
     detail: str
+    is_reset: bool = False
 
 
 Received = WholeAnswer | Lost
@@ -141,6 +153,11 @@
         self.refused_ids: set[str] = set()
         self.idle_since_s = 0.0
 
+    @property
+    def is_closed(self) -> bool:
+        """Whether nothing more can be written."""
+        return self._parser is None or self._transport.is_closing()
+
     def exchange(
         self,
         payload: bytes,
@@ -203,7 +220,8 @@
         """Complete the request in progress with `Lost`."""
         self.is_reusable = False
         if self._future is not None:
-            self._set_lost(f"connection closed: {error!r}")
+            is_reset = isinstance(error, ConnectionError) and not self._received_bytes
+            self._set_lost(f"connection closed: {error!r}", is_reset)
         self._drop_received()
         self._parser = None
         self._on_lost(self)
@@ -219,8 +237,11 @@
         if self._future is None:
             self.abort()
             return
+        is_start = self._received_bytes == 0
         self._received_bytes += len(data)
         try:
+            if is_start and data.lstrip(b"\r\n")[:1] not in _FIRST_BYTES:
+                raise httptools.HttpParserError("another protocol")
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             if self._future is not None:
@@ -255,8 +276,11 @@
         self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
-        """Complete the answer if it has no body."""
+        """Check the status; complete the answer if it has no body."""
         status = self._parser.get_status_code()
+        version = self._parser.get_http_version()
+        if not http_status.is_expected(status) or version not in _VERSIONS:
+            raise ValueError(f"found status {status} of HTTP/{version}")
         self._has_final_status = status >= 200
         self._is_close_delimited = (
             self._accepts_close_delimited
@@ -317,9 +341,9 @@
         self._has_final_status = False
         return False
 
-    def _set_lost(self, detail: str) -> None:
+    def _set_lost(self, detail: str, is_reset: bool = False) -> None:
         future, self._future = self._future, None
         if future.done():
             return
         reason = Reason.TRUNCATED if self._has_final_status else Reason.UPSTREAM_LOST
-        future.set_result(Lost(reason, detail))
+        future.set_result(Lost(reason, detail, is_reset))
--- a/fuchsiamoor/daemon/upstream_connection_test.py
+++ b/fuchsiamoor/daemon/upstream_connection_test.py
@@ -286,3 +286,53 @@
     lost, is_small_done, held_bytes = asyncio.run(scenario())
     assert isinstance(lost, Lost) and not is_small_done
     assert 3_000 <= held_bytes < 4_000
+
+
+# A status of 000 was taken for an interim answer, so that the caller waited in vain;
+# others were passed on as they came.
+@pytest.mark.parametrize(
+    "line",
+    [
+        b"HTTP/1.1 000 OK",
+        b"HTTP/1.1 001 OK",
+        b"HTTP/1.1 099 OK",
+        b"HTTP/1.1 101 Switching Protocols",
+        b"HTTP/1.1 600 OK",
+        b"HTTP/1.1 999 OK",
+        b"HTTP/1.1 2000 OK",
+        b"HTTP/1.1 20 OK",
+        b"HTTP/1.1 2 0 OK",
+        b"HTTP/1.1 -01 OK",
+        b"HTTP/1.1 +20 OK",
+        b"HTTP/1.1 2x0 OK",
+        b"HTTP/1.1  OK",
+        b"HTTP/0.9 200 OK",
+        b"HTTP/2.0 200 OK",
+        b"HTTP/1.2 200 OK",
+        b"HTTP/9.9 200 OK",
+        b"HTTP/1.12 200 OK",
+        b"http/1.1 200 OK",
+        b"ICE/1.1 200 OK",
+    ],
+)
+@pytest.mark.parametrize("is_split", [False, True])
+def test_a_status_that_is_none_ends_the_connection_at_once(line, is_split):
+    async def play():
+        answer = line + b"\r\ncontent-length: 2\r\n\r\nok"
+        pieces = [answer[n : n + 1] for n in range(len(answer))]
+        return await feed(pieces if is_split else [answer])
+
+    transport, future, _ = asyncio.run(play())
+    assert transport.is_aborted
+    assert isinstance(future.result(), Lost)
+
+
+@pytest.mark.parametrize("status", [200, 204, 404, 599])
+@pytest.mark.parametrize("version", [b"1.0", b"1.1"])
+def test_a_status_of_each_class_is_an_answer(status, version):
+    async def play():
+        head = b"HTTP/%b %d X\r\ncontent-length: 0\r\n\r\n" % (version, status)
+        return await feed([b"HTTP/1.1 103 Early Hints\r\n\r\n" + head])
+
+    _, future, _ = asyncio.run(play())
+    assert future.result().status == status
--- a/fuchsiamoor/store/bounded_transport.py
+++ b/fuchsiamoor/store/bounded_transport.py
@@ -6,11 +6,14 @@
 
 import httpx
 
+from fuchsiamoor.core import http_status
+
 
 class BoundedTransport(httpx.AsyncBaseTransport):
     """Wraps a transport; an answer over a limit raises `httpx.ReadError`.
 
-    An answer with a content encoding is refused, because its decoded size is unknown.
+    An answer with a content encoding is refused, because its decoded size is unknown,
+    and so is one whose status is none.
 
     Parameters
     ----------
@@ -38,6 +41,10 @@
                 response = await self._transport.handle_async_request(request)
         except TimeoutError as error:
             raise httpx.ReadTimeout("no answer in time", request=request) from error
+        if not http_status.is_final(response.status_code):
+            await response.aclose()
+            message = f"answer with status {response.status_code}"
+            raise httpx.RemoteProtocolError(message, request=request)
         if response.headers.get("content-encoding", "identity") != "identity":
             await response.aclose()
             raise httpx.ReadError("answer with a content encoding", request=request)
--- a/fuchsiamoor/store/bounded_transport_test.py
+++ b/fuchsiamoor/store/bounded_transport_test.py
@@ -8,6 +8,7 @@
 from fuchsiamoor.core.errors import StoreOutcomeUnknownError, StoreUnavailableError
 from fuchsiamoor.reports import status
 from fuchsiamoor.store import bounded_transport, http_store
+from fuchsiamoor.testing.scripted_server import serve_script
 
 HEAD = b"HTTP/1.1 200 OK\r\n"
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
@@ -102,6 +103,18 @@
     assert sent_bytes < SENT_MAX_BYTES
 
 
+@pytest.mark.parametrize("line", ["000", "099", "101", "600", "999", "2000", "-01"])
+@pytest.mark.parametrize("call", [ask_store, ask_daemon])
+def test_a_status_that_is_none_is_no_answer(line, call):
+    async def play():
+        step = f"HTTP/1.1 {line} X\r\ncontent-length: 2\r\n\r\n{{}}".encode()
+        async with serve_script([step]) as server:
+            with pytest.raises((StoreUnavailableError, ToolError)):
+                await call(f"http://{server.netloc}")
+
+    asyncio.run(asyncio.wait_for(play(), 20))
+
+
 def test_an_answer_that_trickles_in_is_cut_off_in_time():
     async def body():
         for _ in range(100):
