Upstreams that reset when full: a limit learnt from the resets

Cause: such an upstream was sent as many requests again as it says it has slots. A connection that was reset between its opening and the writing of the request was written to all the same, and the request waited until its deadline.

Change: traffic/reset_limits.py (pure) lowers the usable slots after a second reset right after sending, and raises them after some answers; admission and the reported load use it. A connection that is closed before the request is written gives not-run at once.

The test of the closed connection failed before.

--- a/fuchsiamoor/agent/local_execution.py
+++ b/fuchsiamoor/agent/local_execution.py
@@ -10,11 +10,11 @@
 from fuchsiamoor.agent import nested_calls, state, upstream_lifecycle
 from fuchsiamoor.core.carried import NO_KEY, CarriedAnswer, CarriedRequest, Load
 from fuchsiamoor.core.verdicts import MayHaveRun, NotRun, Ran, Reason
-from fuchsiamoor.daemon import upstream_pool
+from fuchsiamoor.daemon import upstream_connection, upstream_pool
 from fuchsiamoor.daemon.upstream_connection import Lost, Received, WholeAnswer
 from fuchsiamoor.ranges import demand as demands
 from fuchsiamoor.ranges import granting
-from fuchsiamoor.traffic import admission, catalog, upstreams
+from fuchsiamoor.traffic import admission, catalog, reset_limits, upstreams
 
 # Time reserved for the answer's way back to the entry daemon.
 RETURN_MARGIN_MS = 5
@@ -29,7 +29,7 @@
     return Load(
         queue.running,
         queue.waiting,
-        queue.slots,
+        queue.usable_slots,
         queue.work_percent,
         wait_ms,
         state.is_open(agent),
@@ -291,6 +291,8 @@
         upstream_pool.release(pool, connection)
         return _make_refusal(agent, NotRun(Reason.BAD_REQUEST, str(error)))
     admission.record_sent(queue, taken_ms, began_ms)
+    idle_ms = _compute_idle_ms(connection)
+    running = queue.running
     run = nested_calls.start_run(agent.runs, request)
     try:
         received = await upstream_pool.exchange(
@@ -305,6 +307,7 @@
     finally:
         nested_calls.end_run(agent.runs, request, run)
     run_ms = agent.now_ms() - began_ms
+    _record_reset(agent, queue, received, running, run_ms, idle_ms)
     outcome = _handle_outcome(agent, queue, request, received, run_ms)
     if isinstance(outcome.verdict, MayHaveRun):
         # After a corrupt answer, nothing that follows it can be trusted.
@@ -312,6 +315,35 @@
     return outcome._replace(has_failed_call=run.has_failed_call)
 
 
+def _compute_idle_ms(connection: upstream_connection.UpstreamConnection) -> float:
+    """Return how long a connection has been idle; 0 for a new one."""
+    if not connection.idle_since_s:
+        return 0.0
+    return (asyncio.get_running_loop().time() - connection.idle_since_s) * 1000
+
+
+def _record_reset(
+    agent: state.Agent,
+    queue: admission.AdmissionQueue,
+    received: Received | NotRun,
+    running: int,
+    run_ms: float,
+    idle_ms: float,
+) -> None:
+    """Learn from a reset, or from an answer, how much the upstream can take."""
+    match received:
+        case WholeAnswer():
+            reset_limits.record_answer(queue.reset_limit, queue.slots)
+        case Lost(is_reset=True) | NotRun(Reason.SHED):
+            if idle_ms >= reset_limits.FORGOTTEN_AFTER_MS:
+                return
+            running = min(running, queue.running)
+            if reset_limits.record_reset(
+                queue.reset_limit, running, run_ms, agent.now_ms()
+            ):
+                agent.metrics.count("upstream.full_resets")
+
+
 def _handle_outcome(
     agent: state.Agent,
     queue: admission.AdmissionQueue,
--- a/fuchsiamoor/daemon/upstream_pool.py
+++ b/fuchsiamoor/daemon/upstream_pool.py
@@ -121,6 +121,9 @@
         connection = await acquire(pool, deadline_s, request_id)
     if isinstance(connection, NotRun):
         return connection
+    if connection.is_closed:
+        connection.abort()
+        return NotRun(Reason.SHED, "the connection ended before it was written")
     future = loop.create_future()
     timer = loop.call_at(deadline_s, _expire, future)
     try:
--- a/fuchsiamoor/traffic/admission.py
+++ b/fuchsiamoor/traffic/admission.py
@@ -17,6 +17,7 @@
 from typing import NamedTuple
 
 from fuchsiamoor.core.verdicts import NotRun, Reason
+from fuchsiamoor.traffic import reset_limits
 
 # Weight of a new measurement in the moving average of a route's run time.
 RUN_MS_WEIGHT = 0.1
@@ -124,6 +125,8 @@
         later.
     enqueued_count : int
         Requests queued so far; numbers them in order of arrival.
+    reset_limit : ResetLimit
+        What resets of its connections tell.
     """
 
     slots: int
@@ -137,6 +140,14 @@
     last_nested_ms: int | None = None
     start_times_ms: deque = field(default_factory=deque)
     enqueued_count: int = 0
+    reset_limit: reset_limits.ResetLimit = field(
+        default_factory=reset_limits.ResetLimit
+    )
+
+    @property
+    def usable_slots(self) -> int:
+        """Slots of which the upstream has not shown that it cannot use them."""
+        return reset_limits.compute_slots(self.reset_limit, self.slots)
 
     @property
     def waiting(self) -> int:
@@ -299,7 +310,7 @@
     ]
     work_ms = sum(estimate_run_ms(queue, request.route) for request in ahead)
     mean_ms = _mean_run_ms(queue)
-    wait_ms = (work_ms + mean_ms / 2) / queue.slots
+    wait_ms = (work_ms + mean_ms / 2) / queue.usable_slots
     if now_ms < queue.cold_until_ms and queue.cold_per_s > 0:
         wait_ms = max(wait_ms, (len(ahead) + 1) * 1000 / queue.cold_per_s)
     return wait_ms
@@ -318,7 +329,7 @@
     """
     if (
         not queue.heap
-        or queue.running >= queue.slots
+        or queue.running >= queue.usable_slots
         or _is_within_cold_rate(queue, now_ms)
     ):
         return None
@@ -339,7 +350,7 @@
 
 def _can_start(queue: AdmissionQueue, rank: int, now_ms: int) -> bool:
     reserved = _count_reserved_slots(queue, now_ms) if rank >= 0 else 0
-    return queue.running < queue.slots - reserved and _is_within_cold_rate(
+    return queue.running < queue.usable_slots - reserved and _is_within_cold_rate(
         queue, now_ms
     )
 
@@ -351,7 +362,8 @@
         or now_ms - queue.last_nested_ms > NESTED_RESERVE_MS
     ):
         return 0
-    return min(math.ceil(NESTED_SLOT_SHARE * queue.slots), queue.slots - 1)
+    slots = queue.usable_slots
+    return min(math.ceil(NESTED_SLOT_SHARE * slots), slots - 1)
 
 
 def _is_within_cold_rate(queue: AdmissionQueue, now_ms: int) -> bool:
