A body that takes longer than the idle timeout gives way to others

Cause: one caller that sends a body a byte at a time kept its room for ever; a few held the room of all bodies, and every other body was refused.

Change: where there is no room for a body, unfinished ones that have taken longer than the idle timeout are refused first (503, they have not run).

Measured: the new test got 503 for the ordinary body before, and 200 now.

--- a/fuchsiamoor/agent/http_server.py
+++ b/fuchsiamoor/agent/http_server.py
@@ -154,6 +154,15 @@
             del self.connections[connection]
             self.connections[connection] = None
 
+    def has_room(self, size_bytes: int) -> bool:
+        """Return whether bytes of a body may be held; slow bodies make room."""
+        bodies = self.accounts.bodies
+        if byte_account.has_room(bodies, size_bytes):
+            return True
+        for connection in tuple(self.connections):
+            connection.refuse_slow_body()
+        return byte_account.has_room(bodies, size_bytes)
+
     def announce_close(self) -> None:
         """Make each connection close after its last pending answer."""
         self.is_closing = True
@@ -195,6 +204,9 @@
         self._is_timing_head = False
         self._has_begun_request = False
         self._is_reading_request = False
+        self._is_head_complete = False
+        # Event loop time at which the head of the request being read was complete.
+        self._body_since_s = 0.0
         # Empty lines since the last request.
         self._blank_bytes = 0
         # Answers written since the caller had last read all.
@@ -424,6 +436,7 @@
         self._is_head_complete = True
         if self._is_closing:
             return
+        self._body_since_s = self._loop.time()
         size = len(self._target) + sum(len(n) + len(v) + 4 for n, v in self._headers)
         if size > self._limits.header_bytes:
             self._refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
@@ -440,7 +453,7 @@
         if length_bytes > self._limits.body_bytes:
             self._refuse(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
             return
-        if not byte_account.has_room(self._http_server.accounts.bodies, length_bytes):
+        if not self._http_server.has_room(length_bytes):
             self._refuse(HTTPStatus.SERVICE_UNAVAILABLE, (RETRY_AFTER,))
             return
         if any(n == b"expect" for n, _ in self._headers) and not self.is_handling:
@@ -453,12 +466,21 @@
             return
         if self._body_bytes > self._limits.body_bytes:
             self._refuse(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
-        elif not byte_account.hold(self._http_server.accounts.bodies, len(data)):
+        elif not self._http_server.has_room(len(data)):
             self._refuse(HTTPStatus.SERVICE_UNAVAILABLE, (RETRY_AFTER,))
         else:
+            byte_account.hold(self._http_server.accounts.bodies, len(data))
             self._held_bytes += len(data)
             self._body += data
 
+    def refuse_slow_body(self) -> None:
+        """Refuse an unfinished body that has taken longer than the idle timeout."""
+        if not (self._is_reading_request and self._is_head_complete and self._body):
+            return
+        taken_ms = (self._loop.time() - self._body_since_s) * 1000
+        if taken_ms >= self._limits.idle_timeout_ms:
+            self._refuse(HTTPStatus.SERVICE_UNAVAILABLE, (RETRY_AFTER,))
+
     def _release(self, size_bytes: int) -> None:
         byte_account.release(self._http_server.accounts.bodies, size_bytes)
         self._held_bytes -= size_bytes
--- a/fuchsiamoor/agent/http_server_test.py
+++ b/fuchsiamoor/agent/http_server_test.py
@@ -329,3 +329,33 @@
     assert kept_bytes <= 64_000_000 / 12 + 10 * 64 * 1024
     assert received.startswith(b"HTTP/1.1 200")
     assert accounts.unsent.held_bytes == 0 and accounts.unsent.holders == {}
+
+
+# One caller that sends a body a byte at a time held the room of all others' bodies.
+def test_a_body_that_takes_too_long_gives_way_to_another():
+    async def play():
+        server, reader, writer = await _connect(DelayHandler())
+        writer.write(_post("/1", b"z" * 56)[:-16])
+        second, other = await asyncio.open_connection(
+            *server._server.sockets[0].getsockname()
+        )
+        other.write(_post("/1", b"z" * 56)[:-16])
+        for _ in range(6):
+            await asyncio.sleep(LIMITS.idle_timeout_ms / 4_000)
+            writer.write(b"z")
+            other.write(b"z")
+        sent = _post("/1", b"z" * 40, "Connection: close")
+        third, asking = await asyncio.open_connection(
+            *server._server.sockets[0].getsockname()
+        )
+        asking.write(sent)
+        received = await asyncio.wait_for(third.read(), 5)
+        for one in (writer, other, asking):
+            one.close()
+        await asyncio.sleep(0.05)
+        server.close()
+        return received, server.accounts.bodies.held_bytes
+
+    received, held_bytes = asyncio.run(play())
+    assert received.startswith(b"HTTP/1.1 200")
+    assert held_bytes == 0
