--- a/fuchsiamoor/agent/http_server_test.py
+++ b/fuchsiamoor/agent/http_server_test.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from fuchsiamoor.agent import http_server
+from fuchsiamoor.agent import connection_limits, http_server
 from fuchsiamoor.core import byte_account
 from fuchsiamoor.core.addresses import Address
 from fuchsiamoor.traffic.catalog import CallerLimits
@@ -13,6 +13,8 @@
     header_bytes=500, body_bytes=64, header_timeout_ms=200, idle_timeout_ms=400
 )
 
+CONNECTIONS = connection_limits.ConnectionLimits(connections=1_000, handled=1_000)
+
 
 class DelayHandler:
     """Answers with target and body, after the delay in milliseconds in the target."""
@@ -32,11 +34,11 @@
         return http_server.HttpAnswer(200, (), request.target.encode() + request.body)
 
 
-async def _connect(handler, memory_bytes=MEMORY_BYTES):
+async def _connect(handler, memory_bytes=MEMORY_BYTES, connections=CONNECTIONS):
     accounts = byte_account.make_accounts(memory_bytes)._replace(
         bodies=byte_account.ByteAccount("bodies", BUDGET_BYTES)
     )
-    server = http_server.HttpServer(handler, lambda: LIMITS, accounts)
+    server = http_server.HttpServer(handler, lambda: LIMITS, accounts, connections)
     address = await server.listen(Address("127.0.0.1", 0))
     reader, writer = await asyncio.open_connection(*address)
     return server, reader, writer
@@ -327,3 +329,33 @@
     assert kept_bytes <= 64_000_000 / 12 + 10 * 64 * 1024
     assert received.startswith(b"HTTP/1.1 200")
     assert accounts.unsent.held_bytes == 0 and accounts.unsent.holders == {}
+
+
+# One caller that sends a body a byte at a time held the room of all others' bodies.
+def test_a_body_that_takes_too_long_gives_way_to_another():
+    async def play():
+        server, reader, writer = await _connect(DelayHandler())
+        writer.write(_post("/1", b"z" * 56)[:-16])
+        second, other = await asyncio.open_connection(
+            *server._server.sockets[0].getsockname()
+        )
+        other.write(_post("/1", b"z" * 56)[:-16])
+        for _ in range(6):
+            await asyncio.sleep(LIMITS.idle_timeout_ms / 4_000)
+            writer.write(b"z")
+            other.write(b"z")
+        sent = _post("/1", b"z" * 40, "Connection: close")
+        third, asking = await asyncio.open_connection(
+            *server._server.sockets[0].getsockname()
+        )
+        asking.write(sent)
+        received = await asyncio.wait_for(third.read(), 5)
+        for one in (writer, other, asking):
+            one.close()
+        await asyncio.sleep(0.05)
+        server.close()
+        return received, server.accounts.bodies.held_bytes
+
+    received, held_bytes = asyncio.run(play())
+    assert received.startswith(b"HTTP/1.1 200")
+    assert held_bytes == 0
--- a/fuchsiamoor/traffic/admission.py
+++ b/fuchsiamoor/traffic/admission.py
@@ -21,6 +21,7 @@
 from typing import NamedTuple
 
 from fuchsiamoor.core.verdicts import NotRun, Reason
+from fuchsiamoor.traffic import reset_limits
 
 # Weight of a new measurement in the moving average of a route's run time.
 RUN_MS_WEIGHT = 0.1
@@ -151,6 +152,8 @@
         Requests queued so far; numbers them in order of arrival.
     accepted : dict of (int, bool) to AcceptedWork
         Work of the requests accepted lately, by rank and whether they were late.
+    reset_limit : ResetLimit
+        What resets of its connections tell.
     """
 
     slots: int
@@ -165,6 +168,14 @@
     start_times_ms: deque = field(default_factory=deque)
     enqueued_count: int = 0
     accepted: dict[tuple[int, bool], AcceptedWork] = field(default_factory=dict)
+    reset_limit: reset_limits.ResetLimit = field(
+        default_factory=reset_limits.ResetLimit
+    )
+
+    @property
+    def usable_slots(self) -> int:
+        """Slots of which the upstream has not shown that it cannot use them."""
+        return reset_limits.compute_slots(self.reset_limit, self.slots)
 
     @property
     def waiting(self) -> int:
@@ -274,7 +285,7 @@
         for place in queue.accepted
         if place < (rank, is_late)
     )
-    share = work_ms / (OVERTAKING_WINDOW_MS * queue.slots)
+    share = work_ms / (OVERTAKING_WINDOW_MS * queue.usable_slots)
     return min(share, OVERTAKING_SHARE_MAX)
 
 
@@ -377,7 +388,7 @@
     work_ms = sum(estimate_run_ms(queue, request.route) for request in ahead)
     mean_ms = _mean_run_ms(queue)
     left_share = 1 - compute_overtaking_share(queue, rank, is_late, now_ms)
-    wait_ms = (work_ms + mean_ms / 2) / (queue.slots * left_share)
+    wait_ms = (work_ms + mean_ms / 2) / (queue.usable_slots * left_share)
     if now_ms < queue.cold_until_ms and queue.cold_per_s > 0:
         wait_ms = max(wait_ms, (len(ahead) + 1) * 1000 / queue.cold_per_s)
     return wait_ms
@@ -396,7 +407,7 @@
     """
     if (
         not queue.heap
-        or queue.running >= queue.slots
+        or queue.running >= queue.usable_slots
         or _is_within_cold_rate(queue, now_ms)
     ):
         return None
@@ -417,7 +428,7 @@
 
 def _can_start(queue: AdmissionQueue, rank: int, now_ms: int) -> bool:
     reserved = _count_reserved_slots(queue, now_ms) if rank >= 0 else 0
-    return queue.running < queue.slots - reserved and _is_within_cold_rate(
+    return queue.running < queue.usable_slots - reserved and _is_within_cold_rate(
         queue, now_ms
     )
 
@@ -429,7 +440,8 @@
         or now_ms - queue.last_nested_ms > NESTED_RESERVE_MS
     ):
         return 0
-    return min(math.ceil(NESTED_SLOT_SHARE * queue.slots), queue.slots - 1)
+    slots = queue.usable_slots
+    return min(math.ceil(NESTED_SLOT_SHARE * slots), slots - 1)
 
 
 def _is_within_cold_rate(queue: AdmissionQueue, now_ms: int) -> bool:
