Heartbeats that come before the registration are answered after it

Cause: a daemon registers with its upstream's first heartbeat, and may grant keys only then, but answered that heartbeat at once. It renewed nothing, so that after a restart of the daemon all keys of its upstream were refused for an interval of the heartbeat.

The simulated upstreams use the same way, so that the random schedules of ownership cover it; an answer of a daemon that was killed meanwhile is lost there.

--- a/fuchsiamoor/agent/endpoints.py
+++ b/fuchsiamoor/agent/endpoints.py
@@ -2,8 +2,8 @@
 
 from loguru import logger
 
+from fuchsiamoor.agent import awaited_grants, leaves, state, upstream_lifecycle
 from fuchsiamoor.agent import dialect as dialects
-from fuchsiamoor.agent import leaves, state, table_writer, upstream_lifecycle
 from fuchsiamoor.agent.http_server import HttpAnswer, HttpRequest
 from fuchsiamoor.core import addresses
 from fuchsiamoor.ranges import table as tables
@@ -65,7 +65,7 @@
             data_centre=heartbeat.data_centre,
         ).warning("heartbeat does not come from the local upstream")
         return HttpAnswer(400)
-    grants = table_writer.handle_heartbeat_and_releases(agent, heartbeat)
+    grants = await awaited_grants.answer_heartbeat(agent, heartbeat)
     if heartbeat.is_draining and not await _keep_leave(agent, heartbeat.incarnation):
         return HttpAnswer(503)
     return HttpAnswer(200, JSON_HEADERS, agent.dialect.write_heartbeat_answer(grants))
--- a/fuchsiamoor/agent/event_log.py
+++ b/fuchsiamoor/agent/event_log.py
@@ -103,6 +103,14 @@
         ("request", "route", "reason", "detail", "run_ms"),
         "The upstream had the request and no whole answer came.",
     ),
+    Kind(
+        "heartbeat waited",
+        "info",
+        10,
+        ("owner", "ranges", "waited_ms"),
+        "The upstream's heartbeat was answered, with its keys, once this daemon had "
+        "been registered.",
+    ),
     Kind(
         "bytes cut",
         "warning",
--- a/fuchsiamoor/agent/upstream_lifecycle.py
+++ b/fuchsiamoor/agent/upstream_lifecycle.py
@@ -65,16 +65,27 @@
     elif upstream.slots != heartbeat.slots:
         upstream.slots = upstream.admission_queue.slots = max(heartbeat.slots, 1)
         agent.registration.update_due.set()
-    table = agent.cache.tables.get(heartbeat.service)
+    return grant_keys(agent, heartbeat, now_ms)
+
+
+def grant_keys(
+    agent: state.Agent, heartbeat: upstreams.UpstreamHeartbeat, received_ms: int
+) -> granting.Grants | None:
+    """Return what an upstream may hold, None to renew nothing.
+
+    The hold is counted from the sending of the heartbeat, so from no later than its
+    arrival at ``received_ms``, even if it is answered later.
+    """
     if not state.is_keyed(agent, heartbeat.service) or not _is_registered(agent):
         return None
+    table = agent.cache.tables.get(heartbeat.service)
     return granting.answer_heartbeat(
-        upstream.granting,
+        agent.upstream.granting,
         table,
         heartbeat,
         store_eras.find_grants_until_ms(agent, table),
         agent.settings.bounds.hold_max_ms,
-        now_ms,
+        received_ms,
     )
 
 
@@ -101,6 +112,11 @@
     return [] if table is None else tables.list_rows(table, agent.upstream.owner)
 
 
+def is_validly_registered(agent: state.Agent) -> bool:
+    """Return whether the present incarnation may be granted keys now."""
+    return _is_registered(agent) and agent.now_ms() < agent.registration.valid_until_ms
+
+
 def _is_registered(agent: state.Agent) -> bool:
     """Return whether this incarnation is registered as a live owner."""
     confirmed, owner = agent.registration.confirmed, agent.upstream.owner
--- a/fuchsiamoor/reports/metric_names.py
+++ b/fuchsiamoor/reports/metric_names.py
@@ -126,6 +126,7 @@
     "heartbeat.stale": "Heartbeats overtaken, or of an earlier incarnation.",
     "leaves.write_failed": "Writes of a leave to the store that failed.",
     "heartbeat.malformed": "Heartbeats that could not be read.",
+    "heartbeat.waited": "Heartbeats that were granted keys after a wait to register.",
     "heartbeat.foreign": "Heartbeats that name another upstream than the local one.",
     "upstream.probed": "Health checks of the upstream beside the daemon.",
     "bytes.cut": "Connections cut because too many received bytes were held.",
--- a/fuchsiamoor/testing/range_simulation.py
+++ b/fuchsiamoor/testing/range_simulation.py
@@ -8,7 +8,7 @@
 import random
 from dataclasses import dataclass, field
 
-from fuchsiamoor.agent import lifecycle, state, table_writer
+from fuchsiamoor.agent import awaited_grants, lifecycle, state
 from fuchsiamoor.core import errors, members
 from fuchsiamoor.core.verdicts import NotRun, Reason
 from fuchsiamoor.daemon.upstream_connection import Lost
@@ -236,13 +236,16 @@
     )
     if world.rng.random() < world.late_share:
         await asyncio.sleep(world.rng.uniform(0.2, 2.5))
-    if machine.agent is None:
+    agent = machine.agent
+    if agent is None:
         return False
     try:
-        grants = table_writer.handle_heartbeat_and_releases(machine.agent, heartbeat)
+        grants = await awaited_grants.answer_heartbeat(agent, heartbeat)
     except Exception as error:
         world.violations.append(f"heartbeat failed: {error!r}")
         return False
+    if machine.agent is not agent:
+        return False
     if world.rng.random() < world.late_share:
         await asyncio.sleep(world.rng.uniform(0.05, 1.4))
     answered_ms = transactional_store.now_ms()
