--- a/fuchsiamoor/reports/metric_names.py
+++ b/fuchsiamoor/reports/metric_names.py
@@ -120,6 +120,7 @@
     METRICS_DROPPED: "Metrics dropped because their name is not on this page.",
     "callers.malformed": "Requests of callers that could not be read.",
     "callers.unknown_key": "Requests whose key no organisation holds.",
+    "quota.unanswered": "Questions for credit that an allocator did not answer.",
     "budget.empty": "Repeats not sent, as none were left in the budget.",
     "peers.unreachable": "Carried requests that certainly did not leave.",
     "peers.lost": "Carried requests whose link broke or fell silent.",
