Whole answers stay counted on their way to the callers

Cause: an answer was counted while it arrived and once its caller's connection or a link held it, and nowhere in the turns of the loop between.

The new test of the account counted 0 bytes before.

--- a/fuchsiamoor/core/byte_account.py
+++ b/fuchsiamoor/core/byte_account.py
@@ -14,6 +14,7 @@
 True
 """
 
+import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import NamedTuple, Protocol
@@ -33,6 +34,9 @@
 UNSENT_SHARE = 1 / 12
 # What a parsed header takes besides its characters: two byte strings and their tuple.
 HEADER_BYTES = 160
+# From the end of an answer until its caller's connection, or a link, counts it: the
+# tasks that it passes through take a turn each.
+UNCOUNTED_TURNS = 4
 # For connections outside of a daemon.
 UNLIMITED_BYTES = 1 << 62
 
@@ -129,15 +133,35 @@
     """
     account.held_bytes += size_bytes - account.holders.get(holder, 0)
     account.holders[holder] = size_bytes
+    _cut_largest(account)
+    return holder in account.holders
+
+
+def hold_for_turns(
+    account: ByteAccount, size_bytes: int, loop: asyncio.AbstractEventLoop
+) -> None:
+    """Hold bytes that nobody else counts for a few turns of the loop."""
+    account.held_bytes += size_bytes
+    _cut_largest(account)
+    _release_after(account, size_bytes, loop, UNCOUNTED_TURNS)
+
+
+def _release_after(
+    account: ByteAccount, size_bytes: int, loop: asyncio.AbstractEventLoop, turns: int
+) -> None:
+    if turns == 0:
+        release(account, size_bytes)
+    else:
+        loop.call_soon(_release_after, account, size_bytes, loop, turns - 1)
+
+
+def _cut_largest(account: ByteAccount) -> None:
     while account.held_bytes > account.limit_bytes and account.holders:
         largest = max(account.holders, key=account.holders.__getitem__)
         largest_bytes = account.holders[largest]
         release_all(account, largest)
         account.on_cut(account.name, largest_bytes)
         largest.cut(f"cut with {largest_bytes} bytes, as too many are held")
-        if largest is holder:
-            return False
-    return True
 
 
 def release_all(account: ByteAccount, holder: Holder) -> None:
--- a/fuchsiamoor/daemon/upstream_connection.py
+++ b/fuchsiamoor/daemon/upstream_connection.py
@@ -13,6 +13,8 @@
 # Largest accepted head of an answer. All bytes of an answer that are not part of its
 # body (heads, interim answers, chunk framing, trailers) may exceed the body by as much.
 MAX_HEAD_BYTES = 64 * 1024
+# Smaller bodies are not counted on their way to their callers.
+LARGE_BODY_BYTES = 64 * 1024
 # Requests that may have been refused on one connection before it is closed.
 MAX_REFUSED_IDS = 256
 
@@ -325,6 +327,9 @@
                 self.is_reusable = False
         answer = WholeAnswer(status, self._headers, bytes(self._body))
         self._drop_received()
+        if len(answer.body) >= LARGE_BODY_BYTES:
+            loop = future.get_loop()
+            byte_account.hold_for_turns(self._account, len(answer.body), loop)
         future.set_result(answer)
 
     def _is_own_answer(self) -> bool:
--- a/fuchsiamoor/daemon/upstream_connection_test.py
+++ b/fuchsiamoor/daemon/upstream_connection_test.py
@@ -336,3 +336,25 @@
 
     _, future, _ = asyncio.run(play())
     assert future.result().status == status
+
+
+# Whole answers that were on their way to their callers were counted nowhere; eight of
+# 4 MB that ended in one turn of the loop were beyond a machine's memory.
+def test_whole_answers_are_counted_until_their_callers_count_them():
+    async def play():
+        loop = asyncio.get_running_loop()
+        account = byte_account.ByteAccount("answers", 1_000_000)
+        answer = HEAD + b"content-length: 400000\r\n\r\n" + b"z" * 400_000
+        exchanges = [start_exchange(loop, account=account) for _ in range(4)]
+        for connection, _, _ in exchanges:
+            connection.data_received(answer)
+        received = [type(future.result()) for _, _, future in exchanges]
+        held_bytes = account.held_bytes
+        for _ in range(byte_account.UNCOUNTED_TURNS + 1):
+            await asyncio.sleep(0)
+        return received, held_bytes, account.held_bytes
+
+    received, held_bytes, left_bytes = asyncio.run(play())
+    assert received.count(WholeAnswer) >= 2
+    assert held_bytes >= 400_000 * received.count(WholeAnswer)
+    assert left_bytes == 0
