The product's own daemon reads 16 waiting requests of a connection

Cause: uvicorn keeps each pipelined request of a read as a scope and a cycle.

Change: with 16 that wait behind the one in progress, later ones are not read, and the connection closes after those before.

The new test timed out before (all 2,000 were handled).

--- a/fuchsiamoor/daemon/http_limits.py
+++ b/fuchsiamoor/daemon/http_limits.py
@@ -12,6 +12,9 @@
 
 MAX_HEAD_BYTES = 48 * 1024
 HEAD_TIMEOUT_S = 5.0
+# Requests of one connection that wait behind the one in progress. One read may bring
+# thousands; those beyond are not read, and the connection closes after the others.
+WAITING_MAX = 16
 # At a shutdown, a connection without a request stays open for this time, a few round
 # trips between regions, because its first request may still be on its way.
 FIRST_REQUEST_GRACE_S = 0.3
@@ -27,6 +30,7 @@
     _is_in_head = True
     _on_disconnect: Callable[[], object] | None = None
     _is_stopping = False
+    _is_discarding = False
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Start the timeout of the first request head."""
@@ -42,6 +46,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received data; refuse a head that is too large."""
+        if self._is_discarding:
+            return
         if self._is_in_head:
             self._head_bytes += len(data)
             if self._head_timer is None:
@@ -51,16 +57,34 @@
             self._refuse("Request head too large.")
 
     def on_headers_complete(self) -> None:
-        """Stop the head timeout and start the request."""
+        """Stop the head timeout and start the request, unless too many wait."""
         self._is_in_head = False
         self._stop_head_timer()
+        if len(self.pipeline) >= WAITING_MAX and not self._is_discarding:
+            self._is_discarding = True
+            newest, _ = self.pipeline[0]
+            newest.keep_alive = False
+        if self._is_discarding:
+            return
         self.scope["extensions"] = {ON_DISCONNECT_EXTENSION: self._set_on_disconnect}
         super().on_headers_complete()
         if self._is_stopping:
             self.cycle.keep_alive = False
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Keep one header of a request that is read."""
+        if not self._is_discarding:
+            super().on_header(name, value)
+
+    def on_body(self, body: bytes) -> None:
+        """Keep a part of the body of a request that is read."""
+        if not self._is_discarding:
+            super().on_body(body)
+
     def on_message_complete(self) -> None:
         """Reset the limits for the next request head."""
+        if self._is_discarding:
+            return
         self._is_in_head = True
         self._head_bytes = 0
         super().on_message_complete()
--- a/fuchsiamoor/daemon/http_servers_test.py
+++ b/fuchsiamoor/daemon/http_servers_test.py
@@ -109,3 +109,36 @@
         return asyncio.get_running_loop().time() - started_s
 
     assert run_with_server(scenario) < 1.0
+
+
+# One read of a few callers brought thousands of requests, each of them with a scope and
+# a cycle of its own: 20 callers took 220 MB.
+def test_pipelined_requests_beyond_a_number_are_not_read():
+    async def scenario(address, stop):
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(REQUEST * 2_000)
+        answers = await reader.read()
+        writer.close()
+        return answers
+
+    answers = run_with_server(scenario).split(b"HTTP/1.1 200 OK\r\n")[1:]
+    assert 0 < len(answers) <= http_limits.WAITING_MAX + 1
+    assert [b"connection: close" in answer for answer in answers].index(True) == (
+        len(answers) - 1
+    )
+
+
+def test_pipelined_requests_within_that_number_are_answered_in_order():
+    async def scenario(address, stop):
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(REQUEST * (http_limits.WAITING_MAX + 1))
+        answers = b""
+        while answers.count(b"200 OK") <= http_limits.WAITING_MAX:
+            answers += await reader.read(65_536)
+        writer.write(REQUEST)
+        after = await reader.read(65_536)
+        writer.close()
+        return answers, after
+
+    answers, after = run_with_server(scenario)
+    assert b"close" not in answers and after.startswith(b"HTTP/1.1 200")
