--- a/fuchsiamoor/platform/wire_test.py
+++ b/fuchsiamoor/platform/wire_test.py
@@ -248,6 +248,15 @@
         operator_entries.read_catalog(json.dumps(document).encode())
 
 
+@pytest.mark.parametrize("kind", ["upload", "non_idempotent", "of another kind"])
+def test_only_routes_named_so_may_run_twice(kind):
+    document = json.loads(wire_data.encode_configuration())
+    index = document["routes"]["columns"].index("route_kind")
+    document["routes"]["rows"][0][index] = kind
+    found = operator_entries.read_catalog(json.dumps(document).encode())
+    assert not any(one.is_idempotent for host in found.routes.values() for one in host)
+
+
 def test_organisations_are_decoded():
     content = wire_data.encode_configuration(tenants=wire_data.ORGANISATIONS)
     known = operator_entries.read_catalog(content).organisations
