--- a/fuchsiamoor/agent/http_server.py
+++ b/fuchsiamoor/agent/http_server.py
@@ -22,6 +22,12 @@
 
 # What a parsed request that waits for earlier ones takes besides its head and body.
 REQUEST_BYTES = 1_000
+# Parts of a body in one read beyond which the next read of the connection is put off; a
+# client that sends in parts of 256 bytes and more never brings so many.
+PARTS_FREE = 1_024
+# For each further part, about two hundred times what it takes to parse: so many clients
+# that send like this leave time for others.
+PART_PAUSE_MS = 0.1
 # Larger bodies of answers are not copied to follow their head.
 JOINED_BYTES = 16 * 1024
 # Sent with the refusal of a body for which there is no room: about the time of one run.
@@ -209,6 +215,10 @@
         self._body_since_s = 0.0
         # Empty lines since the last request.
         self._blank_bytes = 0
+        self._is_writing = False
+        # Parts of bodies in the latest read, and whether the next one is put off.
+        self._read_parts = 0
+        self._is_slowed = False
         # Answers written since the caller had last read all.
         self._unread_bytes = 0
         # Bytes of the request being read, without those of the read that began it.
@@ -321,7 +331,11 @@
 
     def _update_reading(self) -> None:
         handled = len(self._pending) + len(self._parsed)
-        is_paused = self._is_write_blocked or handled >= connection_limits.PIPELINED_MAX
+        is_paused = (
+            self._is_write_blocked
+            or self._is_slowed
+            or handled >= connection_limits.PIPELINED_MAX
+        )
         if is_paused == self._is_paused or self._transport.is_closing():
             return
         self._is_paused = is_paused
@@ -330,6 +344,19 @@
         else:
             self._transport.resume_reading()
 
+    def _put_off_reading(self, pause_ms: float) -> None:
+        """Read nothing for a while, so that others are served."""
+        if self._is_closing:
+            return
+        self._is_slowed = True
+        self._update_reading()
+        self._loop.call_later(pause_ms / 1000, self._read_on)
+
+    def _read_on(self) -> None:
+        self._is_slowed = False
+        if not self._is_closing:
+            self._update_reading()
+
     def _count_unsent(self) -> None:
         """Count answers that wait for an earlier one or for the caller."""
         unsent_bytes = sum(
@@ -364,8 +391,10 @@
         # Other connections may take the room before this one is closed.
         self._parsed.clear()
         self._reset_request()
-        # The transport may be in the middle of a write.
-        self._loop.call_soon(self._transport.abort)
+        if self._is_writing:
+            self._loop.call_soon(self._transport.abort)
+        else:
+            self._transport.abort()
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes and enforce the limits on the head."""
@@ -376,6 +405,7 @@
         if not self._body and self._is_reading_head():
             self._head_bytes += len(data)
         self._read_bytes = len(data)
+        self._read_parts = 0
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -384,6 +414,8 @@
             if not self._is_closing:
                 logger.debug("malformed request: {}", repr(error))
                 self._refuse(HTTPStatus.BAD_REQUEST)
+        if self._read_parts > PARTS_FREE:
+            self._put_off_reading((self._read_parts - PARTS_FREE) * PART_PAUSE_MS)
         if was_between_requests and not self._has_begun_request:
             self._blank_bytes += len(data)
         if self._is_reading_head() and not self._is_timing_head:
@@ -461,6 +493,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Append a part of the body."""
+        self._read_parts += 1
         self._body_bytes += len(data)
         if self._is_closing:
             return
@@ -561,11 +594,13 @@
         if self._transport is None or self._transport.is_closing():
             return
         head = encode_answer_head(answer, closes)
+        self._is_writing = True
         self._unread_bytes += len(head) + len(answer.body)
         if len(answer.body) < JOINED_BYTES:
             self._transport.write(head + answer.body)
         else:
             self._transport.writelines((head, answer.body))
+        self._is_writing = False
         if not self._is_write_blocked:
             self._unread_bytes = 0
 
--- a/fuchsiamoor/agent/http_server_test.py
+++ b/fuchsiamoor/agent/http_server_test.py
@@ -359,3 +359,28 @@
     received, held_bytes = asyncio.run(play())
     assert received.startswith(b"HTTP/1.1 200")
     assert held_bytes == 0
+
+
+# Load: chunks of few bytes, as many as a read holds. Parsing them took all time of the
+# daemon from other callers.
+def test_a_client_that_sends_tiny_chunks_is_read_less_often():
+    async def play():
+        server, reader, writer = await _connect(DelayHandler())
+        server.accounts.bodies.limit_bytes = 1_000_000
+        (connection,) = server.connections
+        connection._limits = LIMITS._replace(body_bytes=1_000_000)
+        parts = 3 * http_server.PARTS_FREE
+        connection.data_received(CHUNKED_POST + b"6\r\nzzzzzz\r\n" * parts)
+        is_paused = connection._is_paused
+        pause_ms = 2 * http_server.PARTS_FREE * http_server.PART_PAUSE_MS
+        await asyncio.sleep(pause_ms / 1_000 + 0.05)
+        is_read_on = not connection._is_paused
+        connection.data_received(b"0\r\n\r\n")
+        answer = await reader.readuntil(b"\r\n\r\n")
+        writer.close()
+        server.close()
+        return is_paused, is_read_on, answer
+
+    is_paused, is_read_on, answer = asyncio.run(play())
+    assert is_paused and is_read_on
+    assert answer.startswith(b"HTTP/1.1 200")
