Requests without time for the way are refused instead of sent

Change: nothing is sent to another daemon with less than two ways back left; the answer is 503, as nothing has run. It tells nothing of the instance.

The new test was seen to fail before.

--- a/fuchsiamoor/agent/caller_requests_test.py
+++ b/fuchsiamoor/agent/caller_requests_test.py
@@ -215,6 +215,20 @@
     assert elapsed_ms < 50
 
 
+# Pattern: calls that waited for the owner of their key were sent with their last 30 ms.
+# They were refused on arrival, but the refusal came after the answer 504.
+def test_a_request_without_time_for_the_way_is_refused_instead_of_sent():
+    async def be_late(instance, message):
+        raise errors.PeerTimeoutError(instance)
+
+    agent, answer, elapsed_ms = _play(
+        lambda: make_agent(be_late, "10.0.0.2"), make_request(wait_ms=50)
+    )
+    assert (answer.status, agent.links.calls) == (503, [])
+    assert elapsed_ms < 10
+    assert agent.selection_stats.by_instance["10.0.0.2"].avoid_until_ms == 0
+
+
 def test_a_disconnected_caller_cancels_its_forwarded_request():
     async def never(instance, message):
         await asyncio.sleep(60)
--- a/fuchsiamoor/agent/forwarding.py
+++ b/fuchsiamoor/agent/forwarding.py
@@ -78,6 +78,12 @@
     timeout_ms = carried.remaining_ms
     is_far = target.region != agent.settings.region
     return_ms = REGION_RETURN_MS if is_far else RETURN_MS
+    if timeout_ms < 2 * return_ms:
+        # It would arrive after its deadline there, and the refusal after the time at
+        # which this daemon must answer that it may have run.
+        agent.metrics.count("peers.too_late_to_send")
+        refusal = NotRun(Reason.DEADLINE_PASSED, "too little time to send it")
+        return _make_failure(refusal, False)
     carried = carried._replace(remaining_ms=max(timeout_ms - return_ms, 1))
     if len(carried.body) >= transfers.LARGE_BODY_BYTES:
         refused = await _send_body_ahead(agent, member, carried)
@@ -209,6 +215,9 @@
             instance_selection.record_failure(views, target.instance, now_ms)
         case MayHaveRun():
             instance_selection.record_failure(views, target.instance, now_ms)
+        case NotRun(Reason.DEADLINE_PASSED) if outcome.load is UNKNOWN_LOAD:
+            # It was not sent, which tells nothing of the instance.
+            return
         case NotRun(Reason.CONNECT_FAILED):
             instance_selection.record_refusal(views, target.instance, now_ms)
         case NotRun() if not state.is_keyed(agent, target.service):
--- a/fuchsiamoor/reports/metric_names.py
+++ b/fuchsiamoor/reports/metric_names.py
@@ -122,6 +122,7 @@
     "callers.unknown_key": "Requests whose key no organisation holds.",
     "quota.unanswered": "Questions for credit that an allocator did not answer.",
     "budget.empty": "Repeats not sent, as none were left in the budget.",
+    "peers.too_late_to_send": "Requests not sent as too little of their time was left.",
     "peers.unreachable": "Carried requests that certainly did not leave.",
     "peers.lost": "Carried requests whose link broke or fell silent.",
     "heartbeat.stale": "Heartbeats overtaken, or of an earlier incarnation.",
