--- a/fuchsiamoor/testing/loopback_daemons.py
+++ b/fuchsiamoor/testing/loopback_daemons.py
@@ -5,7 +5,7 @@
 import random
 import socket
 from collections import Counter
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
 
 from fuchsiamoor.agent import lifecycle, state, upstream_lifecycle
@@ -114,7 +114,9 @@
 
 
 async def start_daemon(
-    settings: agent_settings.AgentSettings, store: transactional_store.StoreState
+    settings: agent_settings.AgentSettings,
+    store: transactional_store.StoreState,
+    read_catalog: Callable[[bytes], catalog.Catalog] = _read_catalog,
 ) -> tuple[state.Agent, asyncio.Task]:
     """Start a daemon and wait until its upstream is registered.
 
@@ -123,7 +125,7 @@
     Agent, Task
         The task ends when the daemon has stopped.
     """
-    dialect = traffic_data.make_dialect()._replace(read_catalog=_read_catalog)
+    dialect = traffic_data.make_dialect()._replace(read_catalog=read_catalog)
     client = transactional_store.StoreClient(store)
     agent = lifecycle.make_agent(settings, dialect, client)
     run = asyncio.create_task(lifecycle.run(agent))
@@ -208,11 +210,26 @@
     OSError
         If the daemon takes no connection.
     """
-    address = daemon.agent.settings.caller_address
+    return await ask_agent(daemon.agent, request_id, parent_id)
+
+
+async def ask_agent(
+    agent: state.Agent, request_id: str, parent_id: str = "", secret: str = ""
+) -> int:
+    """Send a request to a daemon as `ask` does, with ``secret`` as the caller's key.
+
+    Raises
+    ------
+    OSError
+        If the daemon takes no connection.
+    """
+    address = agent.settings.caller_address
     reader, writer = await asyncio.open_connection(*address)
     head = (
         f"GET /read/{request_id} HTTP/1.1\r\nHost: shop.example\r\n"
-        f"X-Request: {request_id}\r\nX-Parent: {parent_id}\r\n\r\n"
+        f"X-Request: {request_id}\r\nX-Parent: {parent_id}\r\n"
+        + (f"X-Secret: {secret}\r\n" if secret else "")
+        + "\r\n"
     )
     writer.write(head.encode())
     status = (await reader.readline()).split()[1]
