Send slow requests that may be repeated to a second instance too

Cause: an upstream slowed down by a neighbour, or a silent connection, holds a request for its whole run while other instances are idle.

Change: after the delay that 95 of 100 answers of the route do not reach, the entry daemon sends a copy to another instance of its region; the first run that succeeds wins and the other copy is cancelled. copies_share in the settings bounds them, 0 by default; they also come out of the retry budget and leave half of it to failed requests. None is sent for a service that refused lately, and the receiving daemon queues none. The product's own daemon decides by the same function.

Organisations with a quota get no copies, as each run counts towards it. The codec's test of an added field counts the fields that the record adds: it is one more now.

--- a/fuchsiamoor/agent/caller_requests.py
+++ b/fuchsiamoor/agent/caller_requests.py
@@ -6,7 +6,7 @@
 
 from fuchsiamoor.agent import (
     access_control,
-    forwarding,
+    copies,
     nested_calls,
     quota_credits,
     retrying,
@@ -189,16 +189,10 @@
             break
         attempts.target = target.instance
         attempts.is_in_flight = True
-        outcome = await forwarding.forward(
-            agent,
-            request,
-            route,
-            service,
-            target,
-            deadlines,
-            attempts.arrivals,
-            organisation,
+        target, outcome = await copies.forward(
+            agent, request, route, service, target, attempts, deadlines, organisation
         )
+        attempts.target = target.instance
         attempts.is_in_flight = False
         arrivals, attempts.last_outcome = attempts.arrivals, outcome
         attempts.arrivals += outcome.has_arrived
--- a/fuchsiamoor/agent/forwarding.py
+++ b/fuchsiamoor/agent/forwarding.py
@@ -30,11 +30,13 @@
     deadlines: Deadlines,
     arrivals: int,
     organisation: str,
+    is_copy: bool = False,
 ) -> CarriedAnswer:
     """Send a request to the daemon beside an instance, or run it locally.
 
     ``arrivals`` is the number of earlier attempts that reached an upstream, and
-    ``organisation`` the name on whose behalf the caller sent it.
+    ``organisation`` the name on whose behalf the caller sent it; ``is_copy`` tells
+    whether an earlier attempt may be running.
     """
     now_ms = agent.now_ms()
     carried = CarriedRequest(
@@ -57,6 +59,7 @@
         catalog_version=agent.cache.catalog.version,
         sent_ms=now_ms,
         organisation=organisation,
+        is_copy=is_copy,
     )
     instance_selection.record_sent(agent.selection_stats, target.instance)
     try:
--- a/fuchsiamoor/agent/local_execution.py
+++ b/fuchsiamoor/agent/local_execution.py
@@ -14,6 +14,7 @@
 from fuchsiamoor.daemon.upstream_connection import Lost, Received, WholeAnswer
 from fuchsiamoor.ranges import demand as demands
 from fuchsiamoor.ranges import granting
+from fuchsiamoor.routing import hedging
 from fuchsiamoor.traffic import admission, catalog, reset_limits, upstreams
 
 # Time reserved for the answer's way back to the entry daemon.
@@ -59,6 +60,8 @@
         refusal = NotRun(Reason.DEADLINE_PASSED, "on its way here")
         return refuse(agent, request, refusal)
     refusal = _check_admission(agent, request)
+    if refusal is None and request.is_copy:
+        refusal = check_room_for_copy(agent)
     if refusal is not None:
         return refuse(agent, request, refusal)
     upstream = agent.upstream
@@ -190,6 +193,14 @@
     return None
 
 
+def check_room_for_copy(agent: state.Agent) -> NotRun | None:
+    """Return why a copy may not run now, None if it may."""
+    queue = agent.upstream.admission_queue
+    if hedging.has_room_for_copy(queue.running, queue.waiting, queue.usable_slots):
+        return None
+    return NotRun(Reason.OVER_LIMIT, "no room for a copy")
+
+
 def _check_still_admitted(
     agent: state.Agent, request: CarriedRequest, owner: str
 ) -> NotRun | None:
--- a/fuchsiamoor/agent/state.py
+++ b/fuchsiamoor/agent/state.py
@@ -17,7 +17,7 @@
 from fuchsiamoor.ranges import demand as demands
 from fuchsiamoor.ranges import granting as grantings
 from fuchsiamoor.ranges import table as range_tables
-from fuchsiamoor.routing import retry_budget
+from fuchsiamoor.routing import hedging, retry_budget
 from fuchsiamoor.store import feed as feeds
 from fuchsiamoor.store import port
 from fuchsiamoor.traffic import admission, instance_selection, one_way_delay, upstreams
@@ -229,6 +229,25 @@
     changed: asyncio.Event = field(default_factory=asyncio.Event)
 
 
+@dataclass(slots=True)
+class HedgingState:
+    """What this daemon's second copies of slow requests depend on.
+
+    Parameters
+    ----------
+    latencies : dict of str to LatencyWindow
+        Latencies of answers from other daemons, by route.
+    budgets : dict of str to Budget
+        Copies that may be sent, by service.
+    refused_ms : dict of str to int
+        When each service last refused a request of this daemon.
+    """
+
+    latencies: dict[str, hedging.LatencyWindow] = field(default_factory=dict)
+    budgets: dict[str, retry_budget.Budget] = field(default_factory=dict)
+    refused_ms: dict[str, int] = field(default_factory=dict)
+
+
 @dataclass(slots=True)
 class Agent:
     """State of one daemon.
@@ -259,6 +278,7 @@
         Estimates the delays of messages from other daemons.
     retry_budgets : dict of str to Budget
         Retry budget of each service.
+    hedging : HedgingState
     carried_tasks : dict of str to Task
         Requests forwarded by other daemons that run here, by request id.
     longest_wait_ms : dict of str to int
@@ -331,6 +351,7 @@
         default_factory=one_way_delay.DelayEstimator
     )
     retry_budgets: dict[str, retry_budget.Budget] = field(default_factory=dict)
+    hedging: HedgingState = field(default_factory=HedgingState)
     carried_tasks: dict[str, asyncio.Task] = field(default_factory=dict)
     longest_wait_ms: dict[str, int] = field(default_factory=dict)
     runs: nested_calls.Runs = field(default_factory=dict)
--- a/fuchsiamoor/core/agent_settings.py
+++ b/fuchsiamoor/core/agent_settings.py
@@ -74,6 +74,9 @@
     bounds : Bounds
     descriptors : int
         Files and connections that the daemon may have open.
+    copies_share : float
+        Second copies of slow requests that may be repeated, as a share of all requests;
+        0 sends none.
     """
 
     instance: str
@@ -92,3 +95,4 @@
     memory_bytes: int
     bounds: Bounds
     descriptors: int = 4_096
+    copies_share: float = 0.0
--- a/fuchsiamoor/core/carried.py
+++ b/fuchsiamoor/core/carried.py
@@ -63,6 +63,8 @@
         Sender's monotonic time, by which the receiver detects a delay in transit.
     organisation : str
         On whose behalf the caller sent it; empty if on nobody's.
+    is_copy : bool
+        Whether another upstream may be running it now; it runs at once or not at all.
     """
 
     request_id: str
@@ -84,7 +86,8 @@
     catalog_version: int
     sent_ms: int
     organisation: str = ""
-    ADDED_FIELDS = 1
+    is_copy: bool = False
+    ADDED_FIELDS = 2
 
 
 class CarriedAnswer(NamedTuple):
--- a/fuchsiamoor/daemon/entry_unkeyed.py
+++ b/fuchsiamoor/daemon/entry_unkeyed.py
@@ -186,9 +186,18 @@
     entry: Entry, request: Request, attempts: Attempts
 ) -> Member | None:
     hedge_target = _choose_target(entry, request, attempts)
-    if hedge_target is None or not retry_budget.spend(entry.budgets[request.service]):
-        return None
-    return hedge_target
+    conditions = hedging.Conditions(
+        has_target=hedge_target is not None,
+        is_short_of_room=False,
+        leaves_retries=True,
+        expected_ms=entry.latencies[request.service].hedge_delay_ms,
+        left_ms=request.deadline_ms - entry.now_ms(),
+    )
+    match hedging.decide_copy(conditions, [entry.budgets[request.service]]):
+        case hedging.Send():
+            return hedge_target
+        case hedging.Skip():
+            return None
 
 
 async def _wait_for_first_run(
--- a/fuchsiamoor/peers/codec_test.py
+++ b/fuchsiamoor/peers/codec_test.py
@@ -161,7 +161,7 @@
     named = plain._replace(organisation="lab")
     envelope = Envelope(1, Role.CALL, messages.AskTransfer(plain, 5))
     sent = cbor2.loads(codec.encode_envelope(envelope))
-    assert len(sent[3]) == len(plain) - 1
+    assert len(sent[3]) == len(plain) - plain.ADDED_FIELDS
     for request in (plain, named):
         for message in (request, messages.AskTransfer(request, 5)):
             frame = [codec.encode_envelope(Envelope(1, Role.CALL, message))]
--- a/fuchsiamoor/platform/settings.py
+++ b/fuchsiamoor/platform/settings.py
@@ -10,6 +10,8 @@
 PATH_VARIABLE = "FUCHSIAMOOR_BOOT"
 # Where the settings name none: the least of a machine on the platform.
 DESCRIPTORS_DEFAULT = 4_100
+# Copies also come out of the retry budget, which is about a fifth of all requests.
+COPIES_SHARE_MAX = 0.2
 
 
 def load_settings() -> agent_settings.AgentSettings:
@@ -72,9 +74,19 @@
         descriptors=scalars.read_int(
             limits.get("max_fds", DESCRIPTORS_DEFAULT), "max_fds"
         ),
+        copies_share=_read_share(document.get("copies_share", 0.0)),
     )
 
 
+def _read_share(value: object) -> float:
+    share = scalars.read_float(value, "copies_share")
+    if not 0.0 <= share <= COPIES_SHARE_MAX:
+        raise ValueError(
+            f"copies_share: found {share}, expected 0 to {COPIES_SHARE_MAX}"
+        )
+    return share
+
+
 def _read_bounds(bounds: dict) -> agent_settings.Bounds:
     return agent_settings.Bounds(
         drain_ms=scalars.read_duration_ms(bounds["drain"]),
--- a/fuchsiamoor/platform/wire_data.py
+++ b/fuchsiamoor/platform/wire_data.py
@@ -142,6 +142,6 @@
     return json.dumps(CONFIGURATION | changes).encode()
 
 
-def encode_settings() -> bytes:
-    """Return the content of a settings file."""
-    return json.dumps(SETTINGS).encode()
+def encode_settings(**changes: object) -> bytes:
+    """Return the content of a settings file, with some fields replaced."""
+    return json.dumps(SETTINGS | changes).encode()
--- a/fuchsiamoor/platform/wire_test.py
+++ b/fuchsiamoor/platform/wire_test.py
@@ -332,6 +332,18 @@
         heartbeats.read_deregistration(body)
 
 
+def test_a_share_of_copies_is_none_unless_it_is_set():
+    unset = settings.read_settings(wire_data.encode_settings())
+    found = settings.read_settings(wire_data.encode_settings(copies_share=0.03))
+    assert (unset.copies_share, found.copies_share) == (0.0, 0.03)
+
+
+@pytest.mark.parametrize("share", [-0.1, 0.3, "0.1", True, float("nan")])
+def test_a_share_of_copies_outside_its_bounds_is_refused(share):
+    with pytest.raises(ValueError):
+        settings.read_settings(wire_data.encode_settings(copies_share=share))
+
+
 def test_settings_are_decoded():
     found = settings.read_settings(wire_data.encode_settings())
     assert found.instance == "10.1.0.38"
--- a/fuchsiamoor/traffic/instance_selection.py
+++ b/fuchsiamoor/traffic/instance_selection.py
@@ -177,6 +177,20 @@
     instance.slowdown += 0.1 * (relative - instance.slowdown)
 
 
+def record_overtaken(
+    stats: SelectionStats, name: str, route: str, elapsed_ms: float, now_ms: int
+) -> None:
+    """Record that a copy was answered first, ``elapsed_ms`` after the first sending.
+
+    The run may never end, so that it also counts as failed.
+    """
+    instance = find_instance_stats(stats, name)
+    usual_ms = stats.run_ms.get(route, elapsed_ms)
+    relative = min(elapsed_ms / max(usual_ms, 1.0), 5.0)
+    instance.slowdown += 0.1 * max(relative - instance.slowdown, 0.0)
+    record_failure(stats, name, now_ms)
+
+
 def record_refusal(stats: SelectionStats, name: str, now_ms: int) -> None:
     """Avoid an instance for `AVOID_MS` after it refused a request."""
     find_instance_stats(stats, name).avoid_until_ms = now_ms + AVOID_MS
