Refuse a copy that would wait for the rate of a cold upstream

The check compared slots only, so that a copy was queued behind the rate of a cold upstream or the slots that are reserved for nested requests, ahead of later first sendings. It now asks for an expected wait of 0 as well.

The test fails without the change (no refusal) and passes with it.

--- a/fuchsiamoor/agent/copies_test.py
+++ b/fuchsiamoor/agent/copies_test.py
@@ -210,6 +210,19 @@
         agent.upstream.admission_queue = queue
         agent.upstream.service = traffic_data.PLAIN_SERVICE
         queue.running = 3
-        return local_execution.check_room_for_copy(agent)
+        return local_execution.check_room_for_copy(agent, 0)
+
+    assert virtual_time.run(play()).reason is Reason.OVER_LIMIT
+
+
+def test_a_copy_does_not_wait_for_the_rate_of_a_cold_upstream():
+    async def play():
+        agent = copies_data.make_agent(copies_data.UnevenInstances())
+        queue = admission.make_admission_queue(4, 1.0, agent.now_ms() + 60_000)
+        agent.upstream.admission_queue = queue
+        agent.upstream.service = traffic_data.PLAIN_SERVICE
+        request = admission.AdmissionRequest("a", "r", 0, 10_000, 10_000)
+        assert admission.admit(queue, request, agent.now_ms()) == admission.Admitted()
+        return local_execution.check_room_for_copy(agent, 0)
 
     assert virtual_time.run(play()).reason is Reason.OVER_LIMIT
--- a/fuchsiamoor/agent/local_execution.py
+++ b/fuchsiamoor/agent/local_execution.py
@@ -61,7 +61,7 @@
         return refuse(agent, request, refusal)
     refusal = _check_admission(agent, request)
     if refusal is None and request.is_copy:
-        refusal = check_room_for_copy(agent)
+        refusal = check_room_for_copy(agent, request.rank)
     if refusal is not None:
         return refuse(agent, request, refusal)
     upstream = agent.upstream
@@ -193,10 +193,13 @@
     return None
 
 
-def check_room_for_copy(agent: state.Agent) -> NotRun | None:
-    """Return why a copy may not run now, None if it may."""
+def check_room_for_copy(agent: state.Agent, rank: int) -> NotRun | None:
+    """Return why a copy may not run now, None if it takes a slot without a wait."""
     queue = agent.upstream.admission_queue
-    if hedging.has_room_for_copy(queue.running, queue.waiting, queue.usable_slots):
+    has_room = hedging.has_room_for_copy(
+        queue.running, queue.waiting, queue.usable_slots
+    )
+    if has_room and admission.estimate_wait_ms(queue, rank, agent.now_ms()) == 0:
         return None
     return NotRun(Reason.OVER_LIMIT, "no room for a copy")
 
