Record both sendings of a copied request

Of two sendings only the returned outcome was recorded. A retry went to an instance that had just lost the copy, under the same request id, where a late cancellation could reach it; a refusal that had reached an upstream vanished behind one that had not, so that the limit of attempts and the retry budget were passed; a lost copy beside a failed run was told as not run (503) after a refused retry. An exception of one sending hid the answer of the other. Retries earned copies too. A daemon that began to stop during the delay still sent a copy. An answer waited up to 40 ms for the load of the copy's target. An instance that had refused also counted as overtaken. A copy of a large body queued for a grant. Which of two refusals counted depended on which came first.

The sending that does not give the outcome is now recorded in the attempts, in the order of sending; the search for a target ends with the first answer.

--- a/fuchsiamoor/agent/copies.py
+++ b/fuchsiamoor/agent/copies.py
@@ -8,12 +8,15 @@
 from asyncio import Task
 from typing import NamedTuple
 
+from loguru import logger
+
 from fuchsiamoor.agent import (
     forwarding,
     registrations,
     retrying,
     state,
     target_selection,
+    transfers,
 )
 from fuchsiamoor.agent.attempts import Attempts, Deadlines
 from fuchsiamoor.core.carried import CarriedAnswer
@@ -58,12 +61,13 @@
 ) -> Sent:
     """Forward a request and, if it is slow and may be repeated, one copy of it.
 
-    ``attempts.arrivals`` counts a copy that was sent; the caller counts the outcome.
+    Of two sendings, the one that does not give the outcome is recorded in ``attempts``;
+    the caller records the outcome.
     """
     sending = _Sending(request, route, service, attempts, deadlines, organisation)
     if not _may_copy(agent, sending):
         return Sent(target, await _forward(agent, sending, target))
-    began_ms = agent.now_ms()
+    began_ms, is_first = agent.now_ms(), attempts.last_outcome is None
     window = agent.hedging.latencies.setdefault(
         route.name, hedging.make_latency_window()
     )
@@ -73,11 +77,19 @@
             await asyncio.wait(running, timeout=window.hedge_delay_ms / 1000)
             if not any(task.done() for task in running):
                 await _send_copy(agent, sending, running)
-        sent = await _wait_for_run(running)
+        sent, others = await _wait_for_run(running)
     finally:
         for task in running:
             task.cancel()
-    _record_sent(agent, sending, sent, target, began_ms)
+    if _is_success(sent.outcome):
+        is_overtaken = target in running.values()
+        _record_success(agent, sending, sent, target, is_overtaken, began_ms)
+    # What is cancelled may have reached its upstream.
+    attempts.arrivals += len(running)
+    _record_others(attempts, others)
+    if is_first:
+        share = agent.settings.copies_share
+        retry_budget.earn(_find_budget(agent, service), share)
     return sent
 
 
@@ -85,6 +97,7 @@
     return (
         agent.settings.copies_share > 0
         and sending.route.is_idempotent
+        and len(sending.request.body) < transfers.LARGE_BODY_BYTES
         and not state.is_keyed(agent, sending.service)
         and agent.stopping_since_ms is None
         and not _has_quota(agent, sending.organisation)
@@ -115,7 +128,7 @@
         sending.service,
         target,
         sending.deadlines,
-        sending.attempts.arrivals,
+        sending.attempts.arrivals + is_copy,
         sending.organisation,
         is_copy,
     )
@@ -132,9 +145,14 @@
 ) -> None:
     """Start a copy of a slow request if the decision allows it."""
     (first,) = running.values()
-    target = await _find_target(agent, sending, first)
-    if any(task.done() for task in running):
+    finding = asyncio.ensure_future(_find_target(agent, sending, first))
+    try:
+        await asyncio.wait((*running, finding), return_when=asyncio.FIRST_COMPLETED)
+    finally:
+        finding.cancel()
+    if any(task.done() for task in running) or agent.stopping_since_ms is not None:
         return
+    target = finding.result()
     budget = _find_budget(agent, sending.service)
     retries = retrying.find_budget(agent, sending.service)
     now_ms = agent.now_ms()
@@ -152,7 +170,6 @@
             agent.metrics.count(f"copies.skipped.{reason}")
         case hedging.Send():
             agent.metrics.count("copies.sent")
-            sending.attempts.arrivals += 1
             copy = _forward_copy(agent, sending, target, (budget, retries))
             running[asyncio.ensure_future(copy)] = target
 
@@ -166,7 +183,6 @@
     """Forward a copy; give its tokens back if it reached no upstream."""
     outcome = await _forward(agent, sending, target, is_copy=True)
     if not outcome.has_arrived:
-        sending.attempts.arrivals -= 1
         for budget in budgets:
             retry_budget.earn(budget, 1.0)
     return outcome
@@ -196,52 +212,77 @@
 
 async def _wait_for_run(
     running: dict[Task[CarriedAnswer], registrations.Registration],
-) -> Sent:
+) -> tuple[Sent, list[Sent]]:
     """Return the first answer of a run or, without one, the outcome that says most.
 
     An outcome that may have run goes before one that has not: the request is not to be
-    told as not run while any copy of it may have.
+    told as not run while any copy of it may have. The second part of the result is what
+    else has ended.
+
+    Raises
+    ------
+    Exception
+        If a sending raised it and no other one gave an answer of a run: what it did is
+        unknown, so that no other outcome says enough.
     """
-    ended: list[Sent] = []
+    (first, *_), ended = running.values(), []
+    raised: Task[CarriedAnswer] | None = None
     while running:
         done, _ = await asyncio.wait(running, return_when=asyncio.FIRST_COMPLETED)
-        for task in done:
-            sent = Sent(running.pop(task), task.result())
+        # In the order of sending, if both have ended.
+        for task in [task for task in running if task in done]:
+            target = running.pop(task)
+            if task.cancelled() or task.exception() is not None:
+                logger.bind(target=target.instance).warning("a sending failed")
+                raised = task
+                continue
+            sent = Sent(target, task.result())
             if _is_success(sent.outcome):
-                return sent
+                return sent, ended
             ended.append(sent)
-    return max(ended, key=_rank_failure)
+    if raised is not None:
+        raised.result()
+    best = max(ended, key=lambda sent: (*_rank_failure(sent), sent.target is first))
+    return best, [sent for sent in ended if sent is not best]
+
+
+def _record_others(attempts: Attempts, others: list[Sent]) -> None:
+    """Record sendings that have ended without giving the outcome."""
+    for target, outcome in others:
+        attempts.tried.add(target.instance)
+        attempts.arrivals += outcome.has_arrived
+        if isinstance(outcome.verdict, MayHaveRun):
+            attempts.may_have_run = outcome.verdict
 
 
 def _is_success(outcome: CarriedAnswer) -> bool:
     return isinstance(outcome.verdict, Ran) and outcome.status < 500
 
 
-def _rank_failure(sent: Sent) -> int:
+def _rank_failure(sent: Sent) -> tuple[int, bool]:
+    has_arrived = sent.outcome.has_arrived
     match sent.outcome.verdict:
         case Ran():
-            return 2
+            return 2, has_arrived
         case MayHaveRun():
-            return 1
+            return 1, has_arrived
         case NotRun():
-            return 0
+            return 0, has_arrived
 
 
-def _record_sent(
+def _record_success(
     agent: state.Agent,
     sending: _Sending,
     sent: Sent,
     first: registrations.Registration,
+    is_overtaken: bool,
     began_ms: int,
 ) -> None:
-    """Credit the budget, and record how long the first sending has taken at least."""
-    share = agent.settings.copies_share
-    retry_budget.earn(_find_budget(agent, sending.service), share)
-    if not _is_success(sent.outcome):
-        return
+    """Record how long the first sending has taken at least."""
     elapsed_ms = agent.now_ms() - began_ms
     if sent.target is not first:
         agent.metrics.count("copies.won")
+    if is_overtaken and sent.target is not first:
         instance_selection.record_overtaken(
             agent.selection_stats,
             first.instance,
--- a/fuchsiamoor/agent/copies_test.py
+++ b/fuchsiamoor/agent/copies_test.py
@@ -1,10 +1,11 @@
-"""Load: steady requests, and one of the instances turns slow for a while."""
+"""Second copies of slow requests: when they are sent, and which outcome counts."""
 
 import asyncio
 
-from fuchsiamoor.agent import caller_requests, local_execution
+from fuchsiamoor.agent import caller_requests, local_execution, transfers
+from fuchsiamoor.core import messages
 from fuchsiamoor.core.carried import CarriedRequest
-from fuchsiamoor.core.verdicts import NotRun, Reason
+from fuchsiamoor.core.verdicts import NotRun, Ran, Reason
 from fuchsiamoor.testing import (
     copies_data,
     organisations_data,
@@ -215,6 +216,165 @@
     assert virtual_time.run(play()).reason is Reason.OVER_LIMIT
 
 
+async def _warm_up(**settings):
+    agent = copies_data.make_agent(copies_data.UnevenInstances(), **settings)
+    await copies_data.measure(agent, WARM_UP_REQUESTS)
+    agent.links.calls.clear()
+    return agent
+
+
+async def _handle_with_script(script, **settings):
+    """Return the daemon and an answer, of instances that follow a script."""
+    agent = await _warm_up(**settings)
+    agent.links.script = script
+    return agent, await caller_requests.handle(agent, make_request())
+
+
+def _list_carried(agent):
+    calls = agent.links.calls
+    return [call for call in calls if isinstance(call[1], CarriedRequest)]
+
+
+def test_no_retry_goes_to_an_instance_that_had_a_copy():
+    async def fail(instance, message):
+        await asyncio.sleep(0.2)
+        return LOST
+
+    agent, _ = virtual_time.run(_handle_with_script(fail, attempts_max=3))
+    targets = [instance for instance, _ in _list_carried(agent)]
+    assert len(targets) == len(set(targets)) == 3
+
+
+def test_a_refusal_that_reached_an_upstream_is_counted_beside_a_refused_copy():
+    shed = make_outcome(NotRun(Reason.SHED))
+
+    async def refuse(instance, message):
+        if message.is_copy:
+            await asyncio.sleep(0.1)
+            return FULL
+        await asyncio.sleep(0.25)
+        return shed
+
+    agent, answer = virtual_time.run(_handle_with_script(refuse, attempts_max=2))
+    firsts = [message for _, message in _list_carried(agent) if not message.is_copy]
+    assert len(firsts) == 2
+    assert [message.is_repeat for message in firsts] == [False, True]
+    assert answer.status == 503
+
+
+def test_a_sending_that_raises_does_not_hide_the_answer_of_the_other():
+    async def answer_copies(instance, message):
+        await asyncio.sleep(0.2)
+        if message.is_copy:
+            return RAN
+        raise ValueError("not a member")
+
+    _, answer = virtual_time.run(_handle_with_script(answer_copies))
+    assert answer.status == 200
+
+
+def test_a_request_is_not_told_as_not_run_after_a_run_that_failed_beside_a_lost_one():
+    failed = make_outcome(Ran(), 500)
+
+    async def fail(instance, message):
+        if message.is_copy:
+            await asyncio.sleep(0.3)
+            return LOST
+        if message.is_repeat:
+            return FULL
+        await asyncio.sleep(0.2)
+        return failed
+
+    _, answer = virtual_time.run(_handle_with_script(fail, attempts_max=3))
+    assert answer.status in (502, 504)
+
+
+def test_a_daemon_that_began_to_stop_sends_no_copy():
+    async def play():
+        agent = await _warm_up()
+        agent.links.script = instances = copies_data.UnevenInstances()
+        instances.slow = {f"10.0.0.{n}" for n in range(2, 6)}
+        handling = asyncio.create_task(caller_requests.handle(agent, make_request()))
+        await asyncio.sleep(0.05)
+        agent.stopping_since_ms = agent.now_ms()
+        await handling
+        return agent
+
+    assert len(_list_carried(virtual_time.run(play()))) == 1
+
+
+def test_a_caller_who_leaves_cancels_both_copies():
+    async def play():
+        agent = await _warm_up()
+        agent.links.script = instances = copies_data.UnevenInstances()
+        instances.slow = {f"10.0.0.{n}" for n in range(2, 6)}
+        handling = asyncio.create_task(caller_requests.handle(agent, make_request()))
+        await asyncio.sleep(0.4)
+        handling.cancel()
+        await asyncio.wait([handling])
+        await asyncio.sleep(0)
+        return agent, instances
+
+    agent, instances = virtual_time.run(play())
+    assert len(instances.cancelled) == len(agent.links.sent) == 2
+
+
+def test_a_stopping_daemon_cancels_both_copies_and_promises_nothing():
+    async def play():
+        agent = await _warm_up()
+        agent.links.script = instances = copies_data.UnevenInstances()
+        instances.slow = {f"10.0.0.{n}" for n in range(2, 6)}
+        handling = asyncio.create_task(caller_requests.handle(agent, make_request()))
+        await asyncio.sleep(0.4)
+        caller_requests.cancel_all(agent)
+        return await handling, instances
+
+    answer, instances = virtual_time.run(play())
+    assert answer.status == 504
+    assert len(instances.cancelled) == 2
+
+
+def test_only_first_sendings_earn_copies():
+    async def refuse(instance, message):
+        return FULL
+
+    async def play():
+        agent = await _warm_up()
+        budget = agent.hedging.budgets[traffic_data.PLAIN_SERVICE]
+        budget.tokens = 0.0
+        agent.links.script = refuse
+        await caller_requests.handle(agent, make_request())
+        return agent, budget
+
+    agent, budget = virtual_time.run(play())
+    assert len(_list_carried(agent)) > 1
+    assert budget.tokens == agent.settings.copies_share
+
+
+def test_an_answer_does_not_wait_for_the_load_of_another_instance():
+    async def play():
+        agent = await _warm_up()
+        agent.links.silent = {f"10.0.0.{n}" for n in range(2, 6)}
+        window = next(iter(agent.hedging.latencies.values()))
+        run_ms = window.hedge_delay_ms + 5
+
+        async def answer_late(instance, message):
+            for stats in agent.selection_stats.by_instance.values():
+                stats.load, stats.reported_ms = None, -100_000
+            await asyncio.sleep(run_ms / 1000)
+            return RAN
+
+        agent.links.script = answer_late
+        for stats in agent.selection_stats.by_instance.values():
+            stats.sent_since_report = 0
+            stats.reported_ms = agent.now_ms()
+        began_ms = agent.now_ms()
+        await caller_requests.handle(agent, make_request())
+        return agent.now_ms() - began_ms - run_ms
+
+    assert virtual_time.run(play()) <= 10
+
+
 def test_a_copy_does_not_wait_for_the_rate_of_a_cold_upstream():
     async def play():
         agent = copies_data.make_agent(copies_data.UnevenInstances())
@@ -226,3 +386,45 @@
         return local_execution.check_room_for_copy(agent, 0)
 
     assert virtual_time.run(play()).reason is Reason.OVER_LIMIT
+
+
+def test_an_instance_that_refused_does_not_count_as_overtaken():
+    async def refuse_late(instance, message):
+        await asyncio.sleep(0.2)
+        return RAN if message.is_copy else FULL
+
+    agent, answer = virtual_time.run(_handle_with_script(refuse_late))
+    (first, _), _ = _list_carried(agent)
+    assert answer.status == 200
+    assert agent.selection_stats.by_instance[first].failures == 0
+
+
+def test_a_request_whose_body_needs_a_grant_gets_no_copy():
+    async def take_bodies(instance, message):
+        if not isinstance(message, CarriedRequest):
+            return messages.TransferGranted()
+        await asyncio.sleep(copies_data.SLOW_MS / 2000)
+        return RAN
+
+    async def play(size_bytes):
+        agent = await _warm_up()
+        agent.links.script = take_bodies
+        request = make_request()._replace(body=bytes(size_bytes))
+        answer = await caller_requests.handle(agent, request)
+        assert answer.status == 200
+        return len(_list_carried(agent))
+
+    assert virtual_time.run(play(transfers.LARGE_BODY_BYTES)) == 1
+    assert virtual_time.run(play(transfers.LARGE_BODY_BYTES - 1)) == 2
+
+
+def test_of_two_refusals_that_of_the_first_sending_counts():
+    passed = make_outcome(NotRun(Reason.DEADLINE_PASSED), has_arrived=False)
+
+    async def refuse(instance, message):
+        await asyncio.sleep(0.02 if message.is_copy else 0.25)
+        return FULL if message.is_copy else passed
+
+    agent, answer = virtual_time.run(_handle_with_script(refuse, attempts_max=3))
+    assert answer.status == 503
+    assert [message.is_copy for _, message in _list_carried(agent)] == [False, True]
--- a/fuchsiamoor/peers/codec_test.py
+++ b/fuchsiamoor/peers/codec_test.py
@@ -162,7 +162,7 @@
     envelope = Envelope(1, Role.CALL, messages.AskTransfer(plain, 5))
     sent = cbor2.loads(codec.encode_envelope(envelope))
     assert len(sent[3]) == len(plain) - plain.ADDED_FIELDS
-    for request in (plain, named):
+    for request in (plain, named, plain._replace(is_copy=True)):
         for message in (request, messages.AskTransfer(request, 5)):
             frame = [codec.encode_envelope(Envelope(1, Role.CALL, message))]
             (received,) = codec.decode_frame(codec.join_frame(frame))
