--- a/fuchsiamoor/agent/copies_test.py
+++ b/fuchsiamoor/agent/copies_test.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from fuchsiamoor.agent import caller_requests, local_execution, transfers
 from fuchsiamoor.core import messages
 from fuchsiamoor.core.carried import CarriedRequest
@@ -216,16 +218,17 @@
     assert virtual_time.run(play()).reason is Reason.OVER_LIMIT
 
 
-async def _warm_up(**settings):
+async def _warm_up(seed=1, **settings):
     agent = copies_data.make_agent(copies_data.UnevenInstances(), **settings)
+    agent.rng.seed(seed)
     await copies_data.measure(agent, WARM_UP_REQUESTS)
     agent.links.calls.clear()
     return agent
 
 
-async def _handle_with_script(script, **settings):
+async def _handle_with_script(script, seed=1, **settings):
     """Return the daemon and an answer, of instances that follow a script."""
-    agent = await _warm_up(**settings)
+    agent = await _warm_up(seed, **settings)
     agent.links.script = script
     return agent, await caller_requests.handle(agent, make_request())
 
@@ -235,12 +238,15 @@
     return [call for call in calls if isinstance(call[1], CarriedRequest)]
 
 
-def test_no_retry_goes_to_an_instance_that_had_a_copy():
+@pytest.mark.parametrize("seed", range(8))
+def test_no_retry_goes_to_an_instance_that_had_a_copy(seed):
     async def fail(instance, message):
         await asyncio.sleep(0.2)
         return LOST
 
-    agent, _ = virtual_time.run(_handle_with_script(fail, attempts_max=3))
+    agent, _ = virtual_time.run(
+        _handle_with_script(fail, seed, instances=3, attempts_max=3)
+    )
     targets = [instance for instance, _ in _list_carried(agent)]
     assert len(targets) == len(set(targets)) == 3
 
