--- a/fuchsiamoor/agent/local_execution.py
+++ b/fuchsiamoor/agent/local_execution.py
@@ -355,6 +355,8 @@
     idle_ms: float,
 ) -> None:
     """Learn from a reset, or from an answer, how much the upstream can take."""
+    if not agent.settings.learns_from_resets:
+        return
     match received:
         case WholeAnswer():
             reset_limits.record_answer(queue.reset_limit, queue.slots)
@@ -363,7 +365,7 @@
                 return
             running = min(running, queue.running)
             if reset_limits.record_reset(
-                queue.reset_limit, running, run_ms, agent.now_ms()
+                queue.reset_limit, running, queue.slots, run_ms, agent.now_ms()
             ):
                 agent.metrics.count("upstream.full_resets")
 
--- a/fuchsiamoor/agent/reset_limits_test.py
+++ b/fuchsiamoor/agent/reset_limits_test.py
@@ -54,7 +54,8 @@
     server = await asyncio.start_server(upstream.serve, "127.0.0.1", 0)
     settings = traffic_data.make_settings(service=traffic_data.PLAIN_SERVICE)
     settings = settings._replace(
-        upstream_address=Address(*server.sockets[0].getsockname()[:2])
+        upstream_address=Address(*server.sockets[0].getsockname()[:2]),
+        learns_from_resets=True,
     )
     agent = lifecycle.make_agent(settings, traffic_data.make_dialect(), None)
     agent.cache.catalog = traffic_data.make_catalog()
--- a/fuchsiamoor/core/agent_settings.py
+++ b/fuchsiamoor/core/agent_settings.py
@@ -74,6 +74,8 @@
     bounds : Bounds
     descriptors : int
         Files and connections that the daemon may have open.
+    learns_from_resets : bool
+        Whether upstreams may reset connections when they are full.
     copies_share : float
         Second copies of slow requests that may be repeated, as a share of all requests;
         0 sends none.
@@ -95,4 +97,5 @@
     memory_bytes: int
     bounds: Bounds
     descriptors: int = 4_096
+    learns_from_resets: bool = False
     copies_share: float = 0.0
--- a/fuchsiamoor/platform/settings.py
+++ b/fuchsiamoor/platform/settings.py
@@ -8,6 +8,8 @@
 from fuchsiamoor.platform import scalars
 
 PATH_VARIABLE = "FUCHSIAMOOR_BOOT"
+# Part of the terms under which upstreams reset connections when they are full.
+PRESSURE_TERMS = "pressure"
 # Where the settings name none: the least of a machine on the platform.
 DESCRIPTORS_DEFAULT = 4_100
 # Copies also come out of the retry budget, which is about a fifth of all requests.
@@ -74,6 +76,7 @@
         descriptors=scalars.read_int(
             limits.get("max_fds", DESCRIPTORS_DEFAULT), "max_fds"
         ),
+        learns_from_resets=PRESSURE_TERMS in fields.get("active_contracts", ()),
         copies_share=_read_share(document.get("copies_share", 0.0)),
     )
 
--- a/fuchsiamoor/platform/wire_test.py
+++ b/fuchsiamoor/platform/wire_test.py
@@ -341,6 +341,13 @@
         heartbeats.read_deregistration(body)
 
 
+@pytest.mark.parametrize("terms", [[], ["base"], ["base", "pressure"]])
+def test_resets_are_learnt_from_only_where_the_terms_have_them(terms):
+    fields = wire_data.SETTINGS["fields"] | {"active_contracts": terms}
+    found = settings.read_settings(wire_data.encode_settings(fields=fields))
+    assert found.learns_from_resets == ("pressure" in terms)
+
+
 def test_a_share_of_copies_is_none_unless_it_is_set():
     unset = settings.read_settings(wire_data.encode_settings())
     found = settings.read_settings(wire_data.encode_settings(copies_share=0.03))
