Bound the figures that an upstream tells of itself

Cause: a load or a cold start of thousands of digits raised in the task that carried the answer, whose caller got none; one above 64 bits ended the link to the peer that was told of it.

Change: a figure has nine digits at most; otherwise there is none.

--- a/fuchsiamoor/platform/wire.py
+++ b/fuchsiamoor/platform/wire.py
@@ -37,6 +37,8 @@
 _MISDIRECTED_STATUS = 421
 _WAIT_MAX_MS = 10 * 60 * 1000
 _WAIT_DEFAULT_MS = 10_000
+# Peers take no number above 64 bits; this is 11 days of a cold start in milliseconds.
+_FIGURE_DIGITS_MAX = 9
 
 
 def read_request(
@@ -206,22 +208,29 @@
 def read_health(whole: WholeAnswer) -> dialect.Health:
     """Decode an upstream's answer to a health check."""
     headers = dict(whole.headers)
-    cold_for = headers.get(_COLD_FOR, b"0").strip()
     return dialect.Health(
         upstream_id=headers.get(_UPSTREAM_ID, b"").decode("latin-1"),
-        cold_for_ms=int(cold_for) if cold_for.isdigit() else 0,
+        cold_for_ms=_read_figure(headers.get(_COLD_FOR, b"")) or 0,
         load=_read_load(headers.get(_LOAD)),
     )
 
 
 def _read_load(value: bytes | None) -> upstreams.ReportedLoad | None:
-    values = (value or b"").replace(b" ", b"").split(b",")
-    if not all(number.isdigit() for number in values) or len(values) < 3:
+    figures = [_read_figure(figure) for figure in (value or b"").split(b",")]
+    if None in figures or len(figures) < 3:
         return None
-    running, waiting, slots, *rest = (int(number) for number in values)
+    running, waiting, slots, *rest = figures
     return upstreams.ReportedLoad(running, waiting, slots, rest[0] if rest else 100)
 
 
+def _read_figure(value: bytes) -> int | None:
+    """Return a whole number of an upstream, None if it is none or beyond any."""
+    digits = value.strip()
+    if not digits.isdigit() or len(digits) > _FIGURE_DIGITS_MAX:
+        return None
+    return int(digits)
+
+
 def write_request_id(request_id: str) -> tuple[bytes, bytes]:
     """Return the header that names the request in an answer by the daemon itself."""
     return (b"Fuchsiamoor-Request-Id", request_id.encode("latin-1"))
--- a/fuchsiamoor/platform/wire_test.py
+++ b/fuchsiamoor/platform/wire_test.py
@@ -373,3 +373,15 @@
 def test_malformed_duration_is_refused(text):
     with pytest.raises(ValueError, match="duration"):
         scalars.read_duration_ms(text)
+
+
+# Numbers without a bound end a run's task, or a link once a peer is told of them.
+@pytest.mark.parametrize("figure", [b"1" * 5_000, b"9" * 20])
+def test_figures_of_a_load_that_no_upstream_has_are_none(figure):
+    headers = [(b"fuchsiamoor-server-load", b"1,1," + figure)]
+    assert wire.read_answer(WholeAnswer(503, headers, b"")).load is None
+
+
+def test_a_cold_start_without_a_bound_counts_as_none():
+    headers = [(b"fuchsiamoor-cold-start-ms", b"1" * 5_000)]
+    assert wire.read_health(WholeAnswer(200, headers, b"")).cold_for_ms == 0
