Check organisations too before a configuration is written

Cause: an organisation without a key, or without a home region in common with a route, only showed as refused requests. Change: both are told, and organisations are compared; of a key, eight digits of its digest are shown. Measured: three new cases pass.

--- a/fuchsiamoor/traffic/catalog_check.py
+++ b/fuchsiamoor/traffic/catalog_check.py
@@ -10,6 +10,10 @@
 from typing import NamedTuple
 
 from fuchsiamoor.traffic import catalog as catalogs
+from fuchsiamoor.traffic import organisations
+
+# Digits of a key's digest that tell it from others, and nothing of the key.
+DIGEST_DIGITS = 8
 
 
 class Severity(StrEnum):
@@ -59,6 +63,7 @@
         *_check_services(catalog),
         *_check_times(catalog),
         *_check_limits(catalog.limits),
+        *_check_organisations(catalog),
     ]
     return sorted(found, key=lambda finding: finding.severity is Severity.WARNING)
 
@@ -220,10 +225,39 @@
         )
 
 
+def _check_organisations(catalog: catalogs.Catalog) -> Iterator[Finding]:
+    """Find organisations that cannot send requests, on all routes or on one."""
+    if catalog.organisations is None:
+        return
+    routes = [route for route in _list_routes(catalog) if not route.is_public]
+    for organisation in catalog.organisations.by_name.values():
+        path = f"organisations.{organisation.name}"
+        if not organisation.key_digests:
+            yield Finding(
+                Severity.WARNING,
+                f"{path}.key_digests",
+                "without a key nobody can send requests for it",
+                "give it a key or remove it",
+            )
+        for route in routes:
+            homes = (organisation.home_regions, route.home_regions)
+            if all(homes) and not homes[0] & homes[1]:
+                yield Finding(
+                    Severity.WARNING,
+                    f"{path}.home_regions",
+                    f"route {route.name} has no home region in common, so that all "
+                    "its requests there are refused",
+                    "give both a common region",
+                )
+
+
 def _list_fields(catalog: catalogs.Catalog) -> Iterator[tuple[str, str]]:
     yield "version", str(catalog.version)
     entries = [(f"routes.{route.name}", route) for route in _list_routes(catalog)]
     entries += [(f"services.{name}", found) for name, found in catalog.services.items()]
+    if catalog.organisations is not None:
+        known = catalog.organisations.by_name
+        entries += [(f"organisations.{name}", found) for name, found in known.items()]
     for path, entry in (*entries, ("limits", catalog.limits)):
         for name, value in entry._asdict().items():
             if name != "name":
@@ -233,7 +267,11 @@
 def _format(value: object) -> str:
     match value:
         case frozenset():
-            return ", ".join(sorted(value))
+            return ", ".join(sorted(map(_format, value)))
+        case bytes():
+            return value.hex()[:DIGEST_DIGITS]
+        case organisations.Quota(rate_per_s, burst):
+            return f"{rate_per_s:g} a second, burst {burst:g}"
         case tuple():
             return ", ".join(f"{share.service} {share.weight:g}" for share in value)
         case _:
--- a/fuchsiamoor/traffic/catalog_check_test.py
+++ b/fuchsiamoor/traffic/catalog_check_test.py
@@ -1,7 +1,7 @@
 import pytest
 
-from fuchsiamoor.testing import traffic_data
-from fuchsiamoor.traffic import catalog, catalog_check
+from fuchsiamoor.testing import organisations_data, traffic_data
+from fuchsiamoor.traffic import catalog, catalog_check, organisations
 from fuchsiamoor.traffic.catalog_check import Severity
 
 
@@ -106,3 +106,37 @@
     assert found["routes.new.home_regions"] == ("", "north, south")
     assert found["limits.header_bytes"] == ("16384", "8192")
     assert not any(path.startswith("services.") for path in found)
+
+
+def test_an_organisation_without_a_common_region_with_a_route_is_told():
+    abroad = organisations_data.make_organisation(home_regions=frozenset({"south"}))
+    made = organisations_data.make_catalog(abroad, home_regions=frozenset({"north"}))
+    (found,) = _find(made, f"organisations.{abroad.name}.home_regions")
+    assert "route read" in found.problem
+
+
+def test_an_organisation_without_a_key_is_told():
+    silent = organisations_data.make_organisation("silent")._replace(
+        key_digests=frozenset()
+    )
+    (found,) = _find(
+        organisations_data.make_catalog(silent), "organisations.silent.key_digests"
+    )
+    assert found.severity is Severity.WARNING
+
+
+def test_a_changed_quota_and_key_are_listed_without_the_key():
+    quota = organisations.Quota(rate_per_s=50.0, burst=10.0)
+    before = organisations_data.make_catalog()
+    after = organisations_data.make_catalog(
+        organisations_data.make_organisation("lab", b"new-key", quota=quota)
+    )
+    found = {
+        difference.path: difference.after
+        for difference in catalog_check.list_differences(before, after)
+    }
+    assert found["organisations.lab.quota"] == "50 a second, burst 10"
+    assert (
+        found["organisations.lab.key_digests"]
+        == (organisations.digest_key(b"new-key").hex()[: catalog_check.DIGEST_DIGITS])
+    )
