Tests of copies: one builder for a daemon that has measured its instances

Cause: seven tests began with the same three lines. Change: copies_data.start_warm; no assertion changed. Measured: copies_test.py, 32 passed; ruff clean.

--- a/fuchsiamoor/agent/copies_test.py
+++ b/fuchsiamoor/agent/copies_test.py
@@ -37,9 +37,7 @@
     """Return the daemon, its instances, and latencies while one of them is slow."""
 
     async def play():
-        instances = copies_data.UnevenInstances()
-        agent = copies_data.make_agent(instances, **settings)
-        await copies_data.measure(agent, WARM_UP_REQUESTS)
+        agent, instances = await copies_data.start_warm(WARM_UP_REQUESTS, **settings)
         instances.slow = {"10.0.0.2"}
         latencies = await copies_data.measure(agent, slow_for_requests)
         return agent, instances, latencies
@@ -67,9 +65,9 @@
     share = 0.05
 
     async def play():
-        instances = copies_data.UnevenInstances()
-        agent = copies_data.make_agent(instances, copies_share=share)
-        await copies_data.measure(agent, WARM_UP_REQUESTS)
+        agent, instances = await copies_data.start_warm(
+            WARM_UP_REQUESTS, copies_share=share
+        )
         instances.slow = {f"10.0.0.{n}" for n in range(2, 6)}
         await copies_data.measure(agent, 200)
         return agent
@@ -113,9 +111,7 @@
 
 def test_copies_leave_half_of_the_retries_to_failed_requests():
     async def play():
-        instances = copies_data.UnevenInstances()
-        agent = copies_data.make_agent(instances)
-        await copies_data.measure(agent, WARM_UP_REQUESTS)
+        agent, instances = await copies_data.start_warm(WARM_UP_REQUESTS)
         instances.slow = {"10.0.0.2"}
         budget = agent.retry_budgets[traffic_data.PLAIN_SERVICE]
         budget.tokens = budget.tokens_max * 0.4
@@ -129,9 +125,7 @@
 
 def test_a_service_that_refuses_requests_gets_no_copies():
     async def play():
-        instances = copies_data.UnevenInstances()
-        agent = copies_data.make_agent(instances)
-        await copies_data.measure(agent, WARM_UP_REQUESTS)
+        agent, instances = await copies_data.start_warm(WARM_UP_REQUESTS)
 
         async def refuse_every_third(instance, message):
             if instance == "10.0.0.3":
@@ -149,9 +143,7 @@
 
 def test_a_crowded_instance_gets_no_copy():
     async def play():
-        instances = copies_data.UnevenInstances()
-        agent = copies_data.make_agent(instances, instances=2)
-        await copies_data.measure(agent, WARM_UP_REQUESTS)
+        agent, instances = await copies_data.start_warm(WARM_UP_REQUESTS, instances=2)
         instances.slow = {"10.0.0.2", "10.0.0.3"}
         for instance in instances.slow:
             agent.links.loads[instance] = OPEN._replace(running=15)
@@ -166,9 +158,7 @@
 
 def test_without_a_success_an_outcome_that_may_have_run_goes_before_a_refusal():
     async def play():
-        instances = copies_data.UnevenInstances()
-        agent = copies_data.make_agent(instances)
-        await copies_data.measure(agent, WARM_UP_REQUESTS)
+        agent, instances = await copies_data.start_warm(WARM_UP_REQUESTS)
 
         async def fail(instance, message):
             await asyncio.sleep(0.3)
@@ -185,9 +175,7 @@
 
 def test_a_copy_that_was_refused_costs_no_attempt_and_no_token():
     async def play():
-        instances = copies_data.UnevenInstances()
-        agent = copies_data.make_agent(instances)
-        await copies_data.measure(agent, WARM_UP_REQUESTS)
+        agent, instances = await copies_data.start_warm(WARM_UP_REQUESTS)
         tokens = agent.hedging.budgets[traffic_data.PLAIN_SERVICE].tokens
 
         async def refuse_copies(instance, message):
--- a/fuchsiamoor/testing/copies_data.py
+++ b/fuchsiamoor/testing/copies_data.py
@@ -82,3 +82,14 @@
         tasks.append(asyncio.create_task(handle()))
         await asyncio.sleep(gap_ms / 1000)
     return list(await asyncio.gather(*tasks))
+
+
+async def start_warm(count: int, **changes) -> tuple[state.Agent, UnevenInstances]:
+    """Return a daemon that has measured its instances in ``count`` requests.
+
+    ``changes`` are those of `make_agent`.
+    """
+    instances = UnevenInstances()
+    agent = make_agent(instances, **changes)
+    await measure(agent, count)
+    return agent, instances
