--- a/review/lib3/fleet.py
+++ b/review/lib3/fleet.py
@@ -586,11 +586,22 @@
             probes += [("/stock/w", key) for key in range(0, KEYS, 4096)]
         return probes
 
-    async def ask(self, machine, target, request_id, method="GET", body=b"", key=None):
+    async def ask(
+        self,
+        machine,
+        target,
+        request_id,
+        method="GET",
+        body=b"",
+        key=None,
+        deadline_ms=2000,
+    ):
         """Send one request on a new connection; (0, {}, b"") without an answer."""
-        payload = make_request(target, request_id, method, body, key)
+        payload = make_request(
+            target, request_id, method, body, key, deadline_ms=deadline_ms
+        )
         try:
-            async with asyncio.timeout(4):
+            async with asyncio.timeout(deadline_ms / 1000 + 2):
                 reader, writer = await asyncio.open_connection(*machine["outbound"])
                 try:
                     writer.write(payload)
