--- a/review/12/play.py
+++ b/review/12/play.py
@@ -10,16 +10,16 @@
 
 import fleet as fleets  # noqa: E402
 
-CLIENTS = 10
+CLIENTS = 40
 # Requests that each client sends on its kept connection, before the first answer.
 REQUESTS = 8
-ANSWER_BYTES = 1_000_000
+ANSWER_BYTES = 200_000
 DEADLINE_MS = 10_000
-# What a client reads at a time, and the pause after it when it reads slowly: 1 MB/s.
-READ_BYTES = 50_000
+# What a client reads at a time, and the pause after it when it reads slowly: 200 KB/s.
+READ_BYTES = 10_000
 PAUSE_S = 0.05
 # Time between the clients' beginnings.
-GAP_S = 0.3
+GAP_S = 0.06
 
 
 class Fleet(fleets.Fleet):
@@ -47,9 +47,10 @@
 async def read_answers(fleet, machine, number, pause_s):
     """Return the ids sent, those that got a whole answer, and the time taken."""
     await asyncio.sleep(number * GAP_S)
-    # A small window, as on the pages' links.
+    # A small window and the packets of a network, as on the pages' links.
     connection = socket.socket()
     connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 32_768)
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 1_460)
     connection.setblocking(False)
     loop = asyncio.get_running_loop()
     await loop.sock_connect(connection, machine["outbound"])
