--- a/review/lib3/fleet.py
+++ b/review/lib3/fleet.py
@@ -646,6 +646,8 @@
                 fleet.record.add("result:", found or "the rule held")
                 return found
 
+    # A script that is ended early still ends its processes.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
         found = asyncio.run(run())
     except Exception as error:
