--- a/review/lib3/fleet.py
+++ b/review/lib3/fleet.py
@@ -380,8 +380,17 @@
                 machine[name] = (ip, port)
             self.machines.append(machine)
         self.backends, self.daemons, self.logs = {}, {}, []
+        self.expiry = None
 
     async def __aenter__(self):
+        try:
+            return await self._start()
+        except BaseException:
+            # Nothing else ends what has been started so far.
+            await self.__aexit__()
+            raise
+
+    async def _start(self):
         host, port = await self.store.listen("127.0.0.1")
         self.store_address = f"{host}:{port}"
         self.store.put("op/config", self.make_configuration())
@@ -393,7 +402,8 @@
         return self
 
     async def __aexit__(self, *_):
-        self.expiry.cancel()
+        if self.expiry is not None:
+            self.expiry.cancel()
         for backend in self.backends.values():
             backend.kill()
         for process in self.daemons.values():
@@ -640,17 +650,18 @@
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def run():
+        # A script that is ended early still ends its processes.
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        loop.add_signal_handler(signal.SIGTERM, task.cancel)
         async with asyncio.timeout(110):
             async with Fleet(folder, services) as fleet:
                 found = await play(fleet, has_trouble)
                 fleet.record.add("result:", found or "the rule held")
                 return found
 
-    # A script that is ended early still ends its processes.
-    signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
         found = asyncio.run(run())
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         print("could not run:", repr(error))
         raise SystemExit(2) from error
     print(found or "the rule held")
